--- /dev/null
+++ b/cmd/daisyslipd/main.go
@@ -0,0 +1,23 @@
+// Command daisyslipd runs one router.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"daisyslip.dev/daisyslip/internal/daemoncli"
+)
+
+func main() {
+	err := daemoncli.NewCommand().Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "daisyslipd:", err)
+	var wrong *daemoncli.SettingsError
+	if errors.As(err, &wrong) {
+		os.Exit(daemoncli.ExitSettings)
+	}
+	os.Exit(daemoncli.ExitFailure)
+}
--- /dev/null
+++ b/coord/bus/memory.go
@@ -0,0 +1,117 @@
+package bus
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"daisyslip.dev/daisyslip/coord/failure"
+)
+
+// Network joins members in one process. Pairs of members can be cut off from
+// each other.
+type Network struct {
+	mu      sync.Mutex // guards all below
+	members map[ID]*Member
+	cut     map[[2]ID]bool
+}
+
+// NewNetwork returns a network without members.
+func NewNetwork() *Network {
+	return &Network{members: make(map[ID]*Member), cut: make(map[[2]ID]bool)}
+}
+
+// Member is one end of a Network. It implements Bus.
+type Member struct {
+	network *Network
+	self    Peer
+
+	mu       sync.RWMutex // guards handlers
+	handlers map[Kind]Handler
+}
+
+var _ Bus = (*Member)(nil)
+
+// Join adds a member.
+func (n *Network) Join(self Peer) *Member {
+	m := &Member{network: n, self: self, handlers: make(map[Kind]Handler)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members[self.ID] = m
+	return m
+}
+
+// Leave removes a member, as a crash does.
+func (n *Network) Leave(id ID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.members, id)
+}
+
+// SetCut cuts or heals the link between two members, in both directions.
+func (n *Network) SetCut(a, b ID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]ID{a, b}] = cut
+	n.cut[[2]ID{b, a}] = cut
+}
+
+// reach returns the member if from can reach it.
+func (n *Network) reach(from, to ID) *Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.members[from] == nil || n.cut[[2]ID{from, to}] {
+		return nil
+	}
+	return n.members[to]
+}
+
+// Self implements Bus.
+func (m *Member) Self() Peer { return m.self }
+
+// Peers implements Bus.
+func (m *Member) Peers() []Peer {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	var peers []Peer
+	for id, other := range m.network.members {
+		if id != m.self.ID && !m.network.cut[[2]ID{m.self.ID, id}] {
+			peers = append(peers, other.self)
+		}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID.String(), b.ID.String()) })
+	return peers
+}
+
+// Request implements Bus.
+func (m *Member) Request(ctx context.Context, to ID, kind Kind, body []byte) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, failure.Wrap(failure.PeerUnavailable, string(kind), to.String(), err)
+	}
+	other := m.network.reach(m.self.ID, to)
+	if other == nil {
+		return nil, failure.New(failure.PeerUnavailable, string(kind), to.String(), "no route to the peer")
+	}
+	other.mu.RLock()
+	handler := other.handlers[kind]
+	other.mu.RUnlock()
+	if handler == nil {
+		return nil, failure.New(failure.NotFound, string(kind), to.String(), "the peer does not handle this kind")
+	}
+	answer, err := handler(ctx, m.self.ID, body)
+	if m.network.reach(m.self.ID, to) == nil {
+		return nil, failure.New(failure.PeerUnavailable, string(kind), to.String(), "the answer was lost")
+	}
+	return answer, err
+}
+
+// Handle implements Bus.
+func (m *Member) Handle(kind Kind, handler Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.handlers[kind] != nil {
+		panic("second handler of " + string(kind))
+	}
+	m.handlers[kind] = handler
+}
--- /dev/null
+++ b/coord/doc.go
@@ -0,0 +1,15 @@
+// Package coord is the root of the coordination library of daisyslip.
+//
+// Each subpackage does one job over the interfaces of package platform, a
+// transactional table and an object store, and can be embedded by itself:
+//
+//   - budget: escrow of prepaid token budgets;
+//   - once: records that let a call run at most once;
+//   - revlog: a revisioned configuration log;
+//   - lease: leases with fencing numbers;
+//   - member: membership by heartbeat and platform list;
+//   - bus: requests between the members of a fleet;
+//   - event, hlc: typed events under a hybrid logical clock.
+//
+// No subpackage starts a server or reads the command line.
+package coord
--- /dev/null
+++ b/coord/event/event.go
@@ -0,0 +1,114 @@
+// Package event defines the typed events that every duty of a router records
+// on the time line.
+package event
+
+import "daisyslip.dev/daisyslip/coord/hlc"
+
+// Duty names the part of a router that recorded an event.
+type Duty string
+
+// The duties.
+const (
+	DutyCaller   Duty = "caller"
+	DutyRoute    Duty = "route"
+	DutyDispatch Duty = "dispatch"
+	DutyBudget   Duty = "budget"
+	DutyCall     Duty = "call"
+	DutyConfig   Duty = "config"
+	DutyMember   Duty = "member"
+	DutyPeer     Duty = "peer"
+	DutyLease    Duty = "lease"
+	DutyDrain    Duty = "drain"
+	DutyEndpoint Duty = "endpoint"
+	DutyPlatform Duty = "platform"
+)
+
+// Kind names what happened.
+type Kind string
+
+// The kinds of events.
+const (
+	RequestReceived Kind = "request_received"
+	RequestAnswered Kind = "request_answered"
+	RequestRefused  Kind = "request_refused"
+	RequestBroken   Kind = "request_broken"
+
+	AttemptStarted  Kind = "attempt_started"
+	AttemptEnded    Kind = "attempt_ended"
+	AttemptFailed   Kind = "attempt_failed"
+	AttemptCanceled Kind = "attempt_canceled"
+	AnswerDropped   Kind = "answer_dropped"
+
+	EndpointEjected  Kind = "endpoint_ejected"
+	EndpointReturned Kind = "endpoint_returned"
+	EndpointLeaving  Kind = "endpoint_leaving"
+
+	GrantDrawn       Kind = "grant_drawn"
+	GrantReturned    Kind = "grant_returned"
+	GrantTransferred Kind = "grant_transferred"
+	TokensReserved   Kind = "tokens_reserved"
+	TokensSettled    Kind = "tokens_settled"
+	BillWritten      Kind = "bill_written"
+	BillCopied       Kind = "bill_copied"
+	DoubtRaised      Kind = "doubt_raised"
+	DoubtSettled     Kind = "doubt_settled"
+
+	CallClaimed  Kind = "call_claimed"
+	CallAnswered Kind = "call_answered"
+	CallUnknown  Kind = "call_unknown"
+	CallReplayed Kind = "call_replayed"
+
+	RevisionCommitted Kind = "revision_committed"
+	RevisionApplied   Kind = "revision_applied"
+	RevisionAccepted  Kind = "revision_accepted"
+
+	LeaseTaken    Kind = "lease_taken"
+	LeaseLost     Kind = "lease_lost"
+	LeaseReleased Kind = "lease_released"
+	OrderSent     Kind = "order_sent"
+	OrderRefused  Kind = "order_refused"
+
+	MemberJoined    Kind = "member_joined"
+	MemberSuspected Kind = "member_suspected"
+	MemberLeft      Kind = "member_left"
+	PeerConnected   Kind = "peer_connected"
+	PeerLost        Kind = "peer_lost"
+
+	DrainStarted Kind = "drain_started"
+	DrainEnded   Kind = "drain_ended"
+)
+
+// Event is one entry of the time line. Fields that do not apply are empty.
+type Event struct {
+	Time hlc.Time `json:"time" cbor:"1,keyasint"`
+	// VM and Incarnation name the process that recorded the event.
+	VM          string `json:"vm" cbor:"2,keyasint"`
+	Incarnation string `json:"incarnation" cbor:"3,keyasint"`
+	// Seq numbers the events of one incarnation from 1 without gaps, so that
+	// dropped events show.
+	Seq  uint64 `json:"seq" cbor:"4,keyasint"`
+	Duty Duty   `json:"duty" cbor:"5,keyasint"`
+	Kind Kind   `json:"kind" cbor:"6,keyasint"`
+
+	Request   string `json:"request,omitempty" cbor:"7,keyasint,omitempty"`
+	Attempt   string `json:"attempt,omitempty" cbor:"8,keyasint,omitempty"`
+	Workspace string `json:"workspace,omitempty" cbor:"9,keyasint,omitempty"`
+	Endpoint  string `json:"endpoint,omitempty" cbor:"10,keyasint,omitempty"`
+	Peer      string `json:"peer,omitempty" cbor:"11,keyasint,omitempty"`
+	Tokens    int64  `json:"tokens,omitempty" cbor:"12,keyasint,omitempty"`
+	Revision  int64  `json:"revision,omitempty" cbor:"13,keyasint,omitempty"`
+	// Detail is a short sentence for people.
+	Detail string `json:"detail,omitempty" cbor:"14,keyasint,omitempty"`
+}
+
+// Recorder takes events. Record never blocks: a full recorder drops the event
+// and counts it. The recorder fills Time, VM, Incarnation and Seq.
+type Recorder interface {
+	Record(Event)
+}
+
+// Discard is a Recorder that drops every event.
+type Discard struct{}
+
+// Record drops e.
+func (Discard) Record(Event) {}
--- /dev/null
+++ b/coord/platform/memory/memory.go
@@ -0,0 +1,328 @@
+// Package memory implements the platform in the memory of one process, with
+// faults that can be switched on. Tests and the stand-in servers use it.
+package memory
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/platform"
+)
+
+// Faults are the faults of a store. The zero value is healthy.
+type Faults struct {
+	// Outage makes every call fail without effect.
+	Outage bool `json:"outage"`
+	// Delay is added to every call, in nanoseconds in JSON.
+	Delay time.Duration `json:"delay"`
+	// LoseReplies makes the next commits take effect and then report
+	// KindUnknown, this many times; -1 means until switched off.
+	LoseReplies int `json:"lose_replies"`
+	// LoseRequests makes the next commits report KindUnknown without effect,
+	// this many times; -1 means until switched off.
+	LoseRequests int `json:"lose_requests"`
+}
+
+// Counts are the calls and rows that a store has served.
+type Counts struct {
+	Commits     int64 `json:"commits"`
+	Conflicts   int64 `json:"conflicts"`
+	RowsWritten int64 `json:"rows_written"`
+	RowsRead    int64 `json:"rows_read"`
+	Reads       int64 `json:"reads"`
+}
+
+// Store is the shared state of the platform. Views of it, one per client,
+// are made with View, so that each client can be cut off by itself.
+type Store struct {
+	clock clock.Clock
+
+	mu      sync.Mutex // guards all below
+	rows    map[string]platform.Row
+	keys    []string // sorted keys of rows that exist
+	objects map[string][]byte
+	vms     []platform.VM
+	ops     map[string]platform.Receipt
+	counts  Counts
+}
+
+// NewStore returns an empty, healthy store.
+func NewStore(c clock.Clock) *Store {
+	return &Store{
+		clock:   c,
+		rows:    make(map[string]platform.Row),
+		objects: make(map[string][]byte),
+		ops:     make(map[string]platform.Receipt),
+	}
+}
+
+// View returns a client of the store with faults of its own.
+func (s *Store) View() *View { return &View{store: s} }
+
+// Counts returns the calls and rows served so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// SetVMs replaces the list of VMs.
+func (s *Store) SetVMs(vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = slices.Clone(vms)
+}
+
+// ForgetOperations drops the memory of operation ids, as a service does after
+// some time.
+func (s *Store) ForgetOperations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.ops)
+}
+
+func (s *Store) get(keys []string) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = s.readLocked(key)
+	}
+	s.counts.Reads++
+	s.counts.RowsRead += int64(len(keys))
+	return rows
+}
+
+// readLocked returns the row at key; a deleted row keeps its version in
+// s.rows so that the numbers continue, but reads as absent.
+func (s *Store) readLocked(key string) platform.Row {
+	row := s.rows[key]
+	if row.Value == nil {
+		return platform.Row{Key: key}
+	}
+	row.Value = slices.Clone(row.Value)
+	return row
+}
+
+func (s *Store) scan(from, to string, limit int) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []platform.Row
+	for i := sort.SearchStrings(s.keys, from); i < len(s.keys) && len(rows) < limit; i++ {
+		if to != "" && s.keys[i] >= to {
+			break
+		}
+		rows = append(rows, s.readLocked(s.keys[i]))
+	}
+	s.counts.Reads++
+	s.counts.RowsRead += int64(len(rows))
+	return rows
+}
+
+func (s *Store) commit(txn platform.Txn) (platform.Receipt, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Commits++
+	if receipt, done := s.ops[txn.OpID]; done {
+		return receipt, nil
+	}
+	for _, cond := range txn.Conds {
+		if s.readLocked(cond.Key).Version != cond.Version {
+			s.counts.Conflicts++
+			return platform.Receipt{}, &platform.Error{Kind: platform.KindConflict, Step: "commit", Key: cond.Key}
+		}
+	}
+	var receipt platform.Receipt
+	for _, write := range txn.Writes {
+		receipt.Versions = append(receipt.Versions, s.writeLocked(write))
+	}
+	s.ops[txn.OpID] = receipt
+	return receipt, nil
+}
+
+func (s *Store) writeLocked(write platform.Write) int64 {
+	old := s.rows[write.Key]
+	row := platform.Row{Key: write.Key, Version: old.Version + 1}
+	if !write.Delete {
+		row.Value = append([]byte{}, write.Value...)
+	}
+	s.rows[write.Key] = row
+	s.counts.RowsWritten++
+	s.indexLocked(write.Key, old.Value != nil, row.Value != nil)
+	return row.Version
+}
+
+// indexLocked keeps the sorted key list in step with a write.
+func (s *Store) indexLocked(key string, had, has bool) {
+	if had == has {
+		return
+	}
+	i := sort.SearchStrings(s.keys, key)
+	if has {
+		s.keys = slices.Insert(s.keys, i, key)
+		return
+	}
+	s.keys = slices.Delete(s.keys, i, i+1)
+}
+
+func (s *Store) outcome(opID string) (platform.Receipt, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	receipt, done := s.ops[opID]
+	s.counts.Reads++
+	s.counts.RowsRead++
+	return receipt, done
+}
+
+// View is one client's connection to a Store. It implements
+// platform.Platform.
+type View struct {
+	store *Store
+
+	mu     sync.Mutex // guards faults
+	faults Faults
+}
+
+var _ platform.Platform = (*View)(nil)
+
+// SetFaults replaces the faults of this view.
+func (v *View) SetFaults(f Faults) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faults = f
+}
+
+// errOutage is the cause of errors during an injected outage.
+var errOutage = errors.New("outage")
+
+// enter applies the delay and the outage to a call.
+func (v *View) enter(ctx context.Context, step string) error {
+	v.mu.Lock()
+	delay := v.faults.Delay
+	v.mu.Unlock()
+	if delay > 0 {
+		if err := clock.Sleep(ctx, v.store.clock, delay); err != nil {
+			return &platform.Error{Kind: platform.KindUnavailable, Step: step, Err: err}
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.faults.Outage {
+		return &platform.Error{Kind: platform.KindUnavailable, Step: step, Err: errOutage}
+	}
+	if err := ctx.Err(); err != nil {
+		return &platform.Error{Kind: platform.KindUnavailable, Step: step, Err: err}
+	}
+	return nil
+}
+
+// spend consumes one occurrence of a counted fault.
+func (v *View) spend(count func(*Faults) *int) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := count(&v.faults)
+	if *n > 0 {
+		*n--
+		return true
+	}
+	return *n < 0
+}
+
+// Get implements platform.Table.
+func (v *View) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := v.enter(ctx, "get"); err != nil {
+		return nil, err
+	}
+	return v.store.get(keys), nil
+}
+
+// Range implements platform.Table.
+func (v *View) Range(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
+	if err := v.enter(ctx, "range"); err != nil {
+		return nil, err
+	}
+	return v.store.scan(from, to, limit), nil
+}
+
+// Commit implements platform.Table.
+func (v *View) Commit(ctx context.Context, txn platform.Txn) (platform.Receipt, error) {
+	if err := txn.Validate(); err != nil {
+		return platform.Receipt{}, &platform.Error{Kind: platform.KindInvalid, Step: "commit", Err: err}
+	}
+	if err := v.enter(ctx, "commit"); err != nil {
+		return platform.Receipt{}, err
+	}
+	lost := &platform.Error{Kind: platform.KindUnknown, Step: "commit", Err: errors.New("reply lost")}
+	if v.spend(func(f *Faults) *int { return &f.LoseRequests }) {
+		return platform.Receipt{}, lost
+	}
+	receipt, err := v.store.commit(txn)
+	if v.spend(func(f *Faults) *int { return &f.LoseReplies }) {
+		return platform.Receipt{}, lost
+	}
+	return receipt, err
+}
+
+// Outcome implements platform.Table.
+func (v *View) Outcome(ctx context.Context, opID string) (platform.Receipt, bool, error) {
+	if err := v.enter(ctx, "outcome"); err != nil {
+		return platform.Receipt{}, false, err
+	}
+	receipt, done := v.store.outcome(opID)
+	return receipt, done, nil
+}
+
+// PutObject implements platform.Objects.
+func (v *View) PutObject(ctx context.Context, name string, data []byte) error {
+	if err := v.enter(ctx, "put object"); err != nil {
+		return err
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.store.objects[name] = slices.Clone(data)
+	return nil
+}
+
+// GetObject implements platform.Objects.
+func (v *View) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := v.enter(ctx, "get object"); err != nil {
+		return nil, err
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	data, found := v.store.objects[name]
+	if !found {
+		return nil, &platform.Error{Kind: platform.KindNotFound, Step: "get object", Key: name}
+	}
+	return slices.Clone(data), nil
+}
+
+// ListVMs implements platform.VMs.
+func (v *View) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	if err := v.enter(ctx, "list VMs"); err != nil {
+		return nil, err
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	return slices.Clone(v.store.vms), nil
+}
+
+// Dump returns the rows whose keys start with prefix, bypassing all faults,
+// for checks of invariants.
+func (s *Store) Dump(prefix string) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []platform.Row
+	for _, key := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, s.readLocked(key))
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/caller/metrics.go
@@ -0,0 +1,40 @@
+package caller
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/internal/work"
+)
+
+// serverMetrics count what the caller API does.
+type serverMetrics struct {
+	set        *metrics.Set
+	answers    *metrics.Counter
+	prompt     *metrics.Counter
+	completion *metrics.Counter
+	overrun    *metrics.Counter
+}
+
+func newServerMetrics(set *metrics.Set) *serverMetrics {
+	return &serverMetrics{
+		set:        set,
+		answers:    set.NewCounter("daisyslip_caller_answers_total"),
+		prompt:     set.NewCounter("daisyslip_caller_prompt_tokens_total"),
+		completion: set.NewCounter("daisyslip_caller_completion_tokens_total"),
+		overrun:    set.NewCounter("daisyslip_caller_overrun_tokens_total"),
+	}
+}
+
+func (m *serverMetrics) answered(u work.Usage) {
+	m.answers.Inc()
+	m.prompt.Add(int(u.PromptTokens))
+	m.completion.Add(int(u.CompletionTokens))
+}
+
+// refused counts a failure by its code; codes are a fixed set.
+func (m *serverMetrics) refused(code failure.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("daisyslip_caller_failures_total{code=%q}", code)).Inc()
+}
--- /dev/null
+++ b/internal/caller/refusal.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/failure"
+)
+
+// Headers of the caller's contract.
+const (
+	headerRan       = "Daisyslip-Ran"
+	headerRequestID = "Daisyslip-Request-Id"
+	headerKey       = "Idempotency-Key"
+	headerDeadline  = "X-Request-Deadline-Ms"
+	headerPriority  = "X-Request-Priority"
+	headerReplayed  = "Daisyslip-Replayed"
+)
+
+// ErrorDetail is the content of a refusal.
+type ErrorDetail struct {
+	Code    failure.Code `json:"code"`
+	Message string       `json:"message"`
+	Step    string       `json:"step"`
+	Peer    string       `json:"peer"`
+	Ran     failure.Ran  `json:"ran"`
+	// Type repeats the code for clients that read the usual error type.
+	Type failure.Code `json:"type"`
+	// RequestID finds the request on the time line.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// ErrorBody is the body of every refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// statuses maps codes to HTTP statuses; others are 500.
+var statuses = map[failure.Code]int{
+	failure.BadRequest:       http.StatusBadRequest,
+	failure.KeyRequired:      http.StatusBadRequest,
+	failure.Unauthorized:     http.StatusUnauthorized,
+	failure.Forbidden:        http.StatusForbidden,
+	failure.NotFound:         http.StatusNotFound,
+	failure.TooLarge:         http.StatusRequestEntityTooLarge,
+	failure.Conflict:         http.StatusConflict,
+	failure.KeyReused:        http.StatusConflict,
+	failure.OutcomeUnknown:   http.StatusConflict,
+	failure.BudgetExhausted:  http.StatusPaymentRequired,
+	failure.BudgetBusy:       http.StatusServiceUnavailable,
+	failure.Overloaded:       http.StatusServiceUnavailable,
+	failure.NoEndpoint:       http.StatusServiceUnavailable,
+	failure.StoreUnavailable: http.StatusServiceUnavailable,
+	failure.PeerUnavailable:  http.StatusServiceUnavailable,
+	failure.StaleView:        http.StatusServiceUnavailable,
+	failure.Draining:         http.StatusServiceUnavailable,
+	failure.EndpointFailed:   http.StatusBadGateway,
+	failure.Deadline:         http.StatusGatewayTimeout,
+	failure.Canceled:         statusClientClosed,
+}
+
+// statusClientClosed is the usual status for a caller that has gone; nobody
+// receives it.
+const statusClientClosed = 499
+
+// defaultRetryAfter is said on 503 answers that name no time.
+const defaultRetryAfter = time.Second
+
+func statusOf(code failure.Code) int {
+	if status, found := statuses[code]; found {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// asFailure turns any error of the request path into a failure.
+func asFailure(err error) *failure.Error {
+	if f := failure.As(err); f != nil {
+		return f
+	}
+	switch {
+	case errors.Is(err, budget.ErrExhausted), errors.Is(err, budget.ErrNotFound):
+		return failure.Wrap(failure.BudgetExhausted, "reserve tokens", "", err)
+	case errors.Is(err, budget.ErrBusy):
+		return failure.Wrap(failure.BudgetBusy, "reserve tokens", "", err).WithRetry(defaultRetryAfter)
+	case errors.Is(err, budget.ErrUnavailable):
+		return failure.Wrap(failure.StoreUnavailable, "reserve tokens", "platform", err).WithRetry(defaultRetryAfter)
+	case errors.Is(err, budget.ErrConflict):
+		return failure.Wrap(failure.KeyReused, "reserve tokens", "", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return failure.Wrap(failure.Deadline, "serve request", "", err)
+	case errors.Is(err, context.Canceled):
+		return failure.Wrap(failure.Canceled, "serve request", "caller", err)
+	}
+	return failure.Wrap(failure.Internal, "serve request", "", err)
+}
+
+// refuse writes a failure as the whole answer.
+func refuse(w http.ResponseWriter, requestID string, f *failure.Error) {
+	status := statusOf(f.Code)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerRan, string(f.Ran))
+	retry := f.RetryAfter
+	if retry == 0 && status == http.StatusServiceUnavailable {
+		retry = defaultRetryAfter
+	}
+	if retry > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+	}
+	w.WriteHeader(status)
+	w.Write(errorBody(requestID, f))
+}
+
+// errorBody encodes a failure for the caller.
+func errorBody(requestID string, f *failure.Error) []byte {
+	data, err := json.Marshal(ErrorBody{Error: ErrorDetail{
+		Code:      f.Code,
+		Message:   f.Message,
+		Step:      f.Step,
+		Peer:      f.Peer,
+		Ran:       f.Ran,
+		Type:      f.Code,
+		RequestID: requestID,
+	}})
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	return data
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,189 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/work"
+)
+
+// Configuration gives the revision in force.
+type Configuration interface {
+	Catalog() *catalog.Index
+}
+
+// Duties are the other duties that the caller API uses.
+type Duties struct {
+	Config    Configuration
+	Budgets   budget.Holder
+	Generator work.Generator
+	Calls     work.Caller
+	Events    event.Recorder
+	Metrics   *metrics.Set
+	Log       *slog.Logger
+	// Unready returns why the router should get no requests; empty is ready.
+	Unready func() []string
+}
+
+// Server serves the caller API.
+type Server struct {
+	settings Settings
+	duties   Duties
+	metrics  *serverMetrics
+	listener net.Listener
+	http     *http.Server
+	inFlight chan struct{}
+	draining atomic.Bool
+}
+
+// New returns a server that does not listen yet.
+func New(s Settings, d Duties) *Server {
+	server := &Server{
+		settings: s,
+		duties:   d,
+		metrics:  newServerMetrics(d.Metrics),
+		inFlight: make(chan struct{}, s.MaxInFlight),
+	}
+	server.http = &http.Server{
+		Handler:           server.routes(),
+		ReadHeaderTimeout: s.HeaderTimeout,
+		IdleTimeout:       s.IdleTimeout,
+		MaxHeaderBytes:    s.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(d.Log.Handler(), slog.LevelDebug),
+	}
+	return server
+}
+
+// Provision opens the listener.
+func (s *Server) Provision() error {
+	listener, err := net.Listen("tcp", s.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	s.listener = listener
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Run serves until Drain or Cleanup.
+func (s *Server) Run() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve callers: %w", err)
+}
+
+// Drain turns /readyz false, goes on serving until the balancer must have
+// seen it, then stops listening and waits for the requests in flight, until
+// ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	if err := clock.Sleep(ctx, clock.Real{}, s.settings.ReadinessLag); err != nil {
+		return fmt.Errorf("wait for the balancer: %w", err)
+	}
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for %d requests in flight: %w", len(s.inFlight), err)
+	}
+	return nil
+}
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int { return len(s.inFlight) }
+
+// Cleanup closes all connections at once.
+func (s *Server) Cleanup() error { return s.http.Close() }
+
+func (s *Server) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = s.handleError
+	e.GET("/healthz", s.healthz)
+	e.GET("/readyz", s.readyz)
+	api := e.Group("", s.bound, s.authenticate)
+	api.POST("/v1/chat/completions", s.chat)
+	api.GET("/v1/models", s.models)
+	api.GET("/v1/models/:model", s.model)
+	api.Any("/v1/services/:service", s.service)
+	api.Any("/v1/services/:service/*", s.service)
+	return e
+}
+
+func (s *Server) healthz(c echo.Context) error {
+	return c.String(http.StatusOK, "ok\n")
+}
+
+// Readiness is the answer of /readyz.
+type Readiness struct {
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons,omitempty"`
+}
+
+func (s *Server) readyz(c echo.Context) error {
+	reasons := s.duties.Unready()
+	if s.draining.Load() {
+		reasons = append(reasons, "draining")
+	}
+	status := http.StatusOK
+	if len(reasons) > 0 {
+		status = http.StatusServiceUnavailable
+	}
+	return c.JSON(status, Readiness{Ready: len(reasons) == 0, Reasons: reasons})
+}
+
+// bound refuses requests beyond the number that may be in flight.
+func (s *Server) bound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		select {
+		case s.inFlight <- struct{}{}:
+		default:
+			return failure.New(failure.Overloaded, "admit request", "", "the router serves as many requests as it may; try again")
+		}
+		defer func() { <-s.inFlight }()
+		if s.draining.Load() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
+// handleError writes errors that a handler returned before its answer began.
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var fromEcho *echo.HTTPError
+	f := failure.As(err)
+	switch {
+	case f != nil:
+	case errors.As(err, &fromEcho):
+		f = failure.New(codeOfStatus(fromEcho.Code), "route request", "", fmt.Sprint(fromEcho.Message))
+	default:
+		f = asFailure(err)
+	}
+	s.metrics.refused(f.Code)
+	refuse(c.Response(), requestID(c), f)
+}
+
+// codeOfStatus names the failure of a status that echo answers by itself.
+func codeOfStatus(status int) failure.Code {
+	if status == http.StatusNotFound {
+		return failure.NotFound
+	}
+	return failure.BadRequest
+}
--- /dev/null
+++ b/internal/caller/settings.go
@@ -0,0 +1,93 @@
+// Package caller serves the API of callers: chat completions, models and
+// plain services. It authenticates, checks and bounds what comes in, has the
+// budget pay for it, and writes whole answers or honest refusals.
+package caller
+
+import (
+	"time"
+
+	"daisyslip.dev/daisyslip/internal/check"
+)
+
+// Settings are the settings of the caller API.
+type Settings struct {
+	// Listen is the host:port of the API.
+	Listen string `json:"listen"`
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	// HeaderTimeout bounds the reading of a request's headers.
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	// BodyTimeout bounds the reading of a request's body.
+	BodyTimeout time.Duration `json:"body_timeout"`
+	// WriteTimeout bounds one write to a caller.
+	WriteTimeout time.Duration `json:"write_timeout"`
+	// IdleTimeout bounds the idle time of a caller's connection.
+	IdleTimeout time.Duration `json:"idle_timeout"`
+	// MaxInFlight bounds the requests served at once; more are refused.
+	MaxInFlight int `json:"max_in_flight"`
+	// DefaultDeadline is the deadline of requests that name none, and
+	// MaxDeadline the longest that a request may name.
+	DefaultDeadline time.Duration `json:"default_deadline"`
+	MaxDeadline     time.Duration `json:"max_deadline"`
+	// DefaultMaxTokens is the answer length of requests that name none, and
+	// MaxTokens the longest that a request may name.
+	DefaultMaxTokens int64 `json:"default_max_tokens"`
+	MaxTokens        int64 `json:"max_tokens"`
+	// PromptBytesPerToken is the fewest bytes that a token of a prompt can
+	// have; it bounds the tokens of a prompt before an engine counts them.
+	PromptBytesPerToken int64 `json:"prompt_bytes_per_token"`
+	// SettleTimeout bounds the billing of a request whose answer has ended.
+	SettleTimeout time.Duration `json:"settle_timeout"`
+	// ReadinessLag is how long the balancer may go on sending requests after
+	// /readyz has turned false.
+	ReadinessLag time.Duration `json:"readiness_lag"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxBodyBytes:        4 << 20,
+		MaxHeaderBytes:      32 << 10,
+		HeaderTimeout:       5 * time.Second,
+		BodyTimeout:         20 * time.Second,
+		WriteTimeout:        20 * time.Second,
+		IdleTimeout:         2 * time.Minute,
+		MaxInFlight:         4096,
+		DefaultDeadline:     2 * time.Minute,
+		MaxDeadline:         15 * time.Minute,
+		DefaultMaxTokens:    512,
+		MaxTokens:           32768,
+		PromptBytesPerToken: 1,
+		SettleTimeout:       5 * time.Second,
+		ReadinessLag:        3 * time.Second,
+	}
+}
+
+// Bounds of the settings.
+const (
+	shortest = time.Millisecond
+	longest  = 24 * time.Hour
+)
+
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List, path string) {
+	l.Listen(path+".listen", s.Listen)
+	l.Positive(path+".max_body_bytes", s.MaxBodyBytes)
+	l.Positive(path+".max_header_bytes", int64(s.MaxHeaderBytes))
+	l.Duration(path+".header_timeout", s.HeaderTimeout, shortest, longest)
+	l.Duration(path+".body_timeout", s.BodyTimeout, shortest, longest)
+	l.Duration(path+".write_timeout", s.WriteTimeout, shortest, longest)
+	l.Duration(path+".idle_timeout", s.IdleTimeout, shortest, longest)
+	l.Positive(path+".max_in_flight", int64(s.MaxInFlight))
+	l.Duration(path+".default_deadline", s.DefaultDeadline, shortest, longest)
+	l.Duration(path+".max_deadline", s.MaxDeadline, s.DefaultDeadline, longest)
+	l.Positive(path+".default_max_tokens", s.DefaultMaxTokens)
+	if s.MaxTokens < s.DefaultMaxTokens {
+		l.Add(path+".max_tokens", s.MaxTokens, "at least default_max_tokens")
+	}
+	l.Positive(path+".prompt_bytes_per_token", s.PromptBytesPerToken)
+	l.Duration(path+".settle_timeout", s.SettleTimeout, shortest, longest)
+	l.Duration(path+".readiness_lag", s.ReadinessLag, 0, longest)
+}
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"daisyslip.dev/daisyslip/internal/dev"
+	"daisyslip.dev/daisyslip/internal/logs"
+)
+
+func newDev() *cobra.Command {
+	options := dev.DefaultOptions()
+	level := "warn"
+	once := false
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a small fleet in one process on loopback",
+		Long: `dev runs a stand-in platform, model endpoints, a plain service and routers in
+one process on loopback, with one workspace. When all is ready it prints one
+JSON line that says where everything listens, and serves until interrupted.`,
+		Example: `  daisyslip dev
+  daisyslip dev --once
+  daisyslip dev --budget 5000`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			log, err := logs.New(cmd.ErrOrStderr(), level, "text")
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			fleet, err := dev.Start(ctx, options, log)
+			if err != nil {
+				return err
+			}
+			if once {
+				if err := dev.Sample(ctx, fleet, cmd.OutOrStdout()); err != nil {
+					return err
+				}
+				return fleet.Close()
+			}
+			if err := json.NewEncoder(cmd.OutOrStdout()).Encode(fleet.Info()); err != nil {
+				return fmt.Errorf("print the fleet: %w", err)
+			}
+			<-ctx.Done()
+			return fleet.Close()
+		},
+	}
+	cmd.Flags().Int64Var(&options.Budget, "budget", options.Budget, "tokens that the workspace has paid for")
+	cmd.Flags().IntVar(&options.Routers, "routers", options.Routers, "number of routers")
+	cmd.Flags().IntVar(&options.Engines, "engines", options.Engines, "number of model endpoints")
+	cmd.Flags().BoolVar(&once, "once", false, "send a sample of requests, print answers and the time line, and exit")
+	cmd.Flags().StringVar(&level, "log-level", level, "debug, info, warn or error")
+	return cmd
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,191 @@
+// Package daemon assembles the duties of a router and runs them.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/hlc"
+	"daisyslip.dev/daisyslip/coord/once"
+	"daisyslip.dev/daisyslip/internal/caller"
+	"daisyslip.dev/daisyslip/internal/calls"
+	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/dispatch"
+	"daisyslip.dev/daisyslip/internal/logs"
+	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/platformhttp"
+	"daisyslip.dev/daisyslip/internal/route"
+	"daisyslip.dev/daisyslip/internal/settings"
+	"daisyslip.dev/daisyslip/internal/timeline"
+)
+
+// Version is the version of the build.
+const Version = "0.1.0"
+
+// Daemon is one router.
+type Daemon struct {
+	settings settings.Settings
+	log      *slog.Logger
+	self     bus.Peer
+	started  time.Time
+
+	metrics  *metrics.Set
+	events   *timeline.Ring
+	platform *platformhttp.Client
+	config   *conf.Keeper
+	holder   budget.Holder
+	dispatch *dispatch.Dispatcher
+	calls    *calls.Runner
+	caller   *caller.Server
+	operator *operator.Server
+}
+
+// New assembles a router from its settings; nothing runs yet.
+func New(s settings.Settings, log *slog.Logger) *Daemon {
+	d := &Daemon{
+		settings: s,
+		log:      log,
+		self:     bus.Peer{ID: bus.ID{VM: s.VM, Incarnation: uuid.NewString()}, Domain: s.Domain, Region: s.Region, Addr: s.Peer.Listen},
+		started:  time.Now(),
+		metrics:  metrics.NewSet(),
+		platform: platformhttp.NewClient(s.Platform, s.VM),
+	}
+	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
+	ledger := budget.NewLedger(d.platform)
+	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
+	router := route.NewRouter(s.Route, d.config)
+	d.dispatch = dispatch.New(s.Dispatch, router, d.events)
+	d.calls = calls.New(s.Calls, router, once.NewRecords(d.platform, d.self.ID.String()), d.events)
+	d.caller = caller.New(s.Caller, caller.Duties{
+		Config:    d.config,
+		Budgets:   d.holder,
+		Generator: d.dispatch,
+		Calls:     d.calls,
+		Events:    d.events,
+		Metrics:   d.metrics,
+		Log:       d.part("caller"),
+		Unready:   d.unready,
+	})
+	d.operator = operator.New(s.Operator, operator.Duties{
+		Config:  d.config,
+		Ledger:  ledger,
+		Events:  d.events,
+		Metrics: d.metrics,
+		Log:     d.part("operator"),
+		Status:  d.status,
+	})
+	return d
+}
+
+// part returns the log of one part, whose lines carry its name.
+func (d *Daemon) part(name string) *slog.Logger { return logs.Part(d.log, name) }
+
+// Provision opens the listeners.
+func (d *Daemon) Provision() error {
+	if err := d.caller.Provision(); err != nil {
+		return err
+	}
+	if err := d.operator.Provision(); err != nil {
+		return errors.Join(err, d.caller.Cleanup())
+	}
+	return nil
+}
+
+// Addresses say where a router listens.
+type Addresses struct {
+	// Caller and Operator are the base URLs of the two APIs.
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+}
+
+// Addresses returns where the router listens, after Provision.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Caller:   "http://" + d.caller.Addr().String(),
+		Operator: "http://" + d.operator.Addr().String(),
+	}
+}
+
+// Run serves until ctx ends, then drains: readiness turns false, requests in
+// flight finish, and grants go back to the platform.
+func (d *Daemon) Run(ctx context.Context) error {
+	duties, stop := context.WithCancel(context.Background())
+	defer stop()
+	var running sync.WaitGroup
+	failed := make(chan error, 3)
+	start := func(name string, run func() error) {
+		running.Go(func() {
+			if err := run(); err != nil {
+				failed <- fmt.Errorf("run %s: %w", name, err)
+			}
+		})
+	}
+	start("config", func() error { return d.config.Run(duties) })
+	start("caller", d.caller.Run)
+	start("operator", d.operator.Run)
+	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
+		"caller", d.Addresses().Caller, "operator", d.Addresses().Operator)
+	var err error
+	select {
+	case <-ctx.Done():
+		err = d.drain()
+	case err = <-failed:
+	}
+	stop()
+	err = errors.Join(err, d.cleanup())
+	running.Wait()
+	return err
+}
+
+// drain ends a router without cutting off a request.
+func (d *Daemon) drain() error {
+	d.log.Info("Drain starts.", "in_flight", d.caller.InFlight())
+	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainStarted})
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Timeout)
+	defer cancel()
+	err := errors.Join(d.caller.Drain(ctx), d.holder.Close(ctx))
+	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainEnded})
+	d.log.Info("Drain ended.", "err", err)
+	return err
+}
+
+// cleanup closes what Provision and New opened.
+func (d *Daemon) cleanup() error {
+	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup())
+	d.dispatch.Close()
+	d.calls.Close()
+	d.platform.Close()
+	return err
+}
+
+// unready returns why the router should get no requests.
+func (d *Daemon) unready() []string {
+	if d.config.Catalog().Revision == 0 {
+		return []string{"no configuration is in force"}
+	}
+	return nil
+}
+
+func (d *Daemon) status() operator.Status {
+	return operator.Status{
+		Self:     d.self,
+		Version:  Version,
+		Started:  d.started,
+		Revision: d.config.Catalog().Revision,
+		InFlight: d.caller.InFlight(),
+		Unready:  d.unready(),
+		Peers:    []bus.Peer{},
+	}
+}
--- /dev/null
+++ b/internal/daemoncli/daemoncli.go
@@ -0,0 +1,143 @@
+// Package daemoncli is the command line of daisyslipd.
+package daemoncli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"daisyslip.dev/daisyslip/internal/daemon"
+	"daisyslip.dev/daisyslip/internal/logs"
+	"daisyslip.dev/daisyslip/internal/settings"
+)
+
+// Exit codes of daisyslipd.
+const (
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// SettingsError marks an error in the settings, for ExitSettings.
+type SettingsError struct{ Err error }
+
+// Error returns the problems, one a line.
+func (e *SettingsError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Err }
+
+// NewCommand returns the root command.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "daisyslipd",
+		Short: "Router between callers and endpoints for prepaid token budgets",
+		Long: `daisyslipd is one router of a fleet. It takes callers' requests, has their
+prepaid budgets pay for them, sends them to endpoints and returns whole
+answers. All that must last is kept in the platform's table service.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newRun(), newCheck(), newSettings(), newVersion())
+	return root
+}
+
+func configFlag(cmd *cobra.Command, path *string) {
+	cmd.Flags().StringVarP(path, "config", "c", "", "path of the settings file (JSON)")
+	if err := cmd.MarkFlagRequired("config"); err != nil {
+		panic(err)
+	}
+}
+
+func newRun() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "run",
+		Short:   "Run the router until SIGTERM or SIGINT, then drain",
+		Example: "  daisyslipd run --config entry-1.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load(path)
+			if err != nil {
+				return &SettingsError{Err: err}
+			}
+			return run(cmd, s)
+		},
+	}
+	configFlag(cmd, &path)
+	return cmd
+}
+
+// run runs a router: settings, duties, run, drain.
+func run(cmd *cobra.Command, s settings.Settings) error {
+	log, err := logs.New(cmd.ErrOrStderr(), s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	d := daemon.New(s, log)
+	if err := d.Provision(); err != nil {
+		return err
+	}
+	if err := json.NewEncoder(cmd.OutOrStdout()).Encode(d.Addresses()); err != nil {
+		return fmt.Errorf("print the addresses: %w", err)
+	}
+	return d.Run(ctx)
+}
+
+func newCheck() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "check",
+		Short:   "Check a settings file and list every problem",
+		Example: "  daisyslipd check --config entry-1.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := settings.Load(path); err != nil {
+				return &SettingsError{Err: err}
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return nil
+		},
+	}
+	configFlag(cmd, &path)
+	return cmd
+}
+
+func newSettings() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "settings",
+		Short: "List all settings with their defaults",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			entries := settings.Default().Entries()
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(entries)
+			}
+			for _, e := range entries {
+				fmt.Fprintf(cmd.OutOrStdout(), "%-34s %s\n", e.Path, e.Value)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintln(cmd.OutOrStdout(), "daisyslipd "+daemon.Version)
+		},
+	}
+}
--- /dev/null
+++ b/internal/operator/budgets.go
@@ -0,0 +1,52 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/failure"
+)
+
+// TopUp is the body of a top-up.
+type TopUp struct {
+	// ID makes the top-up safe to send again.
+	ID     string `json:"id"`
+	Tokens int64  `json:"tokens"`
+}
+
+func (s *Server) budgetRoutes(api *echo.Group) {
+	api.GET("/workspaces/:workspace/budgets/:budget", s.getBudget)
+	api.POST("/workspaces/:workspace/budgets/:budget/topups", s.postTopUp)
+}
+
+func account(c echo.Context) budget.Account {
+	return budget.Account{Workspace: c.Param("workspace"), Budget: c.Param("budget")}
+}
+
+func (s *Server) getBudget(c echo.Context) error {
+	balance, err := s.duties.Ledger.Balance(c.Request().Context(), account(c))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, balance)
+}
+
+func (s *Server) postTopUp(c echo.Context) error {
+	var topUp TopUp
+	if err := decodeBody(c, &topUp); err != nil {
+		return err
+	}
+	if topUp.ID == "" || topUp.Tokens <= 0 {
+		return failure.New(failure.BadRequest, "check top-up", "operator", "send an id and a number of tokens above 0")
+	}
+	if s.duties.Config.Catalog().Workspace(c.Param("workspace")) == nil {
+		return failure.New(failure.NotFound, "check top-up", "", "no such workspace")
+	}
+	balance, err := s.duties.Ledger.TopUp(c.Request().Context(), account(c), topUp.ID, topUp.Tokens)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, balance)
+}
--- /dev/null
+++ b/internal/operator/config.go
@@ -0,0 +1,102 @@
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/internal/conf"
+)
+
+// authorHeader names the operator who makes a change.
+const authorHeader = "Daisyslip-Author"
+
+// entityPaths maps the path of a list to the kind of its entities.
+var entityPaths = map[string]conf.EntityKind{
+	"workspaces": conf.KindWorkspace,
+	"pools":      conf.KindPool,
+	"endpoints":  conf.KindEndpoint,
+	"rules":      conf.KindRule,
+}
+
+func (s *Server) configRoutes(api *echo.Group) {
+	api.GET("/config", s.getConfig)
+	api.POST("/config/changes", s.postChange)
+	for path, kind := range entityPaths {
+		api.PUT("/"+path+"/:name", s.putEntity(kind))
+		api.DELETE("/"+path+"/:name", s.deleteEntity(kind))
+	}
+}
+
+// getConfig answers with the revision in force and its ETag.
+func (s *Server) getConfig(c echo.Context) error {
+	index := s.duties.Config.Catalog()
+	c.Response().Header().Set("ETag", etag(index.Revision))
+	return c.JSON(http.StatusOK, index.Document())
+}
+
+func etag(revision int64) string { return strconv.Quote(strconv.FormatInt(revision, 10)) }
+
+// postChange commits a change of several entities.
+func (s *Server) postChange(c echo.Context) error {
+	var change conf.Change
+	if err := decodeBody(c, &change); err != nil {
+		return err
+	}
+	if change.Author == "" {
+		change.Author = c.Request().Header.Get(authorHeader)
+	}
+	return s.commit(c, change)
+}
+
+func (s *Server) commit(c echo.Context, change conf.Change) error {
+	result, err := s.duties.Config.Commit(c.Request().Context(), change)
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set("ETag", etag(result.Revision))
+	return c.JSON(http.StatusOK, result)
+}
+
+func (s *Server) putEntity(kind conf.EntityKind) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		body, err := io.ReadAll(c.Request().Body)
+		if err != nil {
+			return failure.Wrap(failure.BadRequest, "read body", "operator", err)
+		}
+		if !json.Valid(body) {
+			return failure.New(failure.BadRequest, "decode body", "operator", "the body is no JSON")
+		}
+		return s.changeOne(c, conf.Op{Kind: kind, Name: c.Param("name"), Put: body})
+	}
+}
+
+func (s *Server) deleteEntity(kind conf.EntityKind) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		return s.changeOne(c, conf.Op{Kind: kind, Name: c.Param("name")})
+	}
+}
+
+// changeOne commits one operation against the revision of If-Match.
+func (s *Server) changeOne(c echo.Context, op conf.Op) error {
+	base, err := s.baseRevision(c)
+	if err != nil {
+		return err
+	}
+	return s.commit(c, conf.Change{Base: base, Author: c.Request().Header.Get(authorHeader), Ops: []conf.Op{op}})
+}
+
+// baseRevision reads If-Match, which every change must carry.
+func (s *Server) baseRevision(c echo.Context) (int64, error) {
+	text := strings.Trim(c.Request().Header.Get("If-Match"), `"`)
+	base, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, failure.New(failure.BadRequest, "read If-Match", "operator", "send the revision that the change was made against, from the ETag of GET /v1/config")
+	}
+	return base, nil
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,230 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/timeline"
+)
+
+// headerTimeout bounds the reading of a request's headers, and callTimeout
+// the work of one request.
+const (
+	headerTimeout = 5 * time.Second
+	callTimeout   = 30 * time.Second
+)
+
+// Status is what a router says of itself.
+type Status struct {
+	Self     bus.Peer   `json:"self"`
+	Version  string     `json:"version"`
+	Started  time.Time  `json:"started"`
+	Revision int64      `json:"revision"`
+	InFlight int        `json:"in_flight"`
+	Draining bool       `json:"draining"`
+	Unready  []string   `json:"unready,omitempty"`
+	Peers    []bus.Peer `json:"peers"`
+}
+
+// Duties are the other duties that the operator API uses.
+type Duties struct {
+	Config  *conf.Keeper
+	Ledger  *budget.Ledger
+	Events  *timeline.Ring
+	Metrics *metrics.Set
+	Log     *slog.Logger
+	Status  func() Status
+}
+
+// Server serves the operator API.
+type Server struct {
+	settings Settings
+	duties   Duties
+	listener net.Listener
+	echo     *echo.Echo
+	http     *http.Server
+}
+
+// New returns a server that does not listen yet.
+func New(s Settings, d Duties) *Server {
+	server := &Server{settings: s, duties: d, echo: echo.New()}
+	server.echo.HideBanner = true
+	server.echo.HTTPErrorHandler = server.handleError
+	server.routes()
+	server.http = &http.Server{
+		Handler:           server.echo,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          slog.NewLogLogger(d.Log.Handler(), slog.LevelDebug),
+	}
+	return server
+}
+
+// Provision opens the listener.
+func (s *Server) Provision() error {
+	listener, err := net.Listen("tcp", s.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	s.listener = listener
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Run serves until Cleanup.
+func (s *Server) Run() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve operators: %w", err)
+}
+
+// Cleanup closes all connections at once.
+func (s *Server) Cleanup() error { return s.http.Close() }
+
+func (s *Server) routes() {
+	s.echo.GET("/metrics", s.metrics)
+	api := s.echo.Group("/v1", s.authenticate, s.bound)
+	api.GET("/status", s.status)
+	api.GET("/events", s.events)
+	s.configRoutes(api)
+	s.budgetRoutes(api)
+}
+
+// authenticate requires the operators' token.
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		token, found := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		hash := catalog.HashKey(token)
+		if !found || subtle.ConstantTimeCompare([]byte(hash), []byte(s.settings.TokenHash)) != 1 {
+			return failure.New(failure.Unauthorized, "authenticate", "", "send the operators' token as Authorization: Bearer TOKEN")
+		}
+		return next(c)
+	}
+}
+
+// bound limits the time and the body of a request.
+func (s *Server) bound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(c.Response(), r.Body, s.settings.MaxBodyBytes)
+		c.SetRequest(r.WithContext(ctx))
+		return next(c)
+	}
+}
+
+func (s *Server) metrics(c echo.Context) error {
+	c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.duties.Metrics.WritePrometheus(c.Response())
+	metrics.WriteProcessMetrics(c.Response())
+	return nil
+}
+
+func (s *Server) status(c echo.Context) error { return c.JSON(http.StatusOK, s.duties.Status()) }
+
+func (s *Server) events(c echo.Context) error {
+	since, err := numberParam(c, "since")
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, s.duties.Events.Since(uint64(since)))
+}
+
+// numberParam reads a query parameter that is a number; absent is 0.
+func numberParam(c echo.Context, name string) (int64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, failure.New(failure.BadRequest, "read "+name, "", fmt.Sprintf("%q is no number from 0", text))
+	}
+	return n, nil
+}
+
+// decodeBody reads the JSON body strictly.
+func decodeBody(c echo.Context, v any) error {
+	decoder := json.NewDecoder(c.Request().Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return failure.Wrap(failure.BadRequest, "decode body", "operator", err)
+	}
+	return nil
+}
+
+// statuses maps the codes that operators meet to HTTP statuses.
+var statuses = map[failure.Code]int{
+	failure.BadRequest:       http.StatusBadRequest,
+	failure.Unauthorized:     http.StatusUnauthorized,
+	failure.NotFound:         http.StatusNotFound,
+	failure.Conflict:         http.StatusConflict,
+	failure.StoreUnavailable: http.StatusServiceUnavailable,
+	failure.PeerUnavailable:  http.StatusServiceUnavailable,
+}
+
+// ErrorBody is the body of every failure.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the content of ErrorBody.
+type ErrorDetail struct {
+	Code    failure.Code `json:"code"`
+	Message string       `json:"message"`
+	Step    string       `json:"step"`
+	Peer    string       `json:"peer"`
+}
+
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	f, status := describe(err)
+	body := ErrorBody{Error: ErrorDetail{Code: f.Code, Message: f.Message, Step: f.Step, Peer: f.Peer}}
+	if err := c.JSON(status, body); err != nil {
+		s.duties.Log.Debug("Answer not written.", "err", err)
+	}
+}
+
+// describe turns an error into a failure and its status.
+func describe(err error) (*failure.Error, int) {
+	if f := failure.As(err); f != nil {
+		status := statuses[f.Code]
+		if status == 0 {
+			status = http.StatusInternalServerError
+		}
+		return f, status
+	}
+	var fromEcho *echo.HTTPError
+	switch {
+	case errors.As(err, &fromEcho):
+		return failure.New(failure.BadRequest, "route request", "", fmt.Sprint(fromEcho.Message)), fromEcho.Code
+	case errors.Is(err, budget.ErrNotFound):
+		return failure.Wrap(failure.NotFound, "read budget", "", err), http.StatusNotFound
+	case errors.Is(err, budget.ErrConflict):
+		return failure.Wrap(failure.Conflict, "change budget", "", err), http.StatusConflict
+	}
+	return failure.Wrap(failure.StoreUnavailable, "serve operator", "platform", err), http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,239 @@
+// Package settings reads the settings of a router from JSON. Defaults stand
+// beside the types of each duty; unknown fields are refused, and all problems
+// are reported at once.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/go-viper/mapstructure/v2"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/internal/caller"
+	"daisyslip.dev/daisyslip/internal/calls"
+	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/dispatch"
+	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/peer"
+	"daisyslip.dev/daisyslip/internal/platformhttp"
+	"daisyslip.dev/daisyslip/internal/route"
+	"daisyslip.dev/daisyslip/internal/timeline"
+)
+
+// Log are the settings of the log.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `json:"level"`
+	// Format is text or json.
+	Format string `json:"format"`
+}
+
+// Drain are the settings of a planned stop.
+type Drain struct {
+	// Timeout bounds the whole stop; requests still open then are cut off.
+	Timeout time.Duration `json:"timeout"`
+}
+
+// Settings are all settings of a router.
+type Settings struct {
+	// VM, Domain and Region say where the router runs.
+	VM       string                `json:"vm"`
+	Domain   string                `json:"domain"`
+	Region   string                `json:"region"`
+	Caller   caller.Settings       `json:"caller"`
+	Operator operator.Settings     `json:"operator"`
+	Peer     peer.Settings         `json:"peer"`
+	Platform platformhttp.Settings `json:"platform"`
+	Budget   budget.Settings       `json:"budget"`
+	Route    route.Settings        `json:"route"`
+	Dispatch dispatch.Settings     `json:"dispatch"`
+	Calls    calls.Settings        `json:"calls"`
+	Config   conf.Settings         `json:"config"`
+	Timeline timeline.Settings     `json:"timeline"`
+	Drain    Drain                 `json:"drain"`
+	Log      Log                   `json:"log"`
+}
+
+// Default returns the defaults of all settings that have one.
+func Default() Settings {
+	return Settings{
+		Caller:   caller.DefaultSettings(),
+		Operator: operator.DefaultSettings(),
+		Peer:     peer.DefaultSettings(),
+		Platform: platformhttp.DefaultSettings(),
+		Budget:   budget.DefaultSettings(),
+		Route:    route.DefaultSettings(),
+		Dispatch: dispatch.DefaultSettings(),
+		Calls:    calls.DefaultSettings(),
+		Config:   conf.DefaultSettings(),
+		Timeline: timeline.DefaultSettings(),
+		Drain:    Drain{Timeout: 15 * time.Minute},
+		Log:      Log{Level: "info", Format: "text"},
+	}
+}
+
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List) {
+	l.Required("vm", s.VM)
+	l.Required("domain", s.Domain)
+	l.Required("region", s.Region)
+	s.Caller.Validate(l, "caller")
+	s.Operator.Validate(l, "operator")
+	s.Peer.Validate(l, "peer")
+	s.Platform.Validate(l, "platform")
+	s.Route.Validate(l, "route")
+	s.Dispatch.Validate(l, "dispatch")
+	s.Calls.Validate(l, "calls")
+	s.Config.Validate(l, "config")
+	s.Timeline.Validate(l, "timeline")
+	l.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
+	l.OneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	l.OneOf("log.format", s.Log.Format, "text", "json")
+}
+
+// Load reads and checks the settings file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads settings from JSON over the defaults and checks them. The error
+// holds every problem: unknown fields, wrong types and wrong values.
+func Parse(data []byte) (Settings, error) {
+	raw, err := parseObject(data)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Default()
+	var problems check.List
+	decodeInto(&s, raw, &problems)
+	s.Validate(&problems)
+	return s, problems.Err()
+}
+
+// parseObject decodes one JSON object and nothing after it.
+func parseObject(data []byte) (map[string]any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var raw map[string]any
+	if err := decoder.Decode(&raw); err != nil {
+		return nil, fmt.Errorf("parse JSON at byte %d: %w", decoder.InputOffset(), err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("parse JSON at byte %d: more than one object", decoder.InputOffset())
+	}
+	return raw, nil
+}
+
+// decodeInto decodes raw over s, section by section, so that a problem in one
+// place hides none in another.
+func decodeInto(s *Settings, raw map[string]any, problems *check.List) {
+	decodeStruct(reflect.ValueOf(s).Elem(), raw, "", problems)
+}
+
+// decodeStruct decodes the fields of one struct and reports unknown ones.
+func decodeStruct(target reflect.Value, raw map[string]any, prefix string, problems *check.List) {
+	known := make(map[string]bool)
+	for i := range target.NumField() {
+		name := target.Type().Field(i).Tag.Get("json")
+		known[name] = true
+		value, present := raw[name]
+		if !present {
+			continue
+		}
+		decodeField(target.Field(i), value, prefix+name, problems)
+	}
+	for name, value := range raw {
+		if !known[name] {
+			problems.Add(prefix+name, value, "no such field; see the fields with: daisyslipd settings")
+		}
+	}
+}
+
+func decodeField(target reflect.Value, value any, path string, problems *check.List) {
+	section, isObject := value.(map[string]any)
+	if target.Kind() == reflect.Struct && isObject {
+		decodeStruct(target, section, path+".", problems)
+		return
+	}
+	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
+		Result:     target.Addr().Interface(),
+		DecodeHook: mapstructure.ComposeDecodeHookFunc(refuseBareDuration, mapstructure.StringToTimeDurationHookFunc()),
+	})
+	if err == nil {
+		err = decoder.Decode(value)
+	}
+	if err != nil {
+		problems.Add(path, value, wantOf(target.Type()))
+	}
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// refuseBareDuration refuses a duration without its unit.
+func refuseBareDuration(from, to reflect.Type, value any) (any, error) {
+	if to == durationType && from.Kind() != reflect.String || to == durationType && from == reflect.TypeFor[json.Number]() {
+		return nil, errors.New("duration without unit")
+	}
+	return value, nil
+}
+
+// wantOf describes a type to the author of the settings.
+func wantOf(t reflect.Type) string {
+	if t == durationType {
+		return `a duration such as "250ms"`
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Slice:
+		return "a list"
+	}
+	return "a whole number"
+}
+
+// Entry is one setting with its value, for listings.
+type Entry struct {
+	Path  string `json:"path"`
+	Value string `json:"value"`
+}
+
+// Entries lists all settings by JSON path.
+func (s Settings) Entries() []Entry {
+	return entriesOf(reflect.ValueOf(s), "")
+}
+
+func entriesOf(v reflect.Value, prefix string) []Entry {
+	var entries []Entry
+	for i := range v.NumField() {
+		path := prefix + v.Type().Field(i).Tag.Get("json")
+		field := v.Field(i)
+		if field.Kind() == reflect.Struct {
+			entries = append(entries, entriesOf(field, path+".")...)
+			continue
+		}
+		entries = append(entries, Entry{Path: path, Value: fmt.Sprint(field.Interface())})
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/standin/orders.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+
+	"daisyslip.dev/daisyslip/internal/engine"
+)
+
+// orderBook carries out orders, each id once, and keeps the highest fencing
+// number seen.
+type orderBook struct {
+	mu       sync.Mutex // guards all below
+	highest  int64
+	accepted []engine.Order
+}
+
+// accept carries out an order. With checks, an order whose number is below
+// the highest seen is refused.
+func (b *orderBook) accept(o engine.Order, checks bool) engine.OrderResult {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if checks && o.Fencing < b.highest {
+		return engine.OrderResult{Fencing: b.highest, Message: "fencing number is old"}
+	}
+	b.highest = max(b.highest, o.Fencing)
+	if !slices.ContainsFunc(b.accepted, func(a engine.Order) bool { return a.ID == o.ID }) {
+		b.accepted = append(b.accepted, o)
+	}
+	return engine.OrderResult{Accepted: true, Fencing: b.highest}
+}
+
+// done returns the orders carried out, in order.
+func (b *orderBook) done() []engine.Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.accepted)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,217 @@
+// Package standin holds small stand-ins for the systems around a router: the
+// platform, model engines and plain services. Each has faults that can be
+// switched on over HTTP, and records what it did.
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+	"daisyslip.dev/daisyslip/internal/platformhttp"
+)
+
+// maxRequestBytes bounds the bodies that the stand-ins read.
+const maxRequestBytes = 64 << 20
+
+// Platform serves a memory.Store over the platform's protocol. Each client
+// has a view of its own, so that a test can cut it off by itself.
+type Platform struct {
+	Store *memory.Store
+	mux   *http.ServeMux
+
+	mu     sync.Mutex // guards all below
+	views  map[string]*memory.View
+	all    memory.Faults
+	hasAll bool
+}
+
+// NewPlatform returns a stand-in over an empty store.
+func NewPlatform() *Platform {
+	p := &Platform{
+		Store: memory.NewStore(clock.Real{}),
+		mux:   http.NewServeMux(),
+		views: make(map[string]*memory.View),
+	}
+	p.mux.HandleFunc("POST "+platformhttp.PathGet, p.get)
+	p.mux.HandleFunc("POST "+platformhttp.PathRange, p.scan)
+	p.mux.HandleFunc("POST "+platformhttp.PathCommit, p.commit)
+	p.mux.HandleFunc("POST "+platformhttp.PathOutcome, p.outcome)
+	p.mux.HandleFunc("PUT "+platformhttp.PathObjects+"{name}", p.putObject)
+	p.mux.HandleFunc("GET "+platformhttp.PathObjects+"{name}", p.getObject)
+	p.mux.HandleFunc("GET "+platformhttp.PathVMs, p.listVMs)
+	p.mux.HandleFunc("PUT /standin/faults", p.setAllFaults)
+	p.mux.HandleFunc("PUT /standin/faults/{client}", p.setFaults)
+	p.mux.HandleFunc("PUT /standin/vms", p.setVMs)
+	p.mux.HandleFunc("GET /standin/counts", p.counts)
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// SetFaults sets the faults of one client, or of all clients, also those to
+// come, if client is empty.
+func (p *Platform) SetFaults(client string, f memory.Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if client != "" {
+		p.viewLocked(client).SetFaults(f)
+		return
+	}
+	p.all, p.hasAll = f, true
+	for _, view := range p.views {
+		view.SetFaults(f)
+	}
+}
+
+func (p *Platform) view(r *http.Request) *memory.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.viewLocked(r.Header.Get(platformhttp.ClientHeader))
+}
+
+func (p *Platform) viewLocked(client string) *memory.View {
+	view := p.views[client]
+	if view == nil {
+		view = p.Store.View()
+		if p.hasAll {
+			view.SetFaults(p.all)
+		}
+		p.views[client] = view
+	}
+	return view
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	var req platformhttp.GetRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	rows, err := p.view(r).Get(r.Context(), req.Keys...)
+	answer(w, platformhttp.Rows{Rows: rows}, err)
+}
+
+func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
+	var req platformhttp.RangeRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	rows, err := p.view(r).Range(r.Context(), req.From, req.To, req.Limit)
+	answer(w, platformhttp.Rows{Rows: rows}, err)
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if !readJSON(w, r, &txn) {
+		return
+	}
+	receipt, err := p.view(r).Commit(r.Context(), txn)
+	answer(w, receipt, err)
+}
+
+func (p *Platform) outcome(w http.ResponseWriter, r *http.Request) {
+	var req platformhttp.OutcomeRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	receipt, done, err := p.view(r).Outcome(r.Context(), req.OpID)
+	answer(w, platformhttp.Outcome{Done: done, Receipt: receipt}, err)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer(w, struct{}{}, p.view(r).PutObject(r.Context(), r.PathValue("name"), data))
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := p.view(r).GetObject(r.Context(), r.PathValue("name"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	w.Write(data)
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
+	vms, err := p.view(r).ListVMs(r.Context())
+	answer(w, platformhttp.VMList{VMs: vms}, err)
+}
+
+func (p *Platform) setAllFaults(w http.ResponseWriter, r *http.Request) {
+	var f memory.Faults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	p.SetFaults("", f)
+	answer(w, f, nil)
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f memory.Faults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	p.SetFaults(r.PathValue("client"), f)
+	answer(w, f, nil)
+}
+
+func (p *Platform) setVMs(w http.ResponseWriter, r *http.Request) {
+	var list platformhttp.VMList
+	if !readJSON(w, r, &list) {
+		return
+	}
+	p.Store.SetVMs(list.VMs)
+	answer(w, list, nil)
+}
+
+func (p *Platform) counts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, p.Store.Counts(), nil)
+}
+
+// readJSON decodes the body into v, or answers 400 and returns false.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err := decoder.Decode(v); err != nil {
+		writeJSON(w, http.StatusBadRequest, platformhttp.ErrorBody{Kind: platform.KindInvalid, Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+// answer writes v, or the platform error err.
+func answer(w http.ResponseWriter, v any, err error) {
+	var perr *platform.Error
+	if errors.As(err, &perr) {
+		writeJSON(w, statusOf(perr.Kind), platformhttp.ErrorBody{Kind: perr.Kind, Key: perr.Key, Message: perr.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func statusOf(kind platform.Kind) int {
+	switch kind {
+	case platform.KindConflict:
+		return http.StatusConflict
+	case platform.KindNotFound:
+		return http.StatusNotFound
+	case platform.KindInvalid:
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/slots.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+)
+
+// slotQueue admits a bounded number of requests; the others wait by rank and
+// then by arrival.
+type slotQueue struct {
+	mu      sync.Mutex // guards all below
+	free    int
+	arrived int
+	waiters waiterHeap
+}
+
+type waiter struct {
+	rank  int
+	order int
+	ready chan struct{}
+	index int
+}
+
+func newSlotQueue(slots int) *slotQueue { return &slotQueue{free: max(slots, 1)} }
+
+// acquire waits for a slot. Lower ranks go first.
+func (q *slotQueue) acquire(ctx context.Context, rank int) error {
+	q.mu.Lock()
+	if q.free > 0 {
+		q.free--
+		q.mu.Unlock()
+		return nil
+	}
+	q.arrived++
+	w := &waiter{rank: rank, order: q.arrived, ready: make(chan struct{})}
+	heap.Push(&q.waiters, w)
+	q.mu.Unlock()
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+		return q.abandon(ctx, w)
+	}
+}
+
+// abandon removes a waiter whose request has gone; if it got its slot at the
+// same moment, it keeps it.
+func (q *slotQueue) abandon(ctx context.Context, w *waiter) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w.index < 0 {
+		return nil
+	}
+	heap.Remove(&q.waiters, w.index)
+	return ctx.Err()
+}
+
+// release frees a slot or hands it to the first waiter.
+func (q *slotQueue) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiters) == 0 {
+		q.free++
+		return
+	}
+	close(heap.Pop(&q.waiters).(*waiter).ready)
+}
+
+// waiterHeap implements heap.Interface.
+type waiterHeap []*waiter
+
+func (h waiterHeap) Len() int { return len(h) }
+
+func (h waiterHeap) Less(i, j int) bool {
+	if h[i].rank != h[j].rank {
+		return h[i].rank < h[j].rank
+	}
+	return h[i].order < h[j].order
+}
+
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *waiterHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+func (h *waiterHeap) Pop() any {
+	last := len(*h) - 1
+	w := (*h)[last]
+	*h = (*h)[:last]
+	w.index = -1
+	return w
+}
