Operators' command line over the operator API

Cause: operators had only raw HTTP. Change: workspace, pool, endpoint, rule, label, budget, token, config and status commands; every change names the revision it was made against; exit codes tell a wrong command line, a conflict and a refusal apart. Ruled out: one generic put command alone, since it teaches nothing. Conclusion: internal/cli TestOperatorSession and TestExitCodes pass against a development fleet.

--- a/cmd/daisyslip/main.go
+++ b/cmd/daisyslip/main.go
@@ -11,6 +11,6 @@
 func main() {
 	if err := cli.NewCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "daisyslip:", err)
-		os.Exit(cli.ExitFailure)
+		os.Exit(cli.ExitCode(err))
 	}
 }
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/dev"
+)
+
+// shell runs commands against a development fleet.
+type shell struct {
+	t     *testing.T
+	flags []string
+}
+
+func newShell(t *testing.T) *shell {
+	t.Helper()
+	fleet, err := dev.Start(t.Context(), dev.DefaultOptions(), slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, fleet.Close()) })
+	return &shell{t: t, flags: []string{"--operator", fleet.Info().Operator, "--token", dev.OperatorToken, "--author", "test"}}
+}
+
+// run runs a command and returns its output and exit code.
+func (s *shell) run(line string) (string, int) {
+	s.t.Helper()
+	var out bytes.Buffer
+	root := NewCommand()
+	root.SetOut(&out)
+	root.SetArgs(append(strings.Fields(line), s.flags...))
+	err := root.Execute()
+	s.t.Logf("$ daisyslip %s\n%s%v", line, out.String(), err)
+	return out.String(), ExitCode(err)
+}
+
+// ok runs a command that must succeed.
+func (s *shell) ok(line string) string {
+	s.t.Helper()
+	out, code := s.run(line)
+	assert.Equal(s.t, code, 0)
+	return out
+}
+
+func TestOperatorSession(t *testing.T) {
+	s := newShell(t)
+	var key NewKey
+	assert.NilError(t, json.Unmarshal([]byte(s.ok("workspace create coop-7 --label tier=gold --lean serve -o json")), &key))
+	assert.Equal(t, catalog.HashKey(key.Key), key.Hash)
+
+	first := s.ok("budget topup coop-7 default --tokens 5000 --id invoice-1 -o json")
+	again := s.ok("budget topup coop-7 default --tokens 5000 --id invoice-1 -o json")
+	assert.Equal(t, first, again)
+	var balance budget.Balance
+	assert.NilError(t, json.Unmarshal([]byte(again), &balance))
+	assert.Equal(t, balance.Paid, int64(5000))
+
+	s.ok("label endpoint engine-1 zone=b role-")
+	var e catalog.Endpoint
+	assert.NilError(t, json.Unmarshal([]byte(s.ok("endpoint show engine-1 -o json")), &e))
+	assert.DeepEqual(t, e.Labels, map[string]string{"zone": "b"})
+
+	s.ok("rule create gold --workspaces tier=gold --endpoints zone=b --note test")
+	assert.Assert(t, strings.Contains(s.ok("rule list"), "tier=gold"))
+	s.ok("endpoint leave engine-2")
+	assert.Assert(t, strings.Contains(s.ok("endpoint list"), "true"))
+	s.ok("workspace remove-key coop-7 " + key.Hash)
+	s.ok("workspace disable coop-7")
+	s.ok("rule delete gold")
+	s.ok("status")
+	s.ok("config show")
+}
+
+func TestExitCodes(t *testing.T) {
+	s := newShell(t)
+	cases := []struct {
+		line string
+		code int
+	}{
+		{"workspace show nobody", ExitUsage},
+		{"workspace", 0},
+		{"workspace fly", ExitUsage},
+		{"fly", ExitUsage},
+		{"status --output xml", ExitUsage},
+		{"budget topup dev default --tokens -4", ExitUsage},
+		{"budget topup nobody default --tokens 4", ExitRefused},
+		{"budget show dev night", ExitRefused},
+		{"label endpoint engine-1 =b", ExitUsage},
+		{"label rule x a=b", ExitUsage},
+		{"pool create p --selector =", ExitRefused},
+		{"endpoint create bad_name! --url http://127.0.0.1:1 --model m", ExitRefused},
+		{"endpoint create e --url 127.0.0.1 --model m", ExitRefused},
+	}
+	for _, c := range cases {
+		t.Run(c.line, func(t *testing.T) {
+			_, code := s.run(c.line)
+			assert.Equal(t, code, c.code)
+		})
+	}
+	s.flags = []string{"--operator", "http://127.0.0.1:1", "--timeout", "1s"}
+	_, code := s.run("config show")
+	assert.Equal(t, code, ExitFailure)
+}
--- /dev/null
+++ b/internal/cli/entity.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/client"
+	"daisyslip.dev/daisyslip/internal/conf"
+)
+
+// entityType describes one list of the document to the commands that all
+// lists share.
+type entityType[T any] struct {
+	kind   conf.EntityKind
+	list   func(catalog.Document) []T
+	name   func(T) string
+	header []string
+	row    func(T) []string
+}
+
+// addShared adds the list, show, put and delete commands.
+func addShared[T any](a *app, parent *cobra.Command, e entityType[T]) {
+	parent.AddCommand(newList(a, e), newShow(a, e), newPut(a, e), newDelete(a, e))
+}
+
+func newList[T any](a *app, e entityType[T]) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: fmt.Sprintf("List the %ss in force", e.kind),
+		Args:  cobra.NoArgs,
+		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, _ []string) error {
+			document, err := c.Config(ctx)
+			if err != nil {
+				return err
+			}
+			items := e.list(document)
+			return a.print(cmd.OutOrStdout(), items, e.table(items))
+		}),
+	}
+}
+
+func (e entityType[T]) table(items []T) table {
+	t := table{header: e.header}
+	for _, item := range items {
+		t.rows = append(t.rows, e.row(item))
+	}
+	return t
+}
+
+// find returns the entity with this name.
+func (e entityType[T]) find(d catalog.Document, name string) (T, error) {
+	items := e.list(d)
+	at := slices.IndexFunc(items, func(item T) bool { return e.name(item) == name })
+	if at < 0 {
+		var none T
+		return none, usagef("no %s %q in revision %d", e.kind, name, d.Revision)
+	}
+	return items[at], nil
+}
+
+func newShow[T any](a *app, e entityType[T]) *cobra.Command {
+	return &cobra.Command{
+		Use:   "show NAME",
+		Short: fmt.Sprintf("Show one %s", e.kind),
+		Args:  cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
+			document, err := c.Config(ctx)
+			if err != nil {
+				return err
+			}
+			item, err := e.find(document, args[0])
+			if err != nil {
+				return err
+			}
+			return a.print(cmd.OutOrStdout(), item, e.table([]T{item}))
+		}),
+	}
+}
+
+func newPut[T any](a *app, e entityType[T]) *cobra.Command {
+	edit := editor{app: a}
+	var file string
+	cmd := &cobra.Command{
+		Use:     "put NAME --file FILE",
+		Short:   fmt.Sprintf("Create or replace a %s from JSON", e.kind),
+		Example: fmt.Sprintf("  daisyslip %s show NAME --output json > f.json\n  daisyslip %s put NAME --file f.json", e.kind, e.kind),
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
+			data, err := readFile(cmd, file)
+			if err != nil {
+				return err
+			}
+			return edit.run(ctx, cmd, c, func(catalog.Document) ([]conf.Op, error) {
+				return []conf.Op{{Kind: e.kind, Name: args[0], Put: data}}, nil
+			})
+		}),
+	}
+	cmd.Flags().StringVarP(&file, "file", "f", "-", "JSON file; - is standard input")
+	edit.addFlags(cmd)
+	return cmd
+}
+
+func newDelete[T any](a *app, e entityType[T]) *cobra.Command {
+	edit := editor{app: a}
+	cmd := &cobra.Command{
+		Use:   "delete NAME",
+		Short: fmt.Sprintf("Delete a %s", e.kind),
+		Args:  cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
+			return edit.run(ctx, cmd, c, func(d catalog.Document) ([]conf.Op, error) {
+				if _, err := e.find(d, args[0]); err != nil {
+					return nil, err
+				}
+				return []conf.Op{{Kind: e.kind, Name: args[0]}}, nil
+			})
+		}),
+	}
+	edit.addFlags(cmd)
+	return cmd
+}
+
+// update returns the operation that changes one entity in place.
+func update[T any](e entityType[T], d catalog.Document, name string, change func(*T)) ([]conf.Op, error) {
+	item, err := e.find(d, name)
+	if err != nil {
+		return nil, err
+	}
+	change(&item)
+	op, err := putOp(e.kind, name, item)
+	return []conf.Op{op}, err
+}
+
+// formatLabels formats labels as a sorted list.
+func formatLabels(set map[string]string) string {
+	pairs := make([]string, 0, len(set))
+	for name, value := range set {
+		pairs = append(pairs, name+"="+value)
+	}
+	sort.Strings(pairs)
+	return strings.Join(pairs, ",")
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -2,19 +2,35 @@
 package cli
 
 import (
+	"fmt"
+
 	"github.com/spf13/cobra"
+
+	"daisyslip.dev/daisyslip/internal/daemon"
 )
 
 // Exit codes of daisyslip.
 const (
-	ExitFailure  = 1
-	ExitUsage    = 2
+	// ExitFailure: the command failed, for example since no router answered.
+	ExitFailure = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+	// ExitConflict: somebody else's change came first.
 	ExitConflict = 3
-	ExitRefused  = 4
+	// ExitRefused: the router refused the command.
+	ExitRefused = 4
+)
+
+// Groups of commands in the help.
+const (
+	groupOperate = "operate"
+	groupObserve = "observe"
+	groupTry     = "try"
 )
 
 // NewCommand returns the root command.
 func NewCommand() *cobra.Command {
+	a := &app{}
 	root := &cobra.Command{
 		Use:   "daisyslip",
 		Short: "Operate a daisyslip fleet, or run one for development",
@@ -23,10 +39,47 @@
 
 It also runs a whole fleet in one process for a first look (daisyslip dev),
 stand-ins for the systems around a router (daisyslip standin) and load
-(daisyslip load).`,
+(daisyslip load).
+
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 conflict with another
+change, 4 refused by the router.`,
+		Example: `  export DAISYSLIP_OPERATOR=http://127.0.0.1:7301 DAISYSLIP_TOKEN=...
+  daisyslip workspace create coop-7 --key-budget default
+  daisyslip budget topup coop-7 default --tokens 500000 --id invoice-4711
+  daisyslip label endpoint engine-3 zone=b heat-
+  daisyslip status`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDev(), newStandin())
+	a.addFlags(root)
+	root.AddGroup(
+		&cobra.Group{ID: groupOperate, Title: "Operate a fleet:"},
+		&cobra.Group{ID: groupObserve, Title: "See what it does:"},
+		&cobra.Group{ID: groupTry, Title: "Try it out:"},
+	)
+	add(root, groupOperate, a.newWorkspace(), a.newPool(), a.newEndpoint(), a.newRule(), a.newLabel(), a.newBudget(), newToken())
+	add(root, groupObserve, a.newConfig(), a.newStatus())
+	add(root, groupTry, newDev(), newStandin())
+	root.AddCommand(newVersion())
+	markUsage(root)
 	return root
 }
+
+// add adds commands to a group of the help.
+func add(root *cobra.Command, group string, commands ...*cobra.Command) {
+	for _, c := range commands {
+		c.GroupID = group
+		root.AddCommand(c)
+	}
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintln(cmd.OutOrStdout(), "daisyslip "+daemon.Version)
+		},
+	}
+}
