--- a/coord/failure/failure.go
+++ b/coord/failure/failure.go
@@ -18,6 +18,7 @@
 	Unauthorized     Code = "unauthorized"
 	Forbidden        Code = "forbidden"
 	NotFound         Code = "not_found"
+	MethodNotAllowed Code = "method_not_allowed"
 	TooLarge         Code = "too_large"
 	Conflict         Code = "conflict"
 	KeyReused        Code = "idempotency_key_reused"
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/internal/engine"
@@ -47,6 +48,25 @@
 	"priority", "continue_final_message", "add_generation_prompt", "request_id",
 }
 
+// refusedFields make an engine read or generate more than the router can
+// bound.
+var refusedFields = []string{"best_of", "use_beam_search", "chat_template"}
+
+// checkOptions refuses fields that would get past the router's bounds: some
+// servers match field names without regard to case.
+func checkOptions(options map[string]json.RawMessage) error {
+	for name := range options {
+		lower := strings.ToLower(name)
+		if slices.Contains(refusedFields, lower) {
+			return badField(name, "is not served")
+		}
+		if name != lower && slices.Contains(routerFields, lower) {
+			return badField(name, "write it as "+lower)
+		}
+	}
+	return nil
+}
+
 // decodeChat reads and checks the body of a chat completion.
 func (s Settings) decodeChat(body []byte) (*chatRequest, error) {
 	var fields chatFields
@@ -57,6 +77,9 @@
 	if err := json.Unmarshal(body, &options); err != nil {
 		return nil, badField("", "the body is no JSON object: "+err.Error())
 	}
+	if err := checkOptions(options); err != nil {
+		return nil, err
+	}
 	if err := s.checkChat(&fields); err != nil {
 		return nil, err
 	}
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -48,6 +48,7 @@
 	failure.Unauthorized:     http.StatusUnauthorized,
 	failure.Forbidden:        http.StatusForbidden,
 	failure.NotFound:         http.StatusNotFound,
+	failure.MethodNotAllowed: http.StatusMethodNotAllowed,
 	failure.TooLarge:         http.StatusRequestEntityTooLarge,
 	failure.Conflict:         http.StatusConflict,
 	failure.KeyReused:        http.StatusConflict,
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -115,12 +115,13 @@
 	e.HTTPErrorHandler = s.handleError
 	e.GET("/healthz", s.healthz)
 	e.GET("/readyz", s.readyz)
-	api := e.Group("", s.bound, s.authenticate)
-	api.POST("/v1/chat/completions", s.chat)
-	api.GET("/v1/models", s.models)
-	api.GET("/v1/models/:model", s.model)
-	api.Any("/v1/services/:service", s.service)
-	api.Any("/v1/services/:service/*", s.service)
+	// The middleware stands on each route, since a group with middleware would
+	// answer a wrong method as an unknown path.
+	e.POST("/v1/chat/completions", s.chat, s.bound, s.authenticate)
+	e.GET("/v1/models", s.models, s.bound, s.authenticate)
+	e.GET("/v1/models/:model", s.model, s.bound, s.authenticate)
+	e.Any("/v1/services/:service", s.service, s.bound, s.authenticate)
+	e.Any("/v1/services/:service/*", s.service, s.bound, s.authenticate)
 	return e
 }
 
@@ -182,8 +183,11 @@
 
 // codeOfStatus names the failure of a status that echo answers by itself.
 func codeOfStatus(status int) failure.Code {
-	if status == http.StatusNotFound {
+	switch status {
+	case http.StatusNotFound:
 		return failure.NotFound
+	case http.StatusMethodNotAllowed:
+		return failure.MethodNotAllowed
 	}
 	return failure.BadRequest
 }
