--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -173,7 +173,7 @@
 	}
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		Result:     target.Addr().Interface(),
-		DecodeHook: mapstructure.ComposeDecodeHookFunc(refuseBareDuration, mapstructure.StringToTimeDurationHookFunc()),
+		DecodeHook: mapstructure.ComposeDecodeHookFunc(refuseNumber, mapstructure.StringToTimeDurationHookFunc()),
 	})
 	if err == nil {
 		err = decoder.Decode(value)
@@ -183,12 +183,16 @@
 	}
 }
 
-var durationType = reflect.TypeFor[time.Duration]()
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	numberType   = reflect.TypeFor[json.Number]()
+)
 
-// refuseBareDuration refuses a duration without its unit.
-func refuseBareDuration(from, to reflect.Type, value any) (any, error) {
-	if to == durationType && from.Kind() != reflect.String || to == durationType && from == reflect.TypeFor[json.Number]() {
-		return nil, errors.New("duration without unit")
+// refuseNumber refuses a number where a string or a duration with its unit is
+// wanted; json.Number is a string type, so the decoder would take it.
+func refuseNumber(from, to reflect.Type, value any) (any, error) {
+	if from == numberType && (to == durationType || to.Kind() == reflect.String) {
+		return nil, errors.New("number in place of a string")
 	}
 	return value, nil
 }
