Load tool: what callers see, paired with the engine itself

Cause: the router's added time could not be measured. Change: daisyslip load sends streaming completions to routers and, in turn on the same streams, to an engine directly; first token, gaps and whole time as quantiles. Ruled out: two separate runs, since the machine's load differs between them.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -59,7 +59,7 @@
 	)
 	add(root, groupOperate, a.newWorkspace(), a.newPool(), a.newEndpoint(), a.newRule(), a.newLabel(), a.newBudget(), newToken())
 	add(root, groupObserve, a.newConfig(), a.newStatus())
-	add(root, groupTry, newDev(), newStandin())
+	add(root, groupTry, newDev(), newStandin(), a.newLoad())
 	root.AddCommand(newVersion())
 	markUsage(root)
 	return root
