Budgets by escrow without a lock over calls

Cause: the first holder held one lock over every call of the platform, billed one transaction a request, refused during an outage, forgot a draw whose reply was lost, and had no settlement of doubts.

Change: one goroutine an account draws ahead of need from the spending rate; reservations wait in a bounded queue; bills are grouped in one row a batch, numbered within the incarnation so that two copies count once; during an outage they are copied to peers in other failure domains; grants of a lost holder are settled behind a fence on its incarnation; unspent tokens are recalled through the table when a budget runs short; above 16 open grants, further ones draw on a share row per failure domain.

Ruled out: a bill row a request (5,900 rows a second at the target), and grants with a time-out (a paused holder that wakes spends them twice).

--- /dev/null
+++ b/coord/budget/account.go
@@ -0,0 +1,270 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+// account is a holder's state of one budget.
+type account struct {
+	holder *LocalHolder
+	name   Account
+
+	mu sync.Mutex // guards all below; never held over a call
+	// tokens is what the grant has in the table, drawn and not returned.
+	tokens int64
+	// settled and folded count the durable bills since the grant was opened.
+	settled int64
+	folded  uint64
+	// unwritten is spent but its bills are not durable; open is reserved.
+	unwritten int64
+	open      int64
+	// leaving is set aside for a return that is under way.
+	leaving int64
+	waiters []*waiter
+	// jobs are worked off by one goroutine, which runs while busy is set.
+	jobs jobs
+	busy bool
+	// reason is why the last draw failed; none is tried before retryAt, and
+	// none ahead of need before prefetchAt.
+	reason     error
+	retryAt    time.Time
+	prefetchAt time.Time
+
+	spending rate
+	// request is a running mean of the tokens of a reservation.
+	request float64
+	lastUse time.Time
+
+	// pending belongs to the goroutine of the jobs.
+	pending *pendingChange
+}
+
+// jobs are the changes of a grant that are asked for.
+type jobs struct {
+	draw   bool
+	recall int64 // tokens to return at most
+	close  bool
+	done   []chan error // told when the recall or close is over
+}
+
+// waiter is a reservation that waits for tokens.
+type waiter struct {
+	tokens int64
+	result chan error // receives once, buffered
+}
+
+func newAccount(h *LocalHolder, name Account) *account {
+	return &account{holder: h, name: name, lastUse: h.options.Clock.Now(), spending: rate{last: h.options.Clock.Now()}}
+}
+
+// availableLocked is what can be reserved now.
+func (a *account) availableLocked() int64 {
+	return a.tokens - a.settled - a.unwritten - a.open - a.leaving
+}
+
+// requestWeight is the weight of a new request in the mean size.
+const requestWeight = 0.1
+
+// reserve takes tokens, or waits for them in order of arrival.
+func (a *account) reserve(ctx context.Context, tokens int64) error {
+	a.mu.Lock()
+	now := a.holder.options.Clock.Now()
+	a.lastUse = now
+	if a.request == 0 {
+		a.request = float64(tokens)
+	}
+	a.request += requestWeight * (float64(tokens) - a.request)
+	if len(a.waiters) == 0 && a.availableLocked() >= tokens {
+		a.open += tokens
+		a.prefetchLocked(now)
+		a.mu.Unlock()
+		return nil
+	}
+	if a.open == 0 && len(a.waiters) == 0 && now.Before(a.retryAt) && errors.Is(a.reason, ErrExhausted) {
+		defer a.mu.Unlock()
+		return a.reason
+	}
+	if len(a.waiters) >= a.holder.options.Settings.MaxWaiting {
+		a.mu.Unlock()
+		return fmt.Errorf("%w: %d reservations wait", ErrBusy, len(a.waiters))
+	}
+	w := &waiter{tokens: tokens, result: make(chan error, 1)}
+	a.waiters = append(a.waiters, w)
+	a.jobs.draw = true
+	a.startLocked()
+	a.mu.Unlock()
+	a.holder.stats.Waited.Add(1)
+	return a.wait(ctx, w)
+}
+
+// wait waits for the waiter's turn, within the bound of the settings.
+func (a *account) wait(ctx context.Context, w *waiter) error {
+	select {
+	case err := <-w.result:
+		return err
+	case <-ctx.Done():
+		return a.giveUp(w, ctx.Err())
+	case <-a.holder.options.Clock.After(a.holder.options.Settings.WaitMax):
+		return a.giveUp(w, nil)
+	}
+}
+
+// giveUp takes a waiter out of the queue. One that was served meanwhile keeps
+// its tokens, unless its context ended.
+func (a *account) giveUp(w *waiter, cause error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case err := <-w.result:
+		if err == nil && cause != nil {
+			a.open -= w.tokens
+			a.serveLocked()
+			return fmt.Errorf("%w: %w", ErrBusy, cause)
+		}
+		return err
+	default:
+	}
+	a.removeLocked(w)
+	a.serveLocked() // a large request may have held up small ones
+	switch {
+	case a.open > 0 || a.reason == nil:
+		if cause == nil {
+			return fmt.Errorf("%w: %d tokens are in open reservations", ErrBusy, a.open)
+		}
+		return fmt.Errorf("%w: %w", ErrBusy, cause)
+	}
+	return a.reason
+}
+
+func (a *account) removeLocked(w *waiter) {
+	for i, other := range a.waiters {
+		if other == w {
+			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// settle ends a reservation of which used tokens were spent.
+func (a *account) settle(reserved, used int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open -= reserved
+	a.unwritten += used
+	a.lastUse = a.holder.options.Clock.Now()
+	a.spending.add(a.lastUse, used)
+	a.serveLocked()
+}
+
+// durable moves bills from unwritten to settled; last is the number of the
+// last bill of their batch. void tokens were replays and are available again.
+func (a *account) durable(settled, void int64, last uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unwritten -= settled + void
+	a.settled += settled
+	a.folded = max(a.folded, last)
+	if void > 0 {
+		a.serveLocked()
+	}
+}
+
+// serveLocked gives tokens to waiters in order, and asks for a draw if some
+// are left.
+func (a *account) serveLocked() {
+	for len(a.waiters) > 0 && a.availableLocked() >= a.waiters[0].tokens {
+		w := a.waiters[0]
+		a.waiters = a.waiters[1:]
+		a.open += w.tokens
+		w.result <- nil
+	}
+	if len(a.waiters) > 0 {
+		a.jobs.draw = true
+		a.startLocked()
+	}
+}
+
+// refuseLocked ends the waiters after a failed draw, unless open reservations
+// may still free tokens for them.
+func (a *account) refuseLocked(reason error) {
+	a.reason = reason
+	if a.open > 0 || a.unwritten > 0 && a.holder.biller.replaysPending() {
+		return
+	}
+	for _, w := range a.waiters {
+		w.result <- reason
+	}
+	a.waiters = nil
+}
+
+// targetLocked is what the grant should have available.
+func (a *account) targetLocked(now time.Time) int64 {
+	byRate := a.spending.perSecond(now) * a.holder.lean(a.name.Workspace).Horizon.Seconds()
+	return int64(math.Ceil(max(byRate, firstRequests*a.request)))
+}
+
+// firstRequests is the number of requests that a grant covers before the
+// spending rate is known.
+const firstRequests = 4
+
+// prefetchLocked asks for a draw ahead of need once half of the target is
+// gone.
+func (a *account) prefetchLocked(now time.Time) {
+	if a.jobs.draw || a.holder.closing.Load() || now.Before(a.retryAt) || now.Before(a.prefetchAt) {
+		return
+	}
+	if 2*a.availableLocked() < a.targetLocked(now) {
+		a.jobs.draw = true
+		a.startLocked()
+	}
+}
+
+// spareLocked is what the grant can give away: all that open work and the
+// next moments do not need.
+func (a *account) spareLocked(now time.Time, keep time.Duration) int64 {
+	if len(a.waiters) > 0 {
+		return 0
+	}
+	reserve := int64(a.spending.perSecond(now) * keep.Seconds())
+	return max(0, a.availableLocked()-reserve)
+}
+
+// checkIdle closes a grant without use.
+func (a *account) checkIdle() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.holder.options.Clock.Now()
+	if a.tokens == 0 || a.open > 0 || a.unwritten > 0 || len(a.waiters) > 0 {
+		return
+	}
+	if now.Sub(a.lastUse) < a.holder.lean(a.name.Workspace).IdleAfter {
+		return
+	}
+	a.jobs.close = true
+	a.startLocked()
+}
+
+// rate is an average of spending that fades with rateMemory.
+type rate struct {
+	tokens float64 // faded sum
+	last   time.Time
+}
+
+// rateMemory is the time in which the weight of spending falls to 1/e.
+const rateMemory = 30 * time.Second
+
+func (r *rate) add(now time.Time, tokens int64) {
+	r.tokens = r.faded(now) + float64(tokens)
+	r.last = now
+}
+
+func (r *rate) perSecond(now time.Time) float64 { return r.faded(now) / rateMemory.Seconds() }
+
+func (r *rate) faded(now time.Time) float64 {
+	return r.tokens * math.Exp(-now.Sub(r.last).Seconds()/rateMemory.Seconds())
+}
--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -29,6 +29,9 @@
 	// ErrUnavailable: the platform was not reached and the local grant is too
 	// small.
 	ErrUnavailable = errors.New("budget store unavailable")
+	// ErrFenced: an operator has settled this holder's grants as those of a
+	// lost process; it may neither draw nor bill again.
+	ErrFenced = errors.New("budget holder fenced")
 	// ErrNotFound: the account does not exist.
 	ErrNotFound = errors.New("no such budget")
 	// ErrConflict: the account exists, or an id was used for other content.
@@ -43,6 +46,9 @@
 	Key string
 	// Digest identifies the request's content.
 	Digest string
+	// Unique says that no other request can carry Key, because it was made
+	// for this one. Only keys of callers, which can come again, cost a row.
+	Unique bool
 	// Tokens is the most that the request can use.
 	Tokens int64
 }
@@ -70,12 +76,19 @@
 }
 
 // Balance is a budget as the platform's table shows it. Paid = Unspent +
-// Held + Settled + InDoubt always holds.
+// Held + Settled + InDoubt always holds. All values are tokens.
 type Balance struct {
 	Account Account `json:"account"`
 	Paid    int64   `json:"paid"`
 	Unspent int64   `json:"unspent"`
 	Held    int64   `json:"held"`
 	Settled int64   `json:"settled"`
-	InDoubt int64   `json:"in_doubt"`
+	// InDoubt is what grants of lost holders have left: spent or not, nobody
+	// knows.
+	InDoubt int64 `json:"in_doubt"`
+	// Burned is the part of Settled that operators settled without a bill.
+	Burned int64 `json:"burned"`
+	// Replayed is what callers were served again for keys already billed;
+	// it is part of no other value.
+	Replayed int64 `json:"replayed"`
 }
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -2,167 +2,241 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/google/uuid"
-
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/platform"
 )
 
-// Settings are the settings of a holder.
-type Settings struct {
-	// GrantTokens is the size of a grant when the budget has plenty.
-	GrantTokens int64 `json:"grant_tokens"`
+// Options are what a holder works with.
+type Options struct {
+	Settings Settings
+	Table    platform.Table
+	// Bus reaches the other holders of the fleet.
+	Bus    bus.Bus
+	Clock  clock.Clock
+	Events event.Recorder
+	Log    *slog.Logger
+	// Serve says whether a workspace leans toward being served during an
+	// outage; nil means that none does.
+	Serve func(workspace string) bool
 }
 
-// DefaultSettings returns the defaults.
-func DefaultSettings() Settings { return Settings{GrantTokens: 20000} }
-
-// LocalHolder is the Holder of one router.
+// LocalHolder is the Holder of one process. It draws under the incarnation of
+// its bus, which is fresh for each start of a process.
 type LocalHolder struct {
-	ledger   *Ledger
-	settings Settings
-	name     string
+	options Options
+	self    bus.Peer
+	stats   Stats
+	biller  *biller
+	copies  *copyKeeper
+
+	// running counts the goroutines; stop ends them.
+	running sync.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
+	closing atomic.Bool
+	fenced  atomic.Bool
 
-	mu     sync.Mutex // guards grants
-	grants map[Account]*localGrant
+	mu       sync.Mutex // guards accounts and the start of goroutines; taken after an account's lock
+	accounts map[Account]*account
 }
 
 var _ Holder = (*LocalHolder)(nil)
 
-// localGrant is one account's grant. Its lock is held over the platform's
-// calls, so that the calls for one account follow each other.
-type localGrant struct {
-	mu      sync.Mutex
-	id      string
-	version int64
-	row     grantRow
-	open    int64 // tokens of open reservations
+// NewHolder starts a holder. It registers its requests at the bus, so that it
+// is called before the bus runs.
+func NewHolder(o Options) *LocalHolder {
+	if o.Serve == nil {
+		o.Serve = func(string) bool { return false }
+	}
+	h := &LocalHolder{options: o, self: o.Bus.Self(), accounts: make(map[Account]*account)}
+	h.ctx, h.stop = context.WithCancel(context.Background())
+	h.biller = newBiller(h)
+	h.copies = newCopyKeeper(h)
+	h.handlePeers()
+	h.running.Go(h.biller.collect)
+	h.running.Go(h.biller.write)
+	h.running.Go(h.biller.copyUnits)
+	h.running.Go(h.copies.run)
+	h.running.Go(h.returnIdle)
+	return h
 }
 
-// NewHolder returns a holder that draws under name, which is fresh for each
-// start of a process.
-func NewHolder(ledger *Ledger, s Settings, name string) *LocalHolder {
-	return &LocalHolder{ledger: ledger, settings: s, name: name, grants: make(map[Account]*localGrant)}
+// Stats returns the counters of the holder.
+func (h *LocalHolder) Stats() *Stats { return &h.stats }
+
+// Fenced reports whether an operator has settled this holder's grants as
+// those of a lost process. The process must start anew to serve again.
+func (h *LocalHolder) Fenced() bool { return h.fenced.Load() }
+
+// account returns the state of an account, made at its first use.
+func (h *LocalHolder) account(a Account) *account {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state := h.accounts[a]
+	if state == nil {
+		state = newAccount(h, a)
+		h.accounts[a] = state
+	}
+	return state
 }
 
-func (h *LocalHolder) grant(a Account) *localGrant {
+// all returns the accounts in use.
+func (h *LocalHolder) all() []*account {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	g := h.grants[a]
-	if g == nil {
-		g = &localGrant{id: uuid.NewString()}
-		h.grants[a] = g
+	all := make([]*account, 0, len(h.accounts))
+	for _, a := range h.accounts {
+		all = append(all, a)
 	}
-	return g
+	return all
 }
 
 // Reserve implements Holder.
 func (h *LocalHolder) Reserve(ctx context.Context, req Request) (Reservation, error) {
-	g := h.grant(req.Account)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.row.Tokens-g.row.Settled-g.open < req.Tokens {
-		if err := h.draw(ctx, req.Account, g, req.Tokens); err != nil {
-			return nil, err
-		}
+	r, err := h.reserve(ctx, req)
+	switch {
+	case err == nil:
+		h.stats.Reserved.Add(1)
+		h.record(event.TokensReserved, req, req.Tokens, "")
+		return r, nil
+	case errors.Is(err, ErrExhausted):
+		h.stats.RefusedExhausted.Add(1)
+	case errors.Is(err, ErrBusy):
+		h.stats.RefusedBusy.Add(1)
+	default:
+		h.stats.RefusedUnavailable.Add(1)
 	}
-	g.open += req.Tokens
-	return &localReservation{holder: h, grant: g, request: req}, nil
+	return nil, fmt.Errorf("reserve tokens of %s: %w", req.Account, err)
 }
 
-// draw enlarges the grant so that it has room for need more tokens.
-func (h *LocalHolder) draw(ctx context.Context, a Account, g *localGrant, need int64) error {
-	key := grantPrefix + a.String() + "/" + g.id
-	for {
-		rows, err := h.ledger.table.Get(ctx, budgetKey(a))
-		if err != nil {
-			return fmt.Errorf("draw grant of %s: %w: %w", a, ErrUnavailable, err)
-		}
-		if rows[0].Version == 0 {
-			return fmt.Errorf("draw grant of %s: %w", a, ErrNotFound)
-		}
-		row, err := decode[budgetRow](rows[0])
-		if err != nil {
-			return err
-		}
-		short := need - (g.row.Tokens - g.row.Settled - g.open)
-		if row.unspent() < short {
-			return fmt.Errorf("draw grant of %s: %w: %d tokens wanted, %d unspent", a, ErrExhausted, short, row.unspent())
-		}
-		amount := min(max(short, h.settings.GrantTokens), row.unspent())
-		row.Granted += amount
-		next := g.row
-		next.Holder, next.Tokens = h.name, next.Tokens+amount
-		receipt, err := platform.CommitSure(ctx, h.ledger.table, platform.Txn{
-			OpID:   uuid.NewString(),
-			Conds:  []platform.Cond{{Key: rows[0].Key, Version: rows[0].Version}, {Key: key, Version: g.version}},
-			Writes: []platform.Write{put(rows[0].Key, row), put(key, next)},
-		})
-		if platform.IsConflict(err) {
-			continue
-		}
-		if err != nil {
-			return fmt.Errorf("draw grant of %s: %w: %w", a, ErrUnavailable, err)
-		}
-		g.version, g.row = receipt.Versions[1], next
+func (h *LocalHolder) reserve(ctx context.Context, req Request) (Reservation, error) {
+	if req.Tokens <= 0 {
+		return nil, fmt.Errorf("%w: a reservation of %d tokens", ErrConflict, req.Tokens)
+	}
+	if h.fenced.Load() {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, ErrFenced)
+	}
+	if h.closing.Load() {
+		return nil, fmt.Errorf("%w: the holder stops", ErrUnavailable)
+	}
+	if h.biller.full() {
+		return nil, fmt.Errorf("%w: too many bills wait for the platform", ErrUnavailable)
+	}
+	if err := h.checkKey(ctx, req); err != nil {
+		return nil, err
+	}
+	a := h.account(req.Account)
+	if err := a.reserve(ctx, req.Tokens); err != nil {
+		return nil, err
+	}
+	return &localReservation{account: a, request: req}, nil
+}
+
+// checkKey refuses a caller's key that was used for other content, or served
+// again too often. With the platform away the check is left to the bill.
+func (h *LocalHolder) checkKey(ctx context.Context, req Request) error {
+	if req.Unique || h.biller.away() {
+		return nil
+	}
+	rows, err := h.options.Table.Get(ctx, callerKey(req.Account, req.Key))
+	if err != nil || rows[0].Version == 0 {
 		return nil
 	}
+	row, err := decode[keyRow](rows[0])
+	if err != nil {
+		return err
+	}
+	if row.Digest != req.Digest {
+		return fmt.Errorf("%w: the key was used for another request", ErrConflict)
+	}
+	if row.Replays >= h.options.Settings.MaxReplays {
+		return fmt.Errorf("%w: the key was served %d times", ErrConflict, row.Replays+1)
+	}
+	return nil
 }
 
-// Close implements Holder.
+// Close implements Holder. What it cannot write or return by the end of ctx
+// stays in doubt.
 func (h *LocalHolder) Close(ctx context.Context) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for a, g := range h.grants {
-		if err := h.giveBack(ctx, a, g); err != nil {
-			return err
+	h.closing.Store(true)
+	err := h.biller.flush(ctx)
+	for _, a := range h.all() {
+		if err == nil {
+			err = a.close(ctx)
 		}
 	}
+	h.halt()
+	if err != nil {
+		return fmt.Errorf("close budgets: %w", err)
+	}
 	return nil
 }
 
-// giveBack returns the unspent tokens of a grant and closes it.
-func (h *LocalHolder) giveBack(ctx context.Context, a Account, g *localGrant) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.version == 0 {
-		return nil
+// Kill stops the goroutines and writes nothing, as a crash does.
+func (h *LocalHolder) Kill() {
+	h.closing.Store(true)
+	h.halt()
+}
+
+// halt ends the goroutines.
+func (h *LocalHolder) halt() {
+	h.mu.Lock()
+	h.stop()
+	h.mu.Unlock()
+	h.running.Wait()
+}
+
+// spawn starts a goroutine unless the holder has stopped.
+func (h *LocalHolder) spawn(run func()) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx.Err() != nil {
+		return false
 	}
-	key := grantPrefix + a.String() + "/" + g.id
-	for {
-		rows, err := h.ledger.table.Get(ctx, budgetKey(a))
-		if err != nil {
-			return fmt.Errorf("return grant of %s: %w", a, err)
-		}
-		row, err := decode[budgetRow](rows[0])
-		if err != nil {
-			return err
-		}
-		row.Returned += g.row.Tokens - g.row.Settled
-		next := g.row
-		next.Closed = true
-		_, err = platform.CommitSure(ctx, h.ledger.table, platform.Txn{
-			OpID:   uuid.NewString(),
-			Conds:  []platform.Cond{{Key: rows[0].Key, Version: rows[0].Version}, {Key: key, Version: g.version}},
-			Writes: []platform.Write{put(rows[0].Key, row), put(key, next)},
-		})
-		if platform.IsConflict(err) {
-			continue
-		}
-		if err != nil {
-			return fmt.Errorf("return grant of %s: %w", a, err)
+	h.running.Go(run)
+	return true
+}
+
+// returnIdle gives back grants that nobody uses.
+func (h *LocalHolder) returnIdle() {
+	for clock.Sleep(h.ctx, h.options.Clock, h.options.Settings.IdleCheck) == nil {
+		for _, a := range h.all() {
+			a.checkIdle()
 		}
-		g.version = 0
-		return nil
 	}
 }
 
+// lean returns the size policy of a workspace.
+func (h *LocalHolder) lean(workspace string) Lean {
+	if h.options.Serve(workspace) {
+		return h.options.Settings.Serve
+	}
+	return h.options.Settings.Small
+}
+
+func (h *LocalHolder) record(kind event.Kind, req Request, tokens int64, detail string) {
+	h.options.Events.Record(event.Event{
+		Duty: event.DutyBudget, Kind: kind, Request: req.Key, Workspace: req.Account.Workspace,
+		Tokens: tokens, Detail: detail,
+	})
+}
+
+// platformPause bounds how long a loop waits before it tries the platform
+// again.
+const platformPause = time.Second
+
 // localReservation implements Reservation.
 type localReservation struct {
-	holder  *LocalHolder
-	grant   *localGrant
+	account *account
 	request Request
 	once    sync.Once
 }
@@ -170,40 +244,15 @@
 // Settle implements Reservation.
 func (r *localReservation) Settle(ctx context.Context, used int64) error {
 	var err error
-	r.once.Do(func() { err = r.settle(ctx, min(used, r.request.Tokens)) })
-	return err
-}
-
-func (r *localReservation) settle(ctx context.Context, used int64) error {
-	g := r.grant
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.open -= r.request.Tokens
-	next := g.row
-	next.Settled += used
-	account := r.request.Account.String()
-	grantKey := grantPrefix + account + "/" + g.id
-	billKey := billPrefix + account + "/" + r.request.Key
-	receipt, err := platform.CommitSure(ctx, r.holder.ledger.table, platform.Txn{
-		OpID:   uuid.NewString(),
-		Conds:  []platform.Cond{{Key: grantKey, Version: g.version}, {Key: billKey}},
-		Writes: []platform.Write{put(grantKey, next), put(billKey, billRow{Grant: g.id, Digest: r.request.Digest, Tokens: used})},
+	r.once.Do(func() {
+		used = max(0, min(used, r.request.Tokens))
+		r.account.settle(r.request.Tokens, used)
+		err = r.account.holder.biller.bill(ctx, r.account, r.request, used)
 	})
-	if platform.IsConflict(err) {
-		return nil // billed before
-	}
-	if err != nil {
-		return fmt.Errorf("settle %s: %w: %w", account, ErrUnavailable, err)
-	}
-	g.version, g.row = receipt.Versions[0], next
-	return nil
+	return err
 }
 
 // Cancel implements Reservation.
 func (r *localReservation) Cancel() {
-	r.once.Do(func() {
-		r.grant.mu.Lock()
-		defer r.grant.mu.Unlock()
-		r.grant.open -= r.request.Tokens
-	})
+	r.once.Do(func() { r.account.settle(r.request.Tokens, 0) })
 }
--- /dev/null
+++ b/coord/budget/holder_test.go
@@ -0,0 +1,137 @@
+package budget
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+// inBubble runs a test with virtual time.
+func inBubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+// TestSpendToTheEnd spends a budget at several holders until it is exhausted:
+// nothing is refused before the last request's worth, and nothing is lost.
+func TestSpendToTheEnd(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(6, 100_000)
+		defer f.stop()
+		served := 0
+		for i := 0; ; i++ {
+			err := f.serveOne(f.nodes[i%6], request(fmt.Sprint(i), 100), 100)
+			if err != nil {
+				assert.ErrorIs(t, err, ErrExhausted)
+				break
+			}
+			served++
+		}
+		assert.Equal(t, served, 1000)
+		assert.Equal(t, f.balance(t).Settled, int64(100_000))
+	})
+}
+
+// TestCloseReturnsTheRest closes all holders: only bills remain.
+func TestCloseReturnsTheRest(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(3, 50_000)
+		for i := range 30 {
+			assert.NilError(t, f.serveOne(f.nodes[i%3], request(fmt.Sprint(i), 200), 120))
+		}
+		for _, n := range f.nodes {
+			assert.NilError(t, n.Close(t.Context()))
+		}
+		b := f.balance(t)
+		assert.Equal(t, b.Settled, int64(30*120))
+		assert.Equal(t, b.Held+b.InDoubt, int64(0))
+		assert.Equal(t, len(f.store.Dump(grantPrefix)), 0)
+	})
+}
+
+// TestIdleGrantGoesBack leaves a budget alone: its grant returns.
+func TestIdleGrantGoesBack(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(1, 50_000)
+		defer f.stop()
+		assert.NilError(t, f.serveOne(f.nodes[0], request("one", 200), 120))
+		assert.Assert(t, f.balance(t).Held > 0)
+		pause(time.Minute)
+		assert.Equal(t, f.balance(t).Held, int64(0))
+		before := f.store.Counts().RowsWritten
+		pause(time.Hour)
+		assert.Equal(t, f.store.Counts().RowsWritten, before)
+	})
+}
+
+// TestWaitForOpenReservation lets a reservation wait for one that settles
+// below its worst case.
+func TestWaitForOpenReservation(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(2, 1000)
+		defer f.stop()
+		first, err := f.nodes[0].Reserve(t.Context(), request("a", 900))
+		assert.NilError(t, err)
+		go func() {
+			pause(time.Second)
+			first.Cancel()
+		}()
+		assert.NilError(t, f.serveOne(f.nodes[0], request("b", 900), 900))
+		second, err := f.nodes[1].Reserve(t.Context(), request("c", 100))
+		assert.NilError(t, err)
+		_, err = f.nodes[0].Reserve(t.Context(), request("d", 100))
+		assert.ErrorIs(t, err, ErrBusy)
+		second.Cancel()
+	})
+}
+
+// TestRefusals names the reason of each refusal.
+func TestRefusals(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(1, 1000)
+		defer f.stop()
+		n := f.nodes[0]
+		_, err := n.Reserve(t.Context(), request("big", 1001))
+		assert.ErrorIs(t, err, ErrExhausted)
+		_, err = n.Reserve(t.Context(), Request{Account: Account{Workspace: "no", Budget: "no"}, Key: "k", Tokens: 1})
+		assert.ErrorIs(t, err, ErrNotFound)
+		n.view.SetFaults(memory.Faults{Outage: true})
+		pause(10 * time.Second)
+		_, err = n.Reserve(t.Context(), request("cut", 1000))
+		assert.ErrorIs(t, err, ErrUnavailable)
+		assert.NilError(t, f.check())
+	})
+}
+
+// TestLostReplies loses replies and requests of draws, bills, returns and
+// top-ups; each is applied once.
+func TestLostReplies(t *testing.T) {
+	for _, faults := range []memory.Faults{{LoseReplies: 1}, {LoseReplies: 9}, {LoseRequests: 1}, {LoseRequests: 9}} {
+		t.Run(fmt.Sprintf("replies=%d,requests=%d", faults.LoseReplies, faults.LoseRequests), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newFleet(2, 10_000)
+				for i := range 12 {
+					n := f.nodes[i%2]
+					n.view.SetFaults(faults)
+					if i%3 == 0 {
+						f.store.ForgetOperations()
+					}
+					if err := f.serveOne(n, request(fmt.Sprint(i), 300), 100); err != nil {
+						assert.Assert(t, refused(err), "%v", err)
+					}
+				}
+				pause(time.Minute)
+				for _, n := range f.nodes {
+					n.view.SetFaults(faults)
+					assert.NilError(t, n.Close(context.Background()))
+				}
+				b := f.balance(t)
+				assert.Equal(t, b.Settled, f.servedTotal())
+				assert.Equal(t, b.Held, int64(0))
+			})
+		})
+	}
+}
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -2,57 +2,34 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"strings"
 
 	"daisyslip.dev/daisyslip/coord/platform"
 )
 
-// Row keys of the ledger.
-const (
-	budgetPrefix = "budget/"
-	grantPrefix  = "grant/"
-	billPrefix   = "bill/"
-	topUpPrefix  = "topup/"
-)
-
-// budgetRow holds the cumulative counters of a budget, in tokens.
-type budgetRow struct {
-	Paid     int64 `json:"paid"`
-	Granted  int64 `json:"granted"`
-	Returned int64 `json:"returned"`
-}
-
-func (b budgetRow) unspent() int64 { return b.Paid - b.Granted + b.Returned }
-
-// grantRow holds a grant and what of it is settled, in tokens.
-type grantRow struct {
-	Holder  string `json:"holder"`
-	Tokens  int64  `json:"tokens"`
-	Settled int64  `json:"settled"`
-	Closed  bool   `json:"closed,omitempty"`
-}
-
-// billRow is the one bill of a request.
-type billRow struct {
-	Grant  string `json:"grant"`
-	Digest string `json:"digest,omitempty"`
-	Tokens int64  `json:"tokens"`
-}
-
 // Ledger reads and changes budgets in the platform's table. It is safe for
 // concurrent use.
 type Ledger struct {
 	table platform.Table
+	live  func(holder string) bool
 }
 
-// NewLedger returns a ledger over table.
-func NewLedger(table platform.Table) *Ledger { return &Ledger{table: table} }
+// NewLedger returns a ledger over table that takes every holder as live.
+func NewLedger(table platform.Table) *Ledger {
+	return &Ledger{table: table, live: func(string) bool { return true }}
+}
 
-func budgetKey(a Account) string { return budgetPrefix + a.String() }
+// WithLive returns a ledger that asks live whether a holder's process is a
+// member of the fleet. The answer decides what is shown as in doubt, never
+// whether tokens are handed out.
+func (l *Ledger) WithLive(live func(holder string) bool) *Ledger {
+	return &Ledger{table: l.table, live: live}
+}
 
 // TopUp adds paid tokens to an account, which it creates if it is absent. A
-// top-up with the same id is applied once.
+// top-up with the same id is applied once; with another amount it is
+// ErrConflict.
 func (l *Ledger) TopUp(ctx context.Context, a Account, id string, tokens int64) (Balance, error) {
 	for {
 		rows, err := l.table.Get(ctx, budgetKey(a), topUpPrefix+a.String()+"/"+id)
@@ -60,76 +37,174 @@
 			return Balance{}, fmt.Errorf("top up %s: %w", a, err)
 		}
 		if rows[1].Version > 0 {
-			return l.Balance(ctx, a)
+			return l.appliedTopUp(ctx, a, id, rows[1], tokens)
 		}
-		row, err := decode[budgetRow](rows[0])
+		row, err := decode[sourceRow](rows[0])
 		if err != nil {
 			return Balance{}, err
 		}
 		row.Paid += tokens
 		_, err = platform.CommitSure(ctx, l.table, platform.Txn{
-			OpID:   "topup:" + a.String() + ":" + id,
-			Conds:  []platform.Cond{{Key: rows[0].Key, Version: rows[0].Version}, {Key: rows[1].Key}},
+			OpID:   "topup:" + a.String() + ":" + id + ":" + fmt.Sprint(rows[0].Version),
+			Conds:  []platform.Cond{at(rows[0]), at(rows[1])},
 			Writes: []platform.Write{put(rows[0].Key, row), put(rows[1].Key, tokens)},
 		})
-		if err != nil && !platform.IsConflict(err) {
+		if err != nil && platform.KindOf(err) != platform.KindConflict && (platform.KindOf(err) != platform.KindUnknown || ctx.Err() != nil) {
 			return Balance{}, fmt.Errorf("top up %s: %w", a, err)
 		}
 	}
 }
 
-// Balance reads an account.
-func (l *Ledger) Balance(ctx context.Context, a Account) (Balance, error) {
-	rows, err := l.table.Get(ctx, budgetKey(a))
+// appliedTopUp answers a top-up whose row exists.
+func (l *Ledger) appliedTopUp(ctx context.Context, a Account, id string, row platform.Row, tokens int64) (Balance, error) {
+	applied, err := decode[int64](row)
 	if err != nil {
-		return Balance{}, fmt.Errorf("read budget %s: %w", a, err)
+		return Balance{}, err
 	}
-	if rows[0].Version == 0 {
-		return Balance{}, fmt.Errorf("read budget %s: %w", a, ErrNotFound)
+	if applied != tokens {
+		return Balance{}, fmt.Errorf("top up %s: %w: id %q was applied with %d tokens", a, ErrConflict, id, applied)
 	}
-	row, err := decode[budgetRow](rows[0])
+	return l.Balance(ctx, a)
+}
+
+// Balance reads an account: its row, share rows, open grants and their bills
+// since the grants were last written.
+func (l *Ledger) Balance(ctx context.Context, a Account) (Balance, error) {
+	for {
+		balance, stable, err := l.readBalance(ctx, a)
+		if err != nil {
+			return Balance{}, fmt.Errorf("read budget %s: %w", a, err)
+		}
+		if stable {
+			return balance, nil
+		}
+	}
+}
+
+// readBalance reads an account once. Every change of a grant also writes its
+// source row, so that the read is consistent if no source changed meanwhile.
+func (l *Ledger) readBalance(ctx context.Context, a Account) (b Balance, stable bool, err error) {
+	before, err := l.sources(ctx, a)
 	if err != nil {
-		return Balance{}, err
+		return b, false, err
 	}
-	balance := Balance{Account: a, Paid: row.Paid, Unspent: row.unspent()}
-	prefix := grantPrefix + a.String() + "/"
-	grants, err := l.table.Range(ctx, prefix, platform.PrefixEnd(prefix), maxGrants)
+	b.Account = a
+	for i, row := range before {
+		source, err := decode[sourceRow](row)
+		if err != nil {
+			return b, false, err
+		}
+		if i == 0 {
+			b.Paid = source.Paid
+		}
+		b.Unspent += source.unspent()
+		b.Settled += source.Settled
+		b.Burned += source.Burned
+	}
+	grants, err := l.grants(ctx, grantPrefix+a.String()+"/")
 	if err != nil {
-		return Balance{}, fmt.Errorf("read grants of %s: %w", a, err)
+		return b, false, err
 	}
 	for _, g := range grants {
-		grant, err := decode[grantRow](g)
+		billed, replayed, err := billedSince(ctx, l.table, g)
 		if err != nil {
-			return Balance{}, err
+			return b, false, err
 		}
-		balance.Settled += grant.Settled
-		if !grant.Closed {
-			balance.Held += grant.Tokens - grant.Settled
+		b.Settled += g.row.Settled + billed
+		b.Replayed += replayed
+		if rest := g.row.Tokens - g.row.Settled - billed; l.live(g.row.Holder) {
+			b.Held += rest
+		} else {
+			b.InDoubt += rest
+		}
+	}
+	after, err := l.sources(ctx, a)
+	if err != nil {
+		return b, false, err
+	}
+	return b, sameVersions(before, after), nil
+}
+
+// sources reads the budget's row, which comes first, and its share rows.
+func (l *Ledger) sources(ctx context.Context, a Account) ([]platform.Row, error) {
+	rows, err := l.table.Get(ctx, budgetKey(a))
+	if err != nil {
+		return nil, err
+	}
+	if rows[0].Version == 0 {
+		return nil, ErrNotFound
+	}
+	prefix := shareKey(a, "")
+	shares, err := readAll(ctx, l.table, prefix, prefix)
+	return append(rows, shares...), err
+}
+
+func sameVersions(a, b []platform.Row) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Key != b[i].Key || a[i].Version != b[i].Version {
+			return false
 		}
 	}
-	return balance, nil
+	return true
 }
 
-// maxGrants bounds the grants read of one account.
-const maxGrants = 10000
+// openGrant is a grant as the table shows it.
+type openGrant struct {
+	account     Account
+	incarnation string
+	key         platform.Row
+	row         grantRow
+}
 
-// decode reads a row's JSON; an absent row gives the zero value.
-func decode[T any](row platform.Row) (T, error) {
-	var v T
-	if row.Version == 0 {
-		return v, nil
+// grants reads the open grants of a prefix.
+func (l *Ledger) grants(ctx context.Context, prefix string) ([]openGrant, error) {
+	rows, err := readAll(ctx, l.table, prefix, prefix)
+	if err != nil {
+		return nil, err
 	}
-	if err := json.Unmarshal(row.Value, &v); err != nil {
-		return v, fmt.Errorf("decode row %s: %w", row.Key, err)
+	grants := make([]openGrant, 0, len(rows))
+	for _, row := range rows {
+		parts := strings.Split(strings.TrimPrefix(row.Key, grantPrefix), "/")
+		if len(parts) != 3 {
+			return nil, fmt.Errorf("grant row %s has a strange key", row.Key)
+		}
+		g := openGrant{account: Account{Workspace: parts[0], Budget: parts[1]}, incarnation: parts[2], key: row}
+		if g.row, err = decode[grantRow](row); err != nil {
+			return nil, err
+		}
+		grants = append(grants, g)
 	}
-	return v, nil
+	return grants, nil
 }
 
-// put encodes a write; the row types always encode.
-func put(key string, v any) platform.Write {
-	value, err := json.Marshal(v)
+// billedSince sums the bills of a grant that its row does not count yet. A
+// bill that stands in several rows counts once.
+func billedSince(ctx context.Context, table platform.Table, g openGrant) (billed, replayed int64, err error) {
+	from := batchKey(g.incarnation, g.row.Folded+1)
+	rows, err := readAll(ctx, table, from, batchPrefix+g.incarnation+"/")
 	if err != nil {
-		panic(err)
+		return 0, 0, err
+	}
+	seen := make(map[uint64]bool)
+	for _, row := range rows {
+		batch, err := decode[batchRow](row)
+		if err != nil {
+			return 0, 0, err
+		}
+		for _, bill := range batch.Bills {
+			if bill.Account != g.account || bill.Number <= g.row.Folded || seen[bill.Number] {
+				continue
+			}
+			seen[bill.Number] = true
+			if bill.Replay {
+				replayed += bill.Tokens
+				continue
+			}
+			billed += bill.Tokens
+		}
 	}
-	return platform.Write{Key: key, Value: value}
+	return billed, replayed, nil
 }
--- /dev/null
+++ b/coord/budget/settings.go
@@ -0,0 +1,113 @@
+package budget
+
+import (
+	"fmt"
+	"time"
+)
+
+// Lean is the size policy of a workspace's grants.
+type Lean struct {
+	// Horizon is the time of spending, at the present rate, that a grant
+	// should cover.
+	Horizon time.Duration `json:"horizon"`
+	// RestShare bounds a draw by a share of the unspent tokens, divided by
+	// the number of open grants, so that little is stranded near the end.
+	RestShare float64 `json:"rest_share"`
+	// HeldShare bounds what a grant holds by a share of the paid tokens, so
+	// that little is in doubt after a crash.
+	HeldShare float64 `json:"held_share"`
+	// IdleAfter is the time without a request after which a grant goes back.
+	IdleAfter time.Duration `json:"idle_after"`
+}
+
+// Settings are the settings of a holder.
+type Settings struct {
+	// Small is the lean of workspaces that want little out on grant, and
+	// Serve of those that want to be served during an outage.
+	Small Lean `json:"small_holdings"`
+	Serve Lean `json:"serve"`
+	// WaitMax bounds the wait of a reservation for tokens.
+	WaitMax time.Duration `json:"wait_max"`
+	// MaxWaiting bounds the reservations of one budget that wait.
+	MaxWaiting int `json:"max_waiting"`
+	// CallTimeout bounds one step at the platform.
+	CallTimeout time.Duration `json:"call_timeout"`
+	// RetryAfter is the pause after a failed draw.
+	RetryAfter time.Duration `json:"retry_after"`
+	// IdleCheck is the interval of the search for idle grants.
+	IdleCheck time.Duration `json:"idle_check"`
+	// Linger is how long a bill waits for others that share its row.
+	Linger time.Duration `json:"linger"`
+	// MaxBatch bounds the bills of one row.
+	MaxBatch int `json:"max_batch"`
+	// MaxUnwritten bounds the bills that wait for the platform; at the bound
+	// new reservations are refused.
+	MaxUnwritten int `json:"max_unwritten"`
+	// Copies is the number of peers that keep a bill during an outage.
+	Copies int `json:"copies"`
+	// MaxReplays bounds how often one caller's key is served again without
+	// a bill.
+	MaxReplays int `json:"max_replays"`
+	// ShareDrawers is the number of open grants of one budget above which
+	// further ones draw on the share row of their failure domain.
+	ShareDrawers int64 `json:"share_drawers"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Small:        Lean{Horizon: 20 * time.Second, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 30 * time.Second},
+		Serve:        Lean{Horizon: 15 * time.Minute, RestShare: 0.5, HeldShare: 0.01, IdleAfter: 30 * time.Minute},
+		WaitMax:      2 * time.Second,
+		MaxWaiting:   1024,
+		CallTimeout:  5 * time.Second,
+		RetryAfter:   250 * time.Millisecond,
+		IdleCheck:    5 * time.Second,
+		Linger:       5 * time.Millisecond,
+		MaxBatch:     500,
+		MaxUnwritten: 200_000,
+		Copies:       2,
+		MaxReplays:   3,
+		ShareDrawers: 16,
+	}
+}
+
+// Problem is one wrong value of the settings.
+type Problem struct {
+	// Path is the JSON path of the value below the settings.
+	Path string
+	// Value is the wrong value and Want says what would be right.
+	Value string
+	Want  string
+}
+
+// Validate returns every problem of the settings.
+func (s Settings) Validate() []Problem {
+	var problems []Problem
+	require := func(ok bool, path string, value any, want string) {
+		if !ok {
+			problems = append(problems, Problem{Path: path, Value: fmt.Sprint(value), Want: want})
+		}
+	}
+	for path, lean := range map[string]Lean{"small_holdings": s.Small, "serve": s.Serve} {
+		require(lean.Horizon > 0, path+".horizon", lean.Horizon, "a duration above 0")
+		require(lean.IdleAfter > 0, path+".idle_after", lean.IdleAfter, "a duration above 0")
+		require(lean.RestShare > 0 && lean.RestShare <= 1, path+".rest_share", lean.RestShare, "a share above 0, at most 1")
+		require(lean.HeldShare > 0 && lean.HeldShare <= 1, path+".held_share", lean.HeldShare, "a share above 0, at most 1")
+	}
+	for path, d := range map[string]time.Duration{
+		"wait_max": s.WaitMax, "call_timeout": s.CallTimeout, "retry_after": s.RetryAfter,
+		"idle_check": s.IdleCheck, "linger": s.Linger,
+	} {
+		require(d > 0, path, d, "a duration above 0")
+	}
+	for path, n := range map[string]int{
+		"max_waiting": s.MaxWaiting, "max_batch": s.MaxBatch, "max_unwritten": s.MaxUnwritten,
+		"share_drawers": int(s.ShareDrawers),
+	} {
+		require(n > 0, path, n, "a number above 0")
+	}
+	require(s.Copies >= 0, "copies", s.Copies, "a number from 0")
+	require(s.MaxReplays >= 0, "max_replays", s.MaxReplays, "a number from 0")
+	return problems
+}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -59,6 +59,7 @@
 		Account: budget.Account{Workspace: g.Workspace, Budget: g.Budget},
 		Key:     key,
 		Digest:  g.Digest,
+		Unique:  g.Key == "",
 		Tokens:  g.PromptBound + g.MaxTokens,
 	}
 }
--- /dev/null
+++ b/internal/daemon/budget.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/catalog"
+)
+
+// newHolder starts the holder of budgets and shows its counters as metrics.
+func (d *Daemon) newHolder(link bus.Bus) *budget.LocalHolder {
+	holder := budget.NewHolder(budget.Options{
+		Settings: d.settings.Budget,
+		Table:    d.platform,
+		Bus:      link,
+		Clock:    clock.Real{},
+		Events:   d.events,
+		Log:      d.part("budget"),
+		Serve:    d.leansToServe,
+	})
+	d.budgetMetrics(holder.Stats())
+	return holder
+}
+
+// newLedger returns the ledger, which takes a holder as live while its
+// process is this one or a peer.
+func (d *Daemon) newLedger(link bus.Bus) *budget.Ledger {
+	return budget.NewLedger(d.platform).WithLive(func(holder string) bool {
+		if holder == link.Self().ID.String() {
+			return true
+		}
+		for _, p := range link.Peers() {
+			if p.ID.String() == holder {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// leansToServe reports whether a workspace keeps a stock for an outage.
+func (d *Daemon) leansToServe(workspace string) bool {
+	w := d.config.Catalog().Workspace(workspace)
+	return w != nil && w.Lean == catalog.LeanServe
+}
+
+// budgetMetrics shows the holder's counters.
+func (d *Daemon) budgetMetrics(s *budget.Stats) {
+	for name, counter := range map[string]*atomic.Int64{
+		`reservations_total`:                   &s.Reserved,
+		`reservations_waited_total`:            &s.Waited,
+		`refusals_total{reason="exhausted"}`:   &s.RefusedExhausted,
+		`refusals_total{reason="busy"}`:        &s.RefusedBusy,
+		`refusals_total{reason="unavailable"}`: &s.RefusedUnavailable,
+		`draws_total`:                          &s.Draws,
+		`draw_failures_total`:                  &s.DrawFailures,
+		`drawn_tokens_total`:                   &s.DrawnTokens,
+		`returns_total`:                        &s.Returns,
+		`returned_tokens_total`:                &s.ReturnedTokens,
+		`conflicts_total`:                      &s.Conflicts,
+		`recalls_total`:                        &s.Recalls,
+		`bill_rows_total`:                      &s.Batches,
+		`bills_total`:                          &s.Bills,
+		`billed_tokens_total`:                  &s.BilledTokens,
+		`replayed_tokens_total`:                &s.ReplayedTokens,
+		`bill_write_failures_total`:            &s.BillFailures,
+		`bills_copied_total`:                   &s.BillsCopied,
+		`bills_copied_to_too_few_peers_total`:  &s.BillsUncopied,
+	} {
+		d.metrics.NewGauge(fmt.Sprintf("daisyslip_budget_%s", name), func() float64 { return float64(counter.Load()) })
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,7 +44,7 @@
 	events   *timeline.Ring
 	platform *platformhttp.Client
 	config   *conf.Keeper
-	holder   budget.Holder
+	holder   *budget.LocalHolder
 	dispatch *dispatch.Dispatcher
 	calls    *calls.Runner
 	caller   *caller.Server
@@ -63,8 +63,9 @@
 	}
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
-	ledger := budget.NewLedger(d.platform)
-	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
+	link := bus.NewNetwork().Join(d.self)
+	ledger := d.newLedger(link)
+	d.holder = d.newHolder(link)
 	router := route.NewRouter(s.Route, d.config)
 	d.dispatch = dispatch.New(s.Dispatch, router, d.events)
 	d.calls = calls.New(s.Calls, router, once.NewRecords(d.platform, d.self.ID.String()), d.events)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,9 @@
 	s.Operator.Validate(l, "operator")
 	s.Peer.Validate(l, "peer")
 	s.Platform.Validate(l, "platform")
+	for _, p := range s.Budget.Validate() {
+		l.Add("budget."+p.Path, p.Value, p.Want)
+	}
 	s.Route.Validate(l, "route")
 	s.Dispatch.Validate(l, "dispatch")
 	s.Calls.Validate(l, "calls")
