--- a/coord/budget/copies.go
+++ b/coord/budget/copies.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,9 +23,10 @@
 	kindRecall  bus.Kind = "budget.recall"
 )
 
-// copyRequest asks a peer to keep bills until they are written.
+// copyRequest asks a peer to keep bills of a holder until they are written.
 type copyRequest struct {
-	Bills []bill `cbor:"1,keyasint"`
+	Holder bus.ID `cbor:"1,keyasint"`
+	Bills  []bill `cbor:"2,keyasint"`
 }
 
 // writtenRequest says that the sender's bills up to Last are written.
@@ -47,62 +49,84 @@
 		case <-b.holder.ctx.Done():
 			return
 		case <-b.copyWake:
+		case <-b.holder.options.Clock.After(platformPause):
 		}
-		for b.away() {
-			u := b.uncopied()
-			if u == nil {
-				break
-			}
-			b.copyUnit(u)
+		if b.away() {
+			b.copyBacklog(b.holder.ctx)
 		}
 	}
 }
 
-// uncopied returns the first unit that settlements wait for.
-func (b *biller) uncopied() *unit {
+// copyBacklog copies each unit that lacks live copies.
+func (b *biller) copyBacklog(ctx context.Context) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, u := range b.backlog {
-		if !u.told {
-			return u
-		}
+	backlog := slices.Clone(b.backlog)
+	b.mu.Unlock()
+	for _, u := range backlog {
+		b.copyUnit(ctx, u)
 	}
-	return nil
 }
 
 // copyUnit gives a unit to as many peers as the settings ask for and tells
-// its settlements. With fewer peers in reach the bill is in this process
-// only; its tokens stay in doubt if the process dies.
-func (b *biller) copyUnit(u *unit) {
+// its settlements; a copy whose keeper has left is replaced. With fewer peers
+// in reach the bill is in this process only, and its tokens stay in doubt if
+// the process dies.
+func (b *biller) copyUnit(ctx context.Context, u *unit) {
+	peers := b.holder.copyPeers()
+	b.mu.Lock()
+	told, written := u.told, u.written
+	kept := slices.DeleteFunc(slices.Clone(u.copied), func(id bus.ID) bool {
+		return !slices.ContainsFunc(peers, func(p bus.Peer) bool { return p.ID == id })
+	})
+	b.mu.Unlock()
 	want := b.holder.options.Settings.Copies
-	var kept []bus.ID
-	for _, peer := range b.holder.copyPeers() {
-		if len(kept) == want {
+	if written || told && len(kept) >= want {
+		return
+	}
+	fresh := b.sendCopies(ctx, u, peers, kept, want)
+	b.mu.Lock()
+	u.copied = append(u.copied, fresh...)
+	u.tell(nil)
+	written = u.written
+	b.mu.Unlock()
+	if written {
+		b.holder.forgetCopies(idSet(fresh), u.items[len(u.items)-1].bill.Number)
+	}
+	if !told {
+		b.reportCopies(u, len(fresh), want)
+	}
+}
+
+// sendCopies gives a unit to peers beyond those that keep it, and returns the
+// ones that took it.
+func (b *biller) sendCopies(ctx context.Context, u *unit, peers []bus.Peer, kept []bus.ID, want int) []bus.ID {
+	var fresh []bus.ID
+	for _, peer := range peers {
+		if len(kept)+len(fresh) >= want {
 			break
 		}
-		ctx, cancel := context.WithTimeout(b.holder.ctx, b.holder.options.Settings.CallTimeout)
-		_, err := bus.Call[copyRequest, done](ctx, b.holder.options.Bus, peer.ID, kindCopy, copyRequest{Bills: u.bills()})
+		if slices.Contains(kept, peer.ID) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, b.holder.options.Settings.CallTimeout)
+		_, err := bus.Call[copyRequest, done](ctx, b.holder.options.Bus, peer.ID, kindCopy, copyRequest{Holder: b.holder.self.ID, Bills: u.bills()})
 		cancel()
 		if err == nil {
-			kept = append(kept, peer.ID)
+			fresh = append(fresh, peer.ID)
 		}
 	}
-	if len(kept) < want {
+	return fresh
+}
+
+func (b *biller) reportCopies(u *unit, copies, want int) {
+	if copies < want {
 		b.holder.stats.BillsUncopied.Add(int64(len(u.items)))
 	} else {
 		b.holder.stats.BillsCopied.Add(int64(len(u.items)))
 	}
 	first := u.items[0].bill
 	b.holder.record(event.BillCopied, Request{Account: first.Account, Key: first.Key}, 0,
-		fmt.Sprintf("%d bills at %d peers", len(u.items), len(kept)))
-	b.mu.Lock()
-	u.copied = kept
-	u.tell(nil)
-	written := u.written
-	b.mu.Unlock()
-	if written {
-		b.holder.forgetCopies(idSet(kept), u.items[len(u.items)-1].bill.Number)
-	}
+		fmt.Sprintf("%d bills at %d peers", len(u.items), copies))
 }
 
 func idSet(ids []bus.ID) map[bus.ID]bool {
@@ -152,30 +176,40 @@
 	holder *LocalHolder
 
 	mu      sync.Mutex // guards all below
-	kept    map[bus.ID][][]bill
+	kept    map[bus.ID][]keptUnit
 	size    int
 	missing map[bus.ID]time.Time // since when a holder is no member
 }
 
+// keptUnit is a unit of another holder's bills.
+type keptUnit struct {
+	bills []bill
+	since time.Time
+}
+
 func newCopyKeeper(h *LocalHolder) *copyKeeper {
-	return &copyKeeper{holder: h, kept: make(map[bus.ID][][]bill), missing: make(map[bus.ID]time.Time)}
+	return &copyKeeper{holder: h, kept: make(map[bus.ID][]keptUnit), missing: make(map[bus.ID]time.Time)}
 }
 
 // lostAfter is how long a holder must be missing before its peers write its
 // bills. Writing early is harmless.
 const lostAfter = 3 * time.Second
 
+// staleAfter is how long a copy is kept before it is written although its
+// holder lives; its holder may have forgotten who keeps it.
+const staleAfter = 15 * time.Minute
+
 // errCopiesFull: the peer keeps as many bills as it may.
 var errCopiesFull = errors.New("no room for copies of bills")
 
 func (k *copyKeeper) keep(from bus.ID, bills []bill) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.size+len(bills) > k.holder.options.Settings.MaxUnwritten {
+	if k.holder.closing.Load() || k.size+len(bills) > k.holder.options.Settings.MaxUnwritten {
 		return errCopiesFull
 	}
 	k.size += len(bills)
-	k.kept[from] = append(k.kept[from], bills)
+	k.kept[from] = append(k.kept[from], keptUnit{bills: bills, since: k.holder.options.Clock.Now()})
 	return nil
 }
 
@@ -183,13 +217,13 @@
 func (k *copyKeeper) drop(from bus.ID, last uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var rest [][]bill
-	for _, bills := range k.kept[from] {
-		if bills[len(bills)-1].Number <= last {
-			k.size -= len(bills)
+	var rest []keptUnit
+	for _, unit := range k.kept[from] {
+		if unit.bills[len(unit.bills)-1].Number <= last {
+			k.size -= len(unit.bills)
 			continue
 		}
-		rest = append(rest, bills)
+		rest = append(rest, unit)
 	}
 	k.kept[from] = rest
 	if len(rest) == 0 {
@@ -218,9 +252,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var lost []bus.ID
-	for id := range k.kept {
+	for id, units := range k.kept {
 		if live[id] {
 			delete(k.missing, id)
+			if now.Sub(units[0].since) >= staleAfter {
+				lost = append(lost, id)
+			}
 			continue
 		}
 		if _, known := k.missing[id]; !known {
@@ -240,7 +277,8 @@
 	k.mu.Lock()
 	units := slices.Clone(k.kept[id])
 	k.mu.Unlock()
-	for _, bills := range units {
+	for _, unit := range units {
+		bills := unit.bills
 		ctx, cancel := context.WithTimeout(ctx, k.holder.options.Settings.CallTimeout)
 		w := &batchWrite{
 			table: k.holder.options.Table, maxReplays: k.holder.options.Settings.MaxReplays,
@@ -278,6 +316,38 @@
 	return nil
 }
 
+// handOver gives the copies to a peer that stays, before this holder stops.
+func (k *copyKeeper) handOver(ctx context.Context) error {
+	k.mu.Lock()
+	kept := maps.Clone(k.kept)
+	k.mu.Unlock()
+	var failed error
+	for id, units := range kept {
+		for _, unit := range units {
+			if err := k.giveAway(ctx, copyRequest{Holder: id, Bills: unit.bills}); err != nil {
+				failed = errors.Join(failed, err)
+				continue
+			}
+			k.drop(id, unit.bills[len(unit.bills)-1].Number)
+		}
+	}
+	return failed
+}
+
+// giveAway gives one unit to the first peer that takes it.
+func (k *copyKeeper) giveAway(ctx context.Context, req copyRequest) error {
+	err := errors.New("no peer to hand bills to")
+	for _, p := range k.holder.copyPeers() {
+		if p.ID == req.Holder {
+			continue
+		}
+		if _, err = bus.Call[copyRequest, done](ctx, k.holder.options.Bus, p.ID, kindCopy, req); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("hand over bills of %s: %w", req.Holder, err)
+}
+
 // FlushCopies writes the copies that this holder and its peers keep of a lost
 // holder's bills, so that a settlement counts them. An error names the peers
 // that did not answer.
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -168,14 +168,18 @@
 // stays in doubt.
 func (h *LocalHolder) Close(ctx context.Context) error {
 	h.closing.Store(true)
+	handed := h.copies.handOver(ctx)
 	err := h.biller.flush(ctx)
+	if err != nil {
+		h.biller.copyBacklog(h.ctx)
+	}
 	for _, a := range h.all() {
 		if err == nil {
 			err = a.close(ctx)
 		}
 	}
 	h.halt()
-	if err != nil {
+	if err = errors.Join(err, handed); err != nil {
 		return fmt.Errorf("close budgets: %w", err)
 	}
 	return nil
--- a/coord/budget/recall.go
+++ b/coord/budget/recall.go
@@ -27,11 +27,11 @@
 
 // handlePeers registers the requests of other holders.
 func (h *LocalHolder) handlePeers() {
-	bus.Handle(h.options.Bus, kindCopy, func(_ context.Context, from bus.ID, req copyRequest) (done, error) {
+	bus.Handle(h.options.Bus, kindCopy, func(_ context.Context, _ bus.ID, req copyRequest) (done, error) {
 		if len(req.Bills) == 0 {
 			return done{}, nil
 		}
-		return done{}, h.copies.keep(from, req.Bills)
+		return done{}, h.copies.keep(req.Holder, req.Bills)
 	})
 	bus.Handle(h.options.Bus, kindWritten, func(_ context.Context, from bus.ID, req writtenRequest) (done, error) {
 		h.copies.drop(from, req.Last)
