Differential proofs of budgets against naive versions

A draw reads its fence with its rows; reservations wait up to 10 s or half of the deadline, since a draw with a store at 2 s a call takes 4 s and the former 2 s refused it.

--- a/coord/budget/account.go
+++ b/coord/budget/account.go
@@ -104,12 +104,16 @@
 
 // wait waits for the waiter's turn, within the bound of the settings.
 func (a *account) wait(ctx context.Context, w *waiter) error {
+	longest := a.holder.options.Settings.WaitMax
+	if deadline, ok := ctx.Deadline(); ok {
+		longest = min(longest, deadline.Sub(a.holder.options.Clock.Now())/2)
+	}
 	select {
 	case err := <-w.result:
 		return err
 	case <-ctx.Done():
 		return a.giveUp(w, ctx.Err())
-	case <-a.holder.options.Clock.After(a.holder.options.Settings.WaitMax):
+	case <-a.holder.options.Clock.After(longest):
 		return a.giveUp(w, nil)
 	}
 }
--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -219,9 +219,6 @@
 		case platform.KindConflict:
 			next.ended = true
 			a.holder.stats.Conflicts.Add(1)
-			if err := a.checkFence(ctx); err != nil {
-				return err
-			}
 			continue
 		case platform.KindUnknown:
 			return a.unavailable(err)
@@ -337,19 +334,6 @@
 	return p, nil
 }
 
-// checkFence notices that an operator has settled this holder's grants.
-func (a *account) checkFence(ctx context.Context) error {
-	rows, err := a.holder.options.Table.Get(ctx, fenceKey(a.holder.self.ID.Incarnation))
-	if err != nil {
-		return a.unavailable(err)
-	}
-	if rows[0].Version > 0 {
-		a.holder.fenced.Store(true)
-		return fmt.Errorf("%w: %w", ErrUnavailable, ErrFenced)
-	}
-	return nil
-}
-
 // close returns the whole grant.
 func (a *account) close(ctx context.Context) error {
 	for {
--- /dev/null
+++ b/coord/budget/naive_test.go
@@ -0,0 +1,187 @@
+package budget
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"daisyslip.dev/daisyslip/coord/platform"
+)
+
+// naiveRow is the row of the naive versions.
+type naiveRow struct {
+	Paid  int64 `json:"paid"`
+	Spent int64 `json:"spent"`
+	// Grants and Expires are of the timed grants.
+	Grants  map[string]int64     `json:"grants,omitempty"`
+	Expires map[string]time.Time `json:"expires,omitempty"`
+}
+
+const naiveKey = "naive"
+
+// naiveTable updates the row until the condition holds; a lost reply is sent
+// again as a new operation.
+type naiveTable struct{ table platform.Table }
+
+func (n naiveTable) update(ctx context.Context, change func(*naiveRow) error) error {
+	for {
+		rows, err := n.table.Get(ctx, naiveKey)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		row, err := decode[naiveRow](rows[0])
+		if err != nil {
+			return err
+		}
+		if err := change(&row); err != nil {
+			return err
+		}
+		_, err = n.table.Commit(ctx, platform.Txn{OpID: uuid.NewString(), Conds: []platform.Cond{at(rows[0])}, Writes: []platform.Write{put(naiveKey, row)}})
+		switch platform.KindOf(err) {
+		case platform.KindConflict, platform.KindUnknown:
+			continue
+		case "":
+			return err
+		}
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+}
+
+func (n naiveTable) read(ctx context.Context) (naiveRow, error) {
+	rows, err := n.table.Get(ctx, naiveKey)
+	if err != nil {
+		return naiveRow{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return decode[naiveRow](rows[0])
+}
+
+// naiveCounter is a central counter: it checks before it serves and counts
+// after. While the platform is away it trusts what it read last.
+type naiveCounter struct {
+	naiveTable
+
+	mu   sync.Mutex // guards last
+	last naiveRow
+}
+
+func (c *naiveCounter) Reserve(ctx context.Context, req Request) (Reservation, error) {
+	row, err := c.read(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.last = row
+	}
+	if c.last.Paid-c.last.Spent < req.Tokens {
+		return nil, ErrExhausted
+	}
+	return naiveReservation{settle: func(ctx context.Context, used int64) error {
+		return c.update(ctx, func(r *naiveRow) error { r.Spent += used; return nil })
+	}}, nil
+}
+
+func (c *naiveCounter) Close(context.Context) error { return nil }
+
+// naiveMemory is a central counter that answers during an outage and keeps
+// the bill in its memory until the platform is back.
+type naiveMemory struct {
+	naiveCounter
+	crashed atomic.Bool
+}
+
+func (m *naiveMemory) Reserve(ctx context.Context, req Request) (Reservation, error) {
+	r, err := m.naiveCounter.Reserve(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return naiveReservation{settle: func(ctx context.Context, used int64) error {
+		if r.Settle(ctx, used) != nil {
+			go m.later(r, used)
+		}
+		return nil
+	}}, nil
+}
+
+func (m *naiveMemory) later(r Reservation, used int64) {
+	for !m.crashed.Load() && r.Settle(context.Background(), used) != nil {
+		time.Sleep(time.Second)
+	}
+}
+
+func (m *naiveMemory) Close(context.Context) error {
+	m.crashed.Store(true)
+	return nil
+}
+
+// naiveTimed draws grants that end after a time and are then handed out
+// again; the holder does not look at the clock before it spends.
+type naiveTimed struct {
+	naiveTable
+	name string
+
+	mu   sync.Mutex // guards left
+	left int64
+}
+
+// naiveGrant and naiveGrantTime are the size and the life of a timed grant.
+const (
+	naiveGrant     = 500
+	naiveGrantTime = 30 * time.Second
+)
+
+func (h *naiveTimed) Reserve(ctx context.Context, req Request) (Reservation, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.left < req.Tokens {
+		if err := h.draw(ctx, req.Tokens); err != nil {
+			return nil, err
+		}
+	}
+	h.left -= req.Tokens
+	return naiveReservation{settle: func(ctx context.Context, used int64) error {
+		return h.update(ctx, func(r *naiveRow) error {
+			r.Spent += used
+			if _, open := r.Grants[h.name]; open {
+				r.Grants[h.name] -= req.Tokens
+			}
+			return nil
+		})
+	}}, nil
+}
+
+func (h *naiveTimed) draw(ctx context.Context, need int64) error {
+	return h.update(ctx, func(r *naiveRow) error {
+		free := r.Paid - r.Spent
+		for name, tokens := range r.Grants {
+			if time.Now().After(r.Expires[name]) {
+				delete(r.Grants, name)
+				continue
+			}
+			free -= tokens
+		}
+		if free < need {
+			return ErrExhausted
+		}
+		amount := min(free, max(need, naiveGrant))
+		if r.Grants == nil {
+			r.Grants, r.Expires = map[string]int64{}, map[string]time.Time{}
+		}
+		r.Grants[h.name] += amount
+		r.Expires[h.name] = time.Now().Add(naiveGrantTime)
+		h.left += amount
+		return nil
+	})
+}
+
+func (h *naiveTimed) Close(context.Context) error { return nil }
+
+// naiveReservation settles without a record of the request.
+type naiveReservation struct {
+	settle func(context.Context, int64) error
+}
+
+func (r naiveReservation) Settle(ctx context.Context, used int64) error { return r.settle(ctx, used) }
+func (r naiveReservation) Cancel()                                      {}
--- a/coord/budget/settings.go
+++ b/coord/budget/settings.go
@@ -26,7 +26,8 @@
 	// Serve of those that want to be served during an outage.
 	Small Lean `json:"small_holdings"`
 	Serve Lean `json:"serve"`
-	// WaitMax bounds the wait of a reservation for tokens.
+	// WaitMax bounds the wait of a reservation for tokens; it also ends after
+	// half of the time to its context's deadline.
 	WaitMax time.Duration `json:"wait_max"`
 	// MaxWaiting bounds the reservations of one budget that wait.
 	MaxWaiting int `json:"max_waiting"`
@@ -58,9 +59,9 @@
 	return Settings{
 		Small:        Lean{Horizon: 20 * time.Second, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 30 * time.Second},
 		Serve:        Lean{Horizon: 15 * time.Minute, RestShare: 0.5, HeldShare: 0.01, IdleAfter: 30 * time.Minute},
-		WaitMax:      2 * time.Second,
+		WaitMax:      10 * time.Second,
 		MaxWaiting:   1024,
-		CallTimeout:  5 * time.Second,
+		CallTimeout:  10 * time.Second,
 		RetryAfter:   250 * time.Millisecond,
 		IdleCheck:    5 * time.Second,
 		Linger:       5 * time.Millisecond,
--- a/coord/budget/source.go
+++ b/coord/budget/source.go
@@ -18,10 +18,15 @@
 // read reads the rows of the grant.
 func (a *account) read(ctx context.Context) (grantRows, error) {
 	self := a.holder.self
-	rows, err := a.holder.options.Table.Get(ctx, budgetKey(a.name), shareKey(a.name, self.Domain), grantKey(a.name, self.ID.Incarnation))
+	rows, err := a.holder.options.Table.Get(ctx,
+		budgetKey(a.name), shareKey(a.name, self.Domain), grantKey(a.name, self.ID.Incarnation), fenceKey(self.ID.Incarnation))
 	if err != nil {
 		return grantRows{}, a.unavailable(err)
 	}
+	if rows[3].Version > 0 { // an operator has settled this holder's grants
+		a.holder.fenced.Store(true)
+		return grantRows{}, fmt.Errorf("change grant: %w: %w", ErrUnavailable, ErrFenced)
+	}
 	if rows[0].Version == 0 {
 		return grantRows{}, fmt.Errorf("draw grant: %w", ErrNotFound)
 	}
