Operators list and settle doubts

Cause: a killed router's grant could not be settled by an operator.

Change: GET /v1/doubts, POST /v1/doubts/settle, daisyslip budget doubts and settle. A settlement first has all routers write the bills that they keep for the lost one; returning tokens is refused while one does not answer.

--- a/internal/cli/observe.go
+++ b/internal/cli/observe.go
@@ -15,8 +15,8 @@
 )
 
 func (a *app) newBudget() *cobra.Command {
-	cmd := &cobra.Command{Use: "budget", Short: "Prepaid budgets: pay, show"}
-	cmd.AddCommand(a.newBudgetShow(), a.newTopUp())
+	cmd := &cobra.Command{Use: "budget", Short: "Prepaid budgets: pay, show, settle doubts"}
+	cmd.AddCommand(a.newBudgetShow(), a.newTopUp(), a.newDoubts(), a.newSettle())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/client/doubts.go
@@ -0,0 +1,22 @@
+package client
+
+import (
+	"context"
+	"net/http"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/internal/operator"
+)
+
+// Doubts lists the grants of lost routers.
+func (c *Client) Doubts(ctx context.Context) ([]budget.Doubt, error) {
+	var list operator.DoubtList
+	err := c.call(ctx, http.MethodGet, "/v1/doubts", nil, &list)
+	return list.Doubts, err
+}
+
+// SettleDoubt settles the grant of a lost router, once.
+func (c *Client) SettleDoubt(ctx context.Context, s budget.Settlement) (budget.SettledDoubt, error) {
+	var done budget.SettledDoubt
+	return done, c.call(ctx, http.MethodPost, "/v1/doubts/settle", s, &done)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,6 +82,7 @@
 	d.operator = operator.New(s.Operator, operator.Duties{
 		Config:  d.config,
 		Ledger:  ledger,
+		Doubts:  operator.Doubts{Flush: d.holder.FlushCopies},
 		Events:  d.events,
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -47,6 +47,7 @@
 type Duties struct {
 	Config  *conf.Keeper
 	Ledger  *budget.Ledger
+	Doubts  Doubts
 	Events  *timeline.Ring
 	Metrics *metrics.Set
 	Log     *slog.Logger
@@ -60,6 +61,7 @@
 	listener net.Listener
 	echo     *echo.Echo
 	http     *http.Server
+	seen     doubtsSeen
 }
 
 // New returns a server that does not listen yet.
@@ -108,6 +110,7 @@
 	api.GET("/events", s.events)
 	s.configRoutes(api)
 	s.budgetRoutes(api)
+	s.doubtRoutes(api)
 }
 
 // authenticate requires the operators' token.
