Time line over all routers: pages, filters, merge and stories

Cause: a router's ring had one segment and no cursor; a busy minute pushed out the change of configuration that began it, and nothing merged routers. Ruled out: a long poll at the router; a repeated read from a cursor needs no state there. Change: ring of two segments, pages with a cursor, an incarnation, the clock and a count of dropped events; a collector that emits events up to the clock that every answering router has passed; stories linked by request, key hash and operation id; platform calls recorded and counted by a decorator.

--- a/coord/event/event.go
+++ b/coord/event/event.go
@@ -2,7 +2,11 @@
 // on the time line.
 package event
 
-import "daisyslip.dev/daisyslip/coord/hlc"
+import (
+	"cmp"
+
+	"daisyslip.dev/daisyslip/coord/hlc"
+)
 
 // Duty names the part of a router that recorded an event.
 type Duty string
@@ -76,6 +80,10 @@
 
 	DrainStarted Kind = "drain_started"
 	DrainEnded   Kind = "drain_ended"
+
+	PlatformCommitted Kind = "platform_committed"
+	PlatformRead      Kind = "platform_read"
+	PlatformFailed    Kind = "platform_failed"
 )
 
 // Event is one entry of the time line. Fields that do not apply are empty.
@@ -99,6 +107,25 @@
 	Revision  int64  `json:"revision,omitempty" cbor:"13,keyasint,omitempty"`
 	// Detail is a short sentence for people.
 	Detail string `json:"detail,omitempty" cbor:"14,keyasint,omitempty"`
+	// Key is KeyHash of the caller's idempotency key; the tries of one
+	// request at several routers share it.
+	Key string `json:"key,omitempty" cbor:"15,keyasint,omitempty"`
+	// Op is the operation id of a platform transaction. It links a request's
+	// event to the transaction that made it last.
+	Op string `json:"op,omitempty" cbor:"16,keyasint,omitempty"`
+	// Micros is how long the step took, in microseconds.
+	Micros int64 `json:"micros,omitempty" cbor:"17,keyasint,omitempty"`
+}
+
+// Compare orders events causally: by clock, then by VM, incarnation and
+// number, so that any two merges of the same events agree.
+func Compare(a, b Event) int {
+	return cmp.Or(
+		a.Time.Compare(b.Time),
+		cmp.Compare(a.VM, b.VM),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Seq, b.Seq),
+	)
 }
 
 // Recorder takes events. Record never blocks: a full recorder drops the event
--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -46,7 +46,8 @@
 			return err
 		}
 		c.Set(sourceKey, source)
-		ctx, cancel := context.WithDeadline(c.Request().Context(), source.Deadline)
+		ctx := event.WithRequest(c.Request().Context(), source.RequestID)
+		ctx, cancel := context.WithDeadline(ctx, source.Deadline)
 		defer cancel()
 		c.SetRequest(c.Request().WithContext(ctx))
 		s.record(source, event.RequestReceived, c.Request().URL.Path)
@@ -74,6 +75,7 @@
 		Kind:      kind,
 		Request:   source.RequestID,
 		Workspace: source.Workspace,
+		Key:       event.KeyHash(source.Workspace, source.Key),
 		Detail:    detail,
 	})
 }
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -9,12 +9,10 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/budget"
-	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/conf"
@@ -68,12 +66,6 @@
 	return s, c.call(ctx, http.MethodGet, "/v1/status", nil, &s)
 }
 
-// Events returns the router's events with a number above since.
-func (c *Client) Events(ctx context.Context, since uint64) ([]event.Event, error) {
-	var events []event.Event
-	return events, c.call(ctx, http.MethodGet, "/v1/events?since="+strconv.FormatUint(since, 10), nil, &events)
-}
-
 func budgetPath(a budget.Account) string {
 	return "/v1/workspaces/" + url.PathEscape(a.Workspace) + "/budgets/" + url.PathEscape(a.Budget)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"daisyslip.dev/daisyslip/internal/dispatch"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/settings"
@@ -62,12 +63,14 @@
 		platform: platformhttp.NewClient(s.Platform, s.VM),
 	}
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
-	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
-	ledger := budget.NewLedger(d.platform)
+	registerTimelineMetrics(d.metrics, d.events)
+	store := platformevents.Wrap(d.platform, d.events, clock.Real{}, d.metrics)
+	d.config = conf.NewKeeper(s.Config, store, clock.Real{}, d.events, d.part("config"))
+	ledger := budget.NewLedger(store)
 	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
 	router := route.NewRouter(s.Route, d.config)
 	d.dispatch = dispatch.New(s.Dispatch, router, d.events)
-	d.calls = calls.New(s.Calls, router, once.NewRecords(d.platform, d.self.ID.String()), d.events)
+	d.calls = calls.New(s.Calls, router, once.NewRecords(store, d.self.ID.String()), d.events)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,13 @@
+package daemon
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisyslip.dev/daisyslip/internal/timeline"
+)
+
+// registerTimelineMetrics exposes the counts of the time line.
+func registerTimelineMetrics(set *metrics.Set, events *timeline.Ring) {
+	set.NewGauge("daisyslip_timeline_recorded_events_total", func() float64 { return float64(events.Counts().Recorded) })
+	set.NewGauge("daisyslip_timeline_overwritten_events_total", func() float64 { return float64(events.Counts().Overwritten) })
+}
--- a/internal/dev/sample.go
+++ b/internal/dev/sample.go
@@ -7,14 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 
 	"daisyslip.dev/daisyslip/coord/budget"
-	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/client"
 	"daisyslip.dev/daisyslip/internal/engine"
+	"daisyslip.dev/daisyslip/internal/timeline"
 )
 
 // sampleTokens is the answer length of the sample's completions.
@@ -77,18 +76,19 @@
 
 // sampleEvents prints the events of all routers in order of their stamps.
 func sampleEvents(ctx context.Context, f *Fleet, out io.Writer) error {
-	var events []event.Event
+	var sources []timeline.Source
 	for _, url := range f.info.Operators {
-		more, err := client.New(url, OperatorToken, "sample").Events(ctx, 0)
-		if err != nil {
-			return err
+		sources = append(sources, client.New(url, OperatorToken, "sample"))
+	}
+	events, notices := timeline.NewCollector(sources).All(ctx, timeline.Filter{})
+	for _, n := range notices {
+		if n.Err != nil {
+			return n.Err
 		}
-		events = append(events, more...)
 	}
-	slices.SortStableFunc(events, func(a, b event.Event) int { return a.Time.Compare(b.Time) })
 	fmt.Fprintln(out, "time line:")
 	for _, e := range events {
-		fmt.Fprintf(out, "  %s %-8s %-9s %-18s %s %s\n", e.Time, e.VM, e.Duty, e.Kind, e.Request, e.Detail)
+		fmt.Fprintln(out, "  "+timeline.Line(e))
 	}
 	return nil
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -143,27 +142,6 @@
 
 func (s *Server) status(c echo.Context) error { return c.JSON(http.StatusOK, s.duties.Status()) }
 
-func (s *Server) events(c echo.Context) error {
-	since, err := numberParam(c, "since")
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, s.duties.Events.Since(uint64(since)))
-}
-
-// numberParam reads a query parameter that is a number; absent is 0.
-func numberParam(c echo.Context, name string) (int64, error) {
-	text := c.QueryParam(name)
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 0 {
-		return 0, failure.New(failure.BadRequest, "read "+name, "", fmt.Sprintf("%q is no number from 0", text))
-	}
-	return n, nil
-}
-
 // decodeBody reads the JSON body strictly.
 func decodeBody(c echo.Context, v any) error {
 	decoder := json.NewDecoder(c.Request().Body)
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -1,5 +1,3 @@
-// Package timeline records the events of a router in a bounded ring and
-// merges the rings of all routers into one time line.
 package timeline
 
 import (
@@ -8,43 +6,32 @@
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/hlc"
-	"daisyslip.dev/daisyslip/internal/check"
 )
 
-// Settings are the settings of the time line.
-type Settings struct {
-	// Events is the number of events that a router keeps.
-	Events int `json:"events"`
-}
-
-// DefaultSettings returns the defaults.
-func DefaultSettings() Settings { return Settings{Events: 16384} }
-
-// Validate adds every problem of the settings to l.
-func (s Settings) Validate(l *check.List, path string) {
-	l.Positive(path+".events", int64(s.Events))
-}
-
 // Ring keeps the latest events of one process. It implements event.Recorder
 // and is safe for concurrent use.
+//
+// Events of requests and lasting events have separate segments, so that a
+// busy minute does not push out the change of configuration that began it.
 type Ring struct {
 	self  bus.ID
 	clock *hlc.Clock
 
-	mu     sync.Mutex // guards all below
-	events []event.Event
-	seq    uint64
+	mu      sync.Mutex // guards all below
+	seq     uint64
+	busy    segment
+	lasting segment
 }
 
 var _ event.Recorder = (*Ring)(nil)
 
 // NewRing returns an empty ring.
 func NewRing(s Settings, self bus.ID, clock *hlc.Clock) *Ring {
-	return &Ring{self: self, clock: clock, events: make([]event.Event, s.Events)}
+	return &Ring{self: self, clock: clock, busy: newSegment(s.Events), lasting: newSegment(s.LastingEvents)}
 }
 
-// Record implements event.Recorder. The oldest event is dropped if the ring
-// is full.
+// Record implements event.Recorder. The oldest event of the same segment is
+// overwritten if the segment is full.
 func (r *Ring) Record(e event.Event) {
 	e.VM, e.Incarnation = r.self.VM, r.self.Incarnation
 	r.mu.Lock()
@@ -52,21 +39,127 @@
 	r.seq++
 	e.Seq = r.seq
 	e.Time = r.clock.Now()
-	r.events[int((r.seq-1)%uint64(len(r.events)))] = e
+	if isLasting(&e) {
+		r.lasting.add(e)
+		return
+	}
+	r.busy.add(e)
 }
 
-// Since returns the kept events with a number above seq, in order.
-func (r *Ring) Since(seq uint64) []event.Event {
+// isLasting reports whether an event belongs to the lasting segment.
+func isLasting(e *event.Event) bool {
+	switch e.Kind {
+	case event.DoubtRaised, event.DoubtSettled:
+		return true
+	}
+	switch e.Duty {
+	case event.DutyCaller, event.DutyDispatch, event.DutyBudget, event.DutyCall, event.DutyPlatform:
+		return false
+	}
+	return e.Request == ""
+}
+
+// Counts says how many events a ring has taken and overwritten.
+type Counts struct {
+	Recorded    uint64
+	Overwritten uint64
+}
+
+// Counts returns the counts since the start of the process.
+func (r *Ring) Counts() Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	size := uint64(len(r.events))
-	first := seq
-	if r.seq > size {
-		first = max(first, r.seq-size)
+	return Counts{Recorded: r.seq, Overwritten: r.busy.overwritten() + r.lasting.overwritten()}
+}
+
+// Page returns the kept events that the query asks for.
+func (r *Ring) Page(q Query) Page {
+	since := q.Since
+	if q.Incarnation != r.self.Incarnation {
+		since = 0
+	}
+	limit := q.limit()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	page := Page{VM: r.self.VM, Incarnation: r.self.Incarnation, Now: r.clock.Now(), Next: since, Events: []event.Event{}}
+	seen := uint64(0)
+	busy, lasting := r.busy.after(since), r.lasting.after(since)
+	for len(page.Events) < limit {
+		e := earlier(&busy, &lasting)
+		if e == nil {
+			page.Next = r.seq
+			break
+		}
+		seen++
+		page.Next = e.Seq
+		if q.Filter.Matches(e) {
+			page.Events = append(page.Events, *e)
+		}
+	}
+	page.More = page.Next < r.seq
+	page.Dropped = page.Next - min(since, page.Next) - seen
+	return page
+}
+
+// segment is a ring buffer of events in order of their numbers.
+type segment struct {
+	events []event.Event
+	added  uint64
+}
+
+func newSegment(size int) segment { return segment{events: make([]event.Event, size)} }
+
+func (s *segment) add(e event.Event) {
+	s.events[s.added%uint64(len(s.events))] = e
+	s.added++
+}
+
+func (s *segment) overwritten() uint64 {
+	return s.added - min(s.added, uint64(len(s.events)))
+}
+
+// at returns the i-th event ever added, which must still be kept.
+func (s *segment) at(i uint64) *event.Event { return &s.events[i%uint64(len(s.events))] }
+
+// cursor walks a segment.
+type cursor struct {
+	segment *segment
+	next    uint64
+}
+
+// after returns a cursor at the first kept event with a number above seq.
+func (s *segment) after(seq uint64) cursor {
+	low, high := s.overwritten(), s.added
+	for low < high {
+		middle := (low + high) / 2
+		if s.at(middle).Seq <= seq {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return cursor{segment: s, next: low}
+}
+
+// peek returns the event at the cursor, or nil at the end.
+func (c *cursor) peek() *event.Event {
+	if c.next >= c.segment.added {
+		return nil
+	}
+	return c.segment.at(c.next)
+}
+
+// earlier takes the event with the lower number from two cursors, or returns
+// nil if both are at the end.
+func earlier(a, b *cursor) *event.Event {
+	x, y := a.peek(), b.peek()
+	if x == nil && y == nil {
+		return nil
 	}
-	var events []event.Event
-	for s := first; s < r.seq; s++ {
-		events = append(events, r.events[int(s%size)])
+	if y == nil || x != nil && x.Seq < y.Seq {
+		a.next++
+		return x
 	}
-	return events
+	b.next++
+	return y
 }
--- /dev/null
+++ b/internal/timeline/story.go
@@ -0,0 +1,55 @@
+package timeline
+
+import (
+	"context"
+	"slices"
+
+	"daisyslip.dev/daisyslip/coord/event"
+)
+
+// maxStoryRounds bounds the rounds in which a story grows.
+const maxStoryRounds = 5
+
+// Story returns every event that belongs to a request at any router: its own,
+// those of the tries that share its idempotency key, and the platform
+// transactions that its events name.
+func Story(ctx context.Context, sources []Source, request string) ([]event.Event, []Notice) {
+	filter := Filter{Requests: []string{request}}
+	for range maxStoryRounds - 1 {
+		events, _ := NewCollector(sources).All(ctx, filter)
+		if !filter.grow(events) {
+			break
+		}
+	}
+	events, notices := NewCollector(sources).All(ctx, filter)
+	return slices.DeleteFunc(events, filter.foreign), notices
+}
+
+// grow adds the links of events to the filter and reports whether any is new.
+func (f *Filter) grow(events []event.Event) bool {
+	before := len(f.Requests) + len(f.Keys) + len(f.Ops)
+	for i := range events {
+		e := &events[i]
+		if f.foreign(*e) {
+			continue
+		}
+		f.Requests = addNew(f.Requests, e.Request)
+		f.Keys = addNew(f.Keys, e.Key)
+		f.Ops = addNew(f.Ops, e.Op)
+	}
+	return len(f.Requests)+len(f.Keys)+len(f.Ops) > before
+}
+
+// foreign reports whether an event belongs to another request: one that only
+// shares a transaction with this one.
+func (f *Filter) foreign(e event.Event) bool {
+	return e.Request != "" && !slices.Contains(f.Requests, e.Request) &&
+		(e.Key == "" || !slices.Contains(f.Keys, e.Key))
+}
+
+func addNew(list []string, value string) []string {
+	if value == "" || slices.Contains(list, value) {
+		return list
+	}
+	return append(list, value)
+}
