--- a/coord/bus/bus.go
+++ b/coord/bus/bus.go
@@ -29,6 +29,8 @@
 	Region string `json:"region" cbor:"3,keyasint"`
 	// Addr is the host and port of the member's peer listener.
 	Addr string `json:"addr" cbor:"4,keyasint"`
+	// Operator is the base URL of the member's operator API, or empty.
+	Operator string `json:"operator,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Kind names a type of request. Each duty owns the kinds it handles, by the
--- a/coord/event/request.go
+++ b/coord/event/request.go
@@ -26,7 +26,7 @@
 const keyHashBytes = 8
 
 // KeyHash returns a short hash of a caller's idempotency key within its
-// workspace, or "" for no key. The time line holds no keys themselves.
+// workspace, or "" for no key.
 func KeyHash(workspace, key string) string {
 	if key == "" {
 		return ""
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -158,6 +158,8 @@
 		return 0
 	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.Is(err, errPartial):
+		return ExitPartial
 	}
 	switch f := failure.As(err); {
 	case f == nil:
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -42,7 +42,7 @@
 (daisyslip load).
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, 3 conflict with another
-change, 4 refused by the router.`,
+change, 4 refused by the router, 5 some routers did not answer.`,
 		Example: `  export DAISYSLIP_OPERATOR=http://127.0.0.1:7301 DAISYSLIP_TOKEN=...
   daisyslip workspace create coop-7 --key-budget default
   daisyslip budget topup coop-7 default --tokens 500000 --id invoice-4711
@@ -58,7 +58,7 @@
 		&cobra.Group{ID: groupTry, Title: "Try it out:"},
 	)
 	add(root, groupOperate, a.newWorkspace(), a.newPool(), a.newEndpoint(), a.newRule(), a.newLabel(), a.newBudget(), newToken())
-	add(root, groupObserve, a.newConfig(), a.newStatus())
+	add(root, groupObserve, a.newConfig(), a.newStatus(), a.newEvents())
 	add(root, groupTry, newDev(), newStandin())
 	root.AddCommand(newVersion())
 	markUsage(root)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,6 +103,7 @@
 	if err := d.operator.Provision(); err != nil {
 		return errors.Join(err, d.caller.Cleanup())
 	}
+	d.self.Operator = d.Addresses().Operator
 	return nil
 }
 
--- /dev/null
+++ b/internal/platformevents/platformevents_test.go
@@ -0,0 +1,91 @@
+package platformevents
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+// list records events in a slice.
+type list []event.Event
+
+func (l *list) Record(e event.Event) { *l = append(*l, e) }
+
+func (l *list) kinds() string {
+	var kinds []string
+	for _, e := range *l {
+		kinds = append(kinds, string(e.Kind)+" "+e.Request)
+	}
+	return strings.Join(kinds, ",")
+}
+
+func put(op, key string, version int64) platform.Txn {
+	return platform.Txn{
+		OpID:   op,
+		Conds:  []platform.Cond{{Key: key, Version: version}},
+		Writes: []platform.Write{{Key: key, Value: []byte("x")}},
+	}
+}
+
+// TestRecordsCommitsFailuresAndRequests records what tells a story; the polls
+// of an idle router are counted only.
+func TestRecordsCommitsFailuresAndRequests(t *testing.T) {
+	var events list
+	set := metrics.NewSet()
+	view := memory.NewStore(clock.Real{}).View()
+	p := Wrap(view, &events, clock.NewFake(time.Unix(0, 0)), set)
+	for range 100 {
+		_, err := p.Get(t.Context(), "config/head")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, events.kinds(), "")
+	request := event.WithRequest(t.Context(), "r1")
+	_, err := p.Get(request, "call/1")
+	assert.NilError(t, err)
+	view.SetFaults(memory.Faults{LoseReplies: 1})
+	_, err = platform.CommitSure(request, p, put("op1", "call/1", 0))
+	assert.NilError(t, err)
+	_, err = p.Commit(t.Context(), put("op2", "call/1", 0))
+	assert.Assert(t, platform.IsConflict(err))
+	assert.Equal(t, events.kinds(), "platform_read r1,platform_failed r1,platform_committed r1,platform_failed ")
+	assert.Equal(t, events[2].Op, "op1")
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	for _, line := range []string{
+		`daisyslip_platform_calls_total{call="get",result="ok"} 101`,
+		`daisyslip_platform_calls_total{call="commit",result="unknown"} 1`,
+		`daisyslip_platform_calls_total{call="commit",result="conflict"} 1`,
+		`daisyslip_platform_read_rows_total 101`,
+		`daisyslip_platform_written_rows_total 1`,
+	} {
+		assert.Assert(t, strings.Contains(text.String(), line), line)
+	}
+}
+
+// TestBoundedSeries calls the platform for the target's 16,000 workspaces: the
+// number of series does not grow with them.
+func TestBoundedSeries(t *testing.T) {
+	const workspaces, bound = 16_000, 200
+	set := metrics.NewSet()
+	p := Wrap(memory.NewStore(clock.Real{}).View(), event.Discard{}, clock.Real{}, set)
+	for i := range workspaces {
+		ctx := event.WithRequest(context.Background(), fmt.Sprint(i))
+		_, err := p.Commit(ctx, put(fmt.Sprint("op", i), fmt.Sprint("workspace/", i), 0))
+		assert.NilError(t, err)
+	}
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	series := bytes.Count(text.Bytes(), []byte("\n"))
+	assert.Assert(t, series < bound, "%d series", series)
+}
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -72,6 +72,9 @@
 	return Counts{Recorded: r.seq, Overwritten: r.busy.overwritten() + r.lasting.overwritten()}
 }
 
+// maxPageScan bounds the events that one page looks at under the lock.
+const maxPageScan = 8192
+
 // Page returns the kept events that the query asks for.
 func (r *Ring) Page(q Query) Page {
 	since := q.Since
@@ -84,7 +87,7 @@
 	page := Page{VM: r.self.VM, Incarnation: r.self.Incarnation, Now: r.clock.Now(), Next: since, Events: []event.Event{}}
 	seen := uint64(0)
 	busy, lasting := r.busy.after(since), r.lasting.after(since)
-	for len(page.Events) < limit {
+	for len(page.Events) < limit && seen < maxPageScan {
 		e := earlier(&busy, &lasting)
 		if e == nil {
 			page.Next = r.seq
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,237 @@
+package timeline
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/hlc"
+)
+
+// testSeed seeds the random schedules of this package's tests.
+const testSeed = 7
+
+// node is a router of a test: a ring that can be silent.
+type node struct {
+	*Ring
+	vm     string
+	clock  *hlc.Clock
+	wall   *clock.Fake
+	silent bool
+}
+
+func newNode(vm string, s Settings) *node {
+	wall := clock.NewFake(time.Unix(1000, 0))
+	stamps := hlc.New(wall)
+	return &node{Ring: NewRing(s, bus.ID{VM: vm, Incarnation: "1"}, stamps), vm: vm, clock: stamps, wall: wall}
+}
+
+// Name implements Source.
+func (n *node) Name() string { return n.vm }
+
+// Page implements Source.
+func (n *node) Page(_ context.Context, q Query) (Page, error) {
+	if n.silent {
+		return Page{}, errors.New("silent")
+	}
+	return n.Ring.Page(q), nil
+}
+
+func sources(nodes ...*node) []Source {
+	var all []Source
+	for _, n := range nodes {
+		all = append(all, n)
+	}
+	return all
+}
+
+// naiveRing keeps the latest events in one segment.
+type naiveRing struct{ events []event.Event }
+
+func (r *naiveRing) Record(e event.Event, size int) {
+	r.events = append(r.events, e)
+	r.events = r.events[max(0, len(r.events)-size):]
+}
+
+// TestFloodKeepsLastingEvents floods a ring with requests after a change of
+// configuration: the naive ring has lost the change, ours has it.
+func TestFloodKeepsLastingEvents(t *testing.T) {
+	const size, flood = 100, 10_000
+	n := newNode("a", Settings{Events: size, LastingEvents: size})
+	var naive naiveRing
+	record := func(e event.Event) {
+		n.Record(e)
+		naive.Record(e, size)
+	}
+	record(event.Event{Duty: event.DutyConfig, Kind: event.RevisionApplied, Revision: 7})
+	for range flood {
+		record(event.Event{Duty: event.DutyCaller, Kind: event.RequestReceived, Request: "r"})
+	}
+	applied := func(e event.Event) bool { return e.Kind == event.RevisionApplied }
+	assert.Assert(t, !slices.ContainsFunc(naive.events, applied), "the naive ring keeps the change")
+	events, notices := NewCollector(sources(n)).All(t.Context(), Filter{})
+	assert.Assert(t, slices.ContainsFunc(events, applied))
+	assert.Equal(t, len(events), size+1)
+	assert.DeepEqual(t, notices, []Notice{{Source: "a", Dropped: flood - size}})
+	assert.Equal(t, n.Counts(), Counts{Recorded: flood + 1, Overwritten: flood - size})
+}
+
+// TestCausalOrder passes messages between routers whose wall clocks disagree.
+// Sorting by wall clock puts effects before causes; the merge never does.
+func TestCausalOrder(t *testing.T) {
+	t.Logf("seed %d", testSeed)
+	random := rand.New(rand.NewPCG(testSeed, 0))
+	nodes := []*node{newNode("a", DefaultSettings()), newNode("b", DefaultSettings()), newNode("c", DefaultSettings())}
+	for i, n := range nodes {
+		n.wall.Advance(time.Duration(i) * time.Second)
+	}
+	var walls []time.Time
+	for step := range 500 {
+		from, to := nodes[random.IntN(len(nodes))], nodes[random.IntN(len(nodes))]
+		walls = append(walls, from.wall.Now())
+		from.Record(event.Event{Duty: event.DutyPeer, Kind: event.PeerConnected, Revision: int64(2 * step)})
+		to.clock.Observe(from.clock.Now())
+		walls = append(walls, to.wall.Now())
+		to.Record(event.Event{Duty: event.DutyPeer, Kind: event.PeerConnected, Revision: int64(2*step + 1)})
+		nodes[random.IntN(len(nodes))].wall.Advance(time.Duration(random.IntN(1000)) * time.Microsecond)
+	}
+	inverted := 0
+	for i := 0; i < len(walls); i += 2 {
+		if walls[i+1].Before(walls[i]) {
+			inverted++
+		}
+	}
+	assert.Assert(t, inverted > 0, "the wall clocks never disagree")
+	events, _ := NewCollector(sources(nodes...)).All(t.Context(), Filter{})
+	at := make(map[int64]int)
+	for i, e := range events {
+		at[e.Revision] = i
+	}
+	for step := range int64(500) {
+		assert.Assert(t, at[2*step] < at[2*step+1], "step %d", step)
+	}
+}
+
+// TestFollowNeverReorders reads while routers record, with one of them silent
+// for a while. Printing pages as they come is out of order; Next is not.
+func TestFollowNeverReorders(t *testing.T) {
+	t.Logf("seed %d", testSeed)
+	random := rand.New(rand.NewPCG(testSeed, 1))
+	a, b := newNode("a", DefaultSettings()), newNode("b", DefaultSettings())
+	c := NewCollector(sources(a, b))
+	var naive, ours []event.Event
+	var cursors [2]uint64
+	for range 200 {
+		for i, n := range []*node{a, b} {
+			for range random.IntN(3) {
+				n.Record(event.Event{Duty: event.DutyMember, Kind: event.MemberJoined})
+			}
+			page := n.Ring.Page(Query{Incarnation: "1", Since: cursors[i]})
+			cursors[i] = page.Next
+			naive = append(naive, page.Events...)
+			n.wall.Advance(time.Duration(random.IntN(1000)) * time.Microsecond)
+		}
+		events, notices := c.Next(t.Context(), Filter{})
+		assert.Equal(t, len(notices), 0)
+		ours = append(ours, events...)
+	}
+	ours = append(ours, c.Rest()...)
+	assert.Assert(t, !slices.IsSortedFunc(naive, event.Compare), "the naive reader is in order")
+	assert.Assert(t, slices.IsSortedFunc(ours, event.Compare))
+	assert.Equal(t, len(ours), len(naive))
+}
+
+// TestSilentAndRestartedRouters says which router does not answer, once, and
+// reads a restarted one from its first event.
+func TestSilentAndRestartedRouters(t *testing.T) {
+	a, b := newNode("a", DefaultSettings()), newNode("b", DefaultSettings())
+	joined := event.Event{Duty: event.DutyMember, Kind: event.MemberJoined}
+	c := NewCollector(sources(a, b))
+	a.Record(joined)
+	b.silent = true
+	events, notices := c.Next(t.Context(), Filter{})
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, notices[0].String(), "b does not answer: silent")
+	_, notices = c.Next(t.Context(), Filter{})
+	assert.Equal(t, len(notices), 0)
+	b.silent = false
+	b.Record(joined)
+	events, _ = c.All(t.Context(), Filter{})
+	assert.Equal(t, len(events), 1)
+	b.Ring = NewRing(DefaultSettings(), bus.ID{VM: "b", Incarnation: "2"}, b.clock)
+	b.Record(joined)
+	events, notices = c.All(t.Context(), Filter{})
+	assert.Equal(t, len(events), 1)
+	assert.DeepEqual(t, notices, []Notice{{Source: "b", Restarted: true}})
+}
+
+// TestStoryFollowsRetries links the tries of one request at two routers and
+// the transaction that billed it, and leaves out who shared the transaction.
+func TestStoryFollowsRetries(t *testing.T) {
+	a, b := newNode("a", DefaultSettings()), newNode("b", DefaultSettings())
+	key := event.KeyHash("coop", "fan-7")
+	a.Record(event.Event{Duty: event.DutyCaller, Kind: event.RequestReceived, Request: "r1", Key: key})
+	a.Record(event.Event{Duty: event.DutyDispatch, Kind: event.AttemptStarted, Request: "r1", Attempt: "x"})
+	b.Record(event.Event{Duty: event.DutyCaller, Kind: event.RequestReceived, Request: "r2", Key: key})
+	b.Record(event.Event{Duty: event.DutyBudget, Kind: event.BillWritten, Request: "r2", Op: "op1"})
+	b.Record(event.Event{Duty: event.DutyPlatform, Kind: event.PlatformCommitted, Op: "op1"})
+	b.Record(event.Event{Duty: event.DutyBudget, Kind: event.BillWritten, Request: "other", Op: "op1"})
+	b.Record(event.Event{Duty: event.DutyCaller, Kind: event.RequestReceived, Request: "other", Key: event.KeyHash("coop", "fan-8")})
+	naive, _ := NewCollector(sources(a, b)).All(t.Context(), Filter{Requests: []string{"r1"}})
+	assert.Equal(t, len(naive), 2, "the naive reader follows retries")
+	for _, request := range []string{"r1", "r2"} {
+		story, notices := Story(t.Context(), sources(a, b), request)
+		assert.Equal(t, len(notices), 0)
+		assert.Equal(t, len(story), 5)
+	}
+}
+
+// TestPagesSkipNothing reads a ring by small pages, with a filter.
+func TestPagesSkipNothing(t *testing.T) {
+	n := newNode("a", Settings{Events: 50, LastingEvents: 50})
+	for i := range 60 {
+		n.Record(event.Event{Duty: event.DutyCaller, Request: fmt.Sprint(i % 2)})
+		n.Record(event.Event{Duty: event.DutyConfig, Revision: int64(i)})
+	}
+	for limit := 1; limit < 12; limit++ {
+		q := Query{Incarnation: "1", Limit: limit, Filter: Filter{Requests: []string{"1"}}}
+		var got []event.Event
+		dropped := uint64(0)
+		for more := true; more; {
+			page := n.Ring.Page(q)
+			got = append(got, page.Events...)
+			dropped += page.Dropped
+			q.Since, more = page.Next, page.More
+		}
+		assert.Equal(t, len(got), 25)
+		assert.Equal(t, dropped, uint64(20))
+		assert.Assert(t, slices.IsSortedFunc(got, event.Compare))
+	}
+}
+
+// TestQueryCodec encodes and decodes queries.
+func TestQueryCodec(t *testing.T) {
+	q := Query{
+		Filter: Filter{
+			Requests: []string{"r1", "r2"}, Keys: []string{"k"}, Ops: []string{"o"}, Workspace: "w", Endpoint: "e",
+			Duty: event.DutyCall, Kind: event.CallClaimed, From: time.Unix(1, 5).UTC(), To: time.Unix(2, 0).UTC(),
+		},
+		Incarnation: "i", Since: 9, Limit: 3,
+	}
+	got, err := ParseQuery(q.Values())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, q)
+	values := q.Values()
+	values.Set("since", "-1")
+	_, err = ParseQuery(values)
+	assert.ErrorContains(t, err, "read since")
+}
