--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,6 +64,7 @@
 	}
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
 	registerTimelineMetrics(d.metrics, d.events)
+	registerTrafficMetrics(d.metrics, d.platform.Traffic())
 	store := platformevents.Wrap(d.platform, d.events, clock.Real{}, d.metrics)
 	d.config = conf.NewKeeper(s.Config, store, clock.Real{}, d.events, d.part("config"))
 	ledger := budget.NewLedger(store)
--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -46,20 +46,25 @@
 	settings Settings
 	vm       string
 	http     *http.Client
+	traffic  *Traffic
 }
 
 var _ platform.Platform = (*Client)(nil)
 
 // NewClient returns a client that calls itself vm.
 func NewClient(s Settings, vm string) *Client {
+	traffic := &Traffic{}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: s.Timeout}).DialContext,
+		DialContext:         traffic.count((&net.Dialer{Timeout: s.Timeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{settings: s, vm: vm, http: &http.Client{Transport: transport}}
+	return &Client{settings: s, vm: vm, http: &http.Client{Transport: transport}, traffic: traffic}
 }
 
+// Traffic returns the counts of the bytes on the client's connections.
+func (c *Client) Traffic() *Traffic { return c.traffic }
+
 // Close drops the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
