Latency metrics, probes for operators, and a bound on series

Cause: the target speaks of the first token and of the gap between tokens, and neither was measured; the operators' listener had no probes; nothing proved that metrics stay bounded at 16,000 workspaces. Change: histograms of requests by route, of the first piece and of the gap between pieces; /healthz and /readyz for operators; a test that serves many of 16,000 workspaces and counts series. Ruled out: one change of 16,000 operations in the test; conf.apply copies the whole list for each operation and took over 10 s. Changes of 1,000 do.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -37,7 +37,7 @@
 		return asFailure(err)
 	}
 	out := s.newAnswer(c, req)
-	outcome, err := s.duties.Generator.Generate(ctx, &req.generation, out.piece)
+	outcome, err := s.duties.Generator.Generate(ctx, &req.generation, s.metrics.timedSink(out.piece))
 	s.checkOverrun(&req.generation, outcome.Usage)
 	if err != nil {
 		return s.fail(ctx, out, reservation, outcome, asFailure(err))
--- /dev/null
+++ b/internal/caller/latency.go
@@ -0,0 +1,38 @@
+package caller
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"daisyslip.dev/daisyslip/internal/work"
+)
+
+// timed measures requests by route. Routes are the fixed patterns of the API,
+// so the number of series is bounded.
+func (s *Server) timed(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		begun := time.Now()
+		err := next(c)
+		name := fmt.Sprintf("daisyslip_caller_request_duration_seconds{route=%q}", c.Path())
+		s.metrics.set.GetOrCreateHistogram(name).Update(time.Since(begun).Seconds())
+		return err
+	}
+}
+
+// timedSink returns sink with the time to the first piece, from now, and the
+// gaps between the following pieces measured.
+func (m *serverMetrics) timedSink(sink work.Sink) work.Sink {
+	last, first := time.Now(), true
+	return func(p work.Piece) error {
+		now := time.Now()
+		if first {
+			m.firstPiece.Update(now.Sub(last).Seconds())
+		} else {
+			m.pieceGap.Update(now.Sub(last).Seconds())
+		}
+		last, first = now, false
+		return sink(p)
+	}
+}
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -16,6 +16,8 @@
 	prompt     *metrics.Counter
 	completion *metrics.Counter
 	overrun    *metrics.Counter
+	firstPiece *metrics.Histogram
+	pieceGap   *metrics.Histogram
 }
 
 func newServerMetrics(set *metrics.Set) *serverMetrics {
@@ -25,6 +27,8 @@
 		prompt:     set.NewCounter("daisyslip_caller_prompt_tokens_total"),
 		completion: set.NewCounter("daisyslip_caller_completion_tokens_total"),
 		overrun:    set.NewCounter("daisyslip_caller_overrun_tokens_total"),
+		firstPiece: set.NewHistogram("daisyslip_caller_first_piece_seconds"),
+		pieceGap:   set.NewHistogram("daisyslip_caller_piece_gap_seconds"),
 	}
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -117,11 +117,11 @@
 	e.GET("/readyz", s.readyz)
 	// The middleware stands on each route, since a group with middleware would
 	// answer a wrong method as an unknown path.
-	e.POST("/v1/chat/completions", s.chat, s.bound, s.authenticate)
-	e.GET("/v1/models", s.models, s.bound, s.authenticate)
-	e.GET("/v1/models/:model", s.model, s.bound, s.authenticate)
-	e.Any("/v1/services/:service", s.service, s.bound, s.authenticate)
-	e.Any("/v1/services/:service/*", s.service, s.bound, s.authenticate)
+	e.POST("/v1/chat/completions", s.chat, s.timed, s.bound, s.authenticate)
+	e.GET("/v1/models", s.models, s.timed, s.bound, s.authenticate)
+	e.GET("/v1/models/:model", s.model, s.timed, s.bound, s.authenticate)
+	e.Any("/v1/services/:service", s.service, s.timed, s.bound, s.authenticate)
+	e.Any("/v1/services/:service/*", s.service, s.timed, s.bound, s.authenticate)
 	return e
 }
 
--- /dev/null
+++ b/internal/daemon/metrics_test.go
@@ -0,0 +1,110 @@
+package daemon_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/client"
+	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/dev"
+	"daisyslip.dev/daisyslip/internal/engine"
+)
+
+// targetWorkspaces is the number of workspaces that the fleet has to carry;
+// the race detector makes do with shortWorkspaces.
+const (
+	targetWorkspaces = 16_000
+	shortWorkspaces  = 1_000
+	changeWorkspaces = 1_000
+)
+
+// workspaceOps puts the workspaces from one number to another, whose name is
+// their key.
+func workspaceOps(t *testing.T, from, to int) []conf.Op {
+	t.Helper()
+	var ops []conf.Op
+	for i := from; i < to; i++ {
+		name := fmt.Sprintf("tenant-%05d", i)
+		put, err := json.Marshal(catalog.Workspace{Keys: []catalog.AccessKey{{Hash: catalog.HashKey(name), Budget: catalog.DefaultBudget}}})
+		assert.NilError(t, err)
+		ops = append(ops, conf.Op{Kind: conf.KindWorkspace, Name: name, Put: put})
+	}
+	return ops
+}
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	resp, err := http.Get(url)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func ask(t *testing.T, router, key string) int {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":2,"messages":[{"role":"user","content":"Bin 4?"}]}`, dev.Model)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, router+engine.PathChat, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestMetricsStayBounded serves many of the target's workspaces: the metrics
+// name none of them, and no series is added after the first few.
+func TestMetricsStayBounded(t *testing.T) {
+	const paying = 60
+	fleet, err := dev.Start(t.Context(), dev.DefaultOptions(), slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	defer fleet.Close()
+	info := fleet.Info()
+	c := client.New(info.Operator, dev.OperatorToken, "test")
+	workspaces := targetWorkspaces
+	if testing.Short() {
+		workspaces = shortWorkspaces
+	}
+	document, err := c.Config(t.Context())
+	assert.NilError(t, err)
+	base := document.Revision
+	for i := 0; i < workspaces; i += changeWorkspaces {
+		result, err := c.Commit(t.Context(), conf.Change{Base: base, Ops: workspaceOps(t, i, i+changeWorkspaces)})
+		assert.NilError(t, err)
+		base = result.Revision
+	}
+	serve := func(from, to int) int {
+		for i := from; i < to; i++ {
+			name := fmt.Sprintf("tenant-%05d", i)
+			_, err := c.TopUp(t.Context(), budget.Account{Workspace: name, Budget: catalog.DefaultBudget}, "first", 10_000)
+			assert.NilError(t, err)
+			assert.Equal(t, ask(t, info.Routers[0], name), http.StatusOK)
+			assert.Equal(t, ask(t, info.Routers[0], "unknown-"+name), http.StatusUnauthorized)
+		}
+		text := get(t, info.Operator+"/metrics")
+		assert.Assert(t, !strings.Contains(text, "tenant-"), "a workspace is named")
+		return strings.Count(text, "\n") - strings.Count(text, "_bucket")
+	}
+	first := serve(0, paying/2)
+	assert.Equal(t, serve(paying/2, paying), first)
+}
+
+// TestProbesSayWhy answers readiness on the operators' listener.
+func TestProbesSayWhy(t *testing.T) {
+	fleet, err := dev.Start(t.Context(), dev.DefaultOptions(), slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	defer fleet.Close()
+	assert.Equal(t, get(t, fleet.Info().Operator+"/healthz"), "ok\n")
+	assert.Equal(t, get(t, fleet.Info().Operator+"/readyz"), "{\"ready\":true}\n")
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -102,6 +102,7 @@
 
 func (s *Server) routes() {
 	s.echo.GET("/metrics", s.metrics)
+	s.healthRoutes()
 	api := s.echo.Group("/v1", s.authenticate, s.bound)
 	api.GET("/status", s.status)
 	api.GET("/events", s.events)
