Copies of the time line outlive their router

Cause: a VM keeps nothing, so a killed router took its part of every story with it, which is the part that operators ask for. Ruled out: writing events to the platform's table (two rows a request do not fit its writes); copying all events (98 bytes each, ten or so a request). Change: a router sends its new events to one peer in another failure domain, by rank and within a share of the network; the peer serves them beside its own; stories merge both.

--- a/internal/cli/events.go
+++ b/internal/cli/events.go
@@ -102,7 +102,7 @@
 	if err := e.print(cmd.OutOrStdout(), events); err != nil {
 		return err
 	}
-	return conclude(cmd.ErrOrStderr(), notices, len(sources))
+	return conclude(cmd.ErrOrStderr(), notices, countRouters(sources))
 }
 
 // readFlags checks the flags and completes the filter.
@@ -147,7 +147,11 @@
 	}
 	var sources []timeline.Source
 	for _, url := range urls {
-		sources = append(sources, client.New(url, e.app.token, e.app.author))
+		c := client.New(url, e.app.token, e.app.author)
+		sources = append(sources, c)
+		if !e.follow {
+			sources = append(sources, c.Backup())
+		}
 	}
 	return sources
 }
@@ -190,6 +194,17 @@
 	}
 }
 
+// countRouters counts the sources that are routers themselves.
+func countRouters(sources []timeline.Source) int {
+	n := 0
+	for _, s := range sources {
+		if _, backup := s.(timeline.Backup); !backup {
+			n++
+		}
+	}
+	return n
+}
+
 // print writes one event a line.
 func (e *eventsCommand) print(w io.Writer, events []event.Event) error {
 	encoder := json.NewEncoder(w)
--- a/internal/client/events.go
+++ b/internal/client/events.go
@@ -12,6 +12,25 @@
 // Name returns the base URL of the router; it implements timeline.Source.
 func (c *Client) Name() string { return c.base }
 
+// Backup returns a source of the copies that the router keeps of other
+// routers' events.
+func (c *Client) Backup() timeline.Backup { return backup{client: c} }
+
+// backup reads the copies at one router.
+type backup struct{ client *Client }
+
+// Name implements timeline.Source.
+func (b backup) Name() string { return b.client.base }
+
+// IsBackup implements timeline.Backup.
+func (b backup) IsBackup() {}
+
+// Page implements timeline.Source.
+func (b backup) Page(ctx context.Context, q timeline.Query) (timeline.Page, error) {
+	var page timeline.Page
+	return page, b.client.call(ctx, http.MethodGet, "/v1/events/copies?"+q.Values().Encode(), nil, &page)
+}
+
 // Page returns a page of the router's events; it implements timeline.Source.
 func (c *Client) Page(ctx context.Context, q timeline.Query) (timeline.Page, error) {
 	var page timeline.Page
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,7 @@
 
 	metrics  *metrics.Set
 	events   *timeline.Ring
+	copies   *timeline.Copies
 	platform *platformhttp.Client
 	config   *conf.Keeper
 	holder   budget.Holder
@@ -62,7 +63,9 @@
 		metrics:  metrics.NewSet(),
 		platform: platformhttp.NewClient(s.Platform, s.VM),
 	}
-	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	stamps := hlc.New(clock.Real{})
+	d.events = timeline.NewRing(s.Timeline, d.self.ID, stamps)
+	d.copies = timeline.NewCopies(s.Timeline, d.self.ID, stamps)
 	registerTimelineMetrics(d.metrics, d.events)
 	registerTrafficMetrics(d.metrics, d.platform.Traffic())
 	store := platformevents.Wrap(d.platform, d.events, clock.Real{}, d.metrics)
@@ -86,6 +89,7 @@
 		Config:  d.config,
 		Ledger:  ledger,
 		Events:  d.events,
+		Copies:  d.copies,
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
 		Status:  d.status,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -47,6 +47,7 @@
 	Config  *conf.Keeper
 	Ledger  *budget.Ledger
 	Events  *timeline.Ring
+	Copies  *timeline.Copies
 	Metrics *metrics.Set
 	Log     *slog.Logger
 	Status  func() Status
@@ -106,6 +107,7 @@
 	api := s.echo.Group("/v1", s.authenticate, s.bound)
 	api.GET("/status", s.status)
 	api.GET("/events", s.events)
+	api.GET("/events/copies", s.copies)
 	s.configRoutes(api)
 	s.budgetRoutes(api)
 }
--- a/internal/timeline/collect.go
+++ b/internal/timeline/collect.go
@@ -18,6 +18,13 @@
 	Page(ctx context.Context, q Query) (Page, error)
 }
 
+// Backup is a source that holds copies of other routers' events: what it
+// lacks is not worth a notice.
+type Backup interface {
+	Source
+	IsBackup()
+}
+
 // Notice says what a merged time line lacks.
 type Notice struct {
 	// Source names the router.
@@ -113,10 +120,14 @@
 	return rest
 }
 
-// All reads every kept event once, in causal order.
+// All reads every kept event, in causal order. An event that is also kept as
+// a copy is returned once.
 func (c *Collector) All(ctx context.Context, f Filter) ([]event.Event, []Notice) {
 	events, notices := c.Next(ctx, f)
-	return append(events, c.Rest()...), notices
+	events = append(events, c.Rest()...)
+	slices.SortFunc(events, event.Compare)
+	same := func(a, b event.Event) bool { return event.Compare(a, b) == 0 }
+	return slices.CompactFunc(events, same), notices
 }
 
 // round reads all routers side by side.
@@ -137,7 +148,7 @@
 		page, err := r.page(ctx, f, timeout)
 		if err != nil {
 			got.failed = true
-			if !r.failing {
+			if !r.failing && !r.backup() {
 				got.notices = append(got.notices, Notice{Source: r.source.Name(), Err: err})
 			}
 			r.failing = true
@@ -153,6 +164,12 @@
 	}
 }
 
+// backup reports whether the router's copies of others are read.
+func (r *reader) backup() bool {
+	_, backup := r.source.(Backup)
+	return backup
+}
+
 func (r *reader) page(ctx context.Context, f Filter, timeout time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -162,10 +179,10 @@
 // advance moves the cursor past a page and says what the page lacks.
 func (r *reader) advance(page Page) []Notice {
 	var notices []Notice
-	if r.incarnation != "" && r.incarnation != page.Incarnation {
+	if r.incarnation != "" && r.incarnation != page.Incarnation && !r.backup() {
 		notices = append(notices, Notice{Source: r.source.Name(), Restarted: true})
 	}
-	if page.Dropped > 0 {
+	if page.Dropped > 0 && !r.backup() {
 		notices = append(notices, Notice{Source: r.source.Name(), Dropped: page.Dropped})
 	}
 	r.incarnation, r.next = page.Incarnation, page.Next
--- /dev/null
+++ b/internal/timeline/copier.go
@@ -0,0 +1,151 @@
+package timeline
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fxamacker/cbor/v2"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+)
+
+// Copier sends copies of a router's events to one peer in another failure
+// domain, as many as its share of the network allows.
+type Copier struct {
+	settings Settings
+	ring     *Ring
+	bus      bus.Bus
+	clock    clock.Clock
+	metrics  copyMetrics
+
+	// next is the cursor in the ring and allowance the bytes that may be
+	// sent now; both belong to the goroutine of Run.
+	next      uint64
+	allowance int
+}
+
+// NewCopier returns a copier of ring over b, and has b store the copies of
+// others in copies.
+func NewCopier(s Settings, ring *Ring, copies *Copies, b bus.Bus, c clock.Clock, set *metrics.Set) *Copier {
+	bus.Handle(b, copyKind, func(_ context.Context, from bus.ID, batch copyBatch) (copyReceipt, error) {
+		return copies.store(from, batch), nil
+	})
+	return &Copier{settings: s, ring: ring, bus: b, clock: c, metrics: newCopyMetrics(set), allowance: s.copyBurst()}
+}
+
+// Run copies events until ctx ends.
+func (c *Copier) Run(ctx context.Context) error {
+	for clock.Sleep(ctx, c.clock, c.settings.CopyInterval) == nil {
+		earned := c.settings.CopyBytesPerSecond * c.settings.CopyInterval.Seconds()
+		c.allowance = min(c.allowance+int(earned), c.settings.copyBurst())
+		c.copyOnce(ctx)
+	}
+	return nil
+}
+
+// copyOnce sends the new events that matter most, within the allowance. What
+// does not fit is never sent: newer events matter more.
+func (c *Copier) copyOnce(ctx context.Context) {
+	page := c.ring.Page(Query{Incarnation: c.ring.self.Incarnation, Since: c.next, Limit: maxPageEvents})
+	var batch copyBatch
+	for _, e := range page.Events {
+		if rankOf(&e) > 0 {
+			e.VM, e.Incarnation = "", ""
+			batch.Events = append(batch.Events, e)
+		}
+	}
+	if len(batch.Events) == 0 {
+		c.next = page.Next
+		return
+	}
+	peer, found := c.target()
+	if !found {
+		return // the events wait in the ring for a peer
+	}
+	body, skipped := c.encode(batch)
+	c.metrics.skipped.Add(skipped)
+	if sent := len(batch.Events) - skipped; sent > 0 {
+		if _, err := c.bus.Request(ctx, peer.ID, copyKind, body); err != nil {
+			c.metrics.failed.Inc()
+			return // sent again with the next round; the receiver skips doubles
+		}
+		c.allowance -= len(body)
+		c.metrics.sent.Add(sent)
+		c.metrics.bytes.Add(len(body))
+	}
+	c.next = page.Next
+}
+
+// encode returns the batch, without its least important and newest events if
+// the allowance is too small, and the number that it left out.
+func (c *Copier) encode(batch copyBatch) (body []byte, skipped int) {
+	all := batch.Events
+	for rank := lowestRank; len(batch.Events) > 0; rank++ {
+		body, err := cbor.Marshal(batch)
+		if err != nil {
+			panic(fmt.Sprintf("encode events: %v", err)) // events hold plain values only
+		}
+		if len(body) <= c.allowance {
+			return body, len(all) - len(batch.Events)
+		}
+		if rank >= highestRank {
+			fit := len(batch.Events) * max(c.allowance, 0) / len(body)
+			batch.Events = batch.Events[:min(fit, len(batch.Events)-1)]
+			continue
+		}
+		batch.Events = slices.DeleteFunc(slices.Clone(batch.Events), func(e event.Event) bool { return rankOf(&e) <= rank })
+	}
+	return nil, len(all)
+}
+
+// Ranks of events by what they are worth after their router's death.
+const (
+	lowestRank  = 1
+	highestRank = 4
+)
+
+// rankOf returns how much an event matters after its router's death; 0 is
+// never copied.
+func rankOf(e *event.Event) int {
+	if isLasting(e) {
+		return highestRank
+	}
+	switch e.Kind {
+	case event.RequestReceived, event.CallClaimed, event.CallUnknown:
+		return highestRank - 1
+	case event.AttemptStarted, event.RequestBroken:
+		return highestRank - 2
+	case event.AttemptFailed, event.RequestAnswered, event.RequestRefused, event.GrantDrawn, event.BillWritten:
+		return lowestRank
+	}
+	return 0
+}
+
+// target chooses the peer by rendezvous hashing, from another failure domain
+// if there is any.
+func (c *Copier) target() (bus.Peer, bool) {
+	self := c.bus.Self()
+	var best bus.Peer
+	var bestScore uint64
+	for _, p := range c.bus.Peers() {
+		score := rendezvous(self.ID.VM, p.ID.VM) >> 1
+		if p.Domain != self.Domain {
+			score |= 1 << 63
+		}
+		if best.ID.IsZero() || score > bestScore {
+			best, bestScore = p, score
+		}
+	}
+	return best, !best.ID.IsZero()
+}
+
+func rendezvous(a, b string) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s\x00%s", a, b)
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/timeline/copies_test.go
@@ -0,0 +1,116 @@
+package timeline
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/event"
+)
+
+// copying is a pair of routers in two failure domains, of which the first
+// copies its events to the second.
+type copying struct {
+	from, to *node
+	copier   *Copier
+	copies   *Copies
+	network  *bus.Network
+}
+
+func newCopying(s Settings) *copying {
+	c := &copying{from: newNode("a", s), to: newNode("b", s), network: bus.NewNetwork()}
+	c.copies = NewCopies(s, c.to.self, c.to.clock)
+	here := c.network.Join(bus.Peer{ID: c.from.self, Domain: "x"})
+	there := c.network.Join(bus.Peer{ID: c.to.self, Domain: "y"})
+	NewCopier(s, c.to.Ring, c.copies, there, c.to.wall, metrics.NewSet())
+	c.copier = NewCopier(s, c.from.Ring, NewCopies(s, c.from.self, c.from.clock), here, c.from.wall, metrics.NewSet())
+	return c
+}
+
+// copied returns the copies that match the filter.
+func (c *copying) copied(f Filter) []event.Event { return c.copies.Page(Query{Filter: f}).Events }
+
+// TestStoryOutlivesRouter kills a router in the middle of a request: without
+// copies the request's first try is gone, with them its story goes on.
+func TestStoryOutlivesRouter(t *testing.T) {
+	c := newCopying(DefaultSettings())
+	key := event.KeyHash("coop", "rota-4")
+	c.from.Record(event.Event{Duty: event.DutyCaller, Kind: event.RequestReceived, Request: "r1", Key: key})
+	c.from.Record(event.Event{Duty: event.DutyDispatch, Kind: event.AttemptStarted, Request: "r1", Attempt: "x"})
+	c.copier.copyOnce(t.Context())
+	c.copier.copyOnce(t.Context())
+	c.from.silent = true
+	c.to.Record(event.Event{Duty: event.DutyCaller, Kind: event.RequestReceived, Request: "r2", Key: key})
+	naive, _ := Story(t.Context(), sources(c.from, c.to), "r2")
+	assert.Equal(t, len(naive), 1, "the naive story outlives the router")
+	withCopies := append(sources(c.from, c.to), copySource{c})
+	story, notices := Story(t.Context(), withCopies, "r2")
+	assert.Equal(t, len(story), 3)
+	assert.Equal(t, len(notices), 1)
+	assert.Equal(t, story[0].VM, "a")
+	assert.Equal(t, story[0].Incarnation, "1")
+}
+
+// TestCopiesWaitForAPeer keeps events while the peer is cut off, and stores
+// what is sent twice once.
+func TestCopiesWaitForAPeer(t *testing.T) {
+	c := newCopying(DefaultSettings())
+	c.from.Record(event.Event{Duty: event.DutyConfig, Kind: event.RevisionApplied, Revision: 3})
+	c.network.SetCut(c.from.self, c.to.self, true)
+	c.copier.copyOnce(t.Context())
+	assert.Equal(t, len(c.copied(Filter{})), 0)
+	c.network.SetCut(c.from.self, c.to.self, false)
+	c.copier.copyOnce(t.Context())
+	c.copier.next = 0
+	c.copier.copyOnce(t.Context())
+	assert.Equal(t, len(c.copied(Filter{})), 1)
+}
+
+// TestCopiesStayWithinTheirShare floods a router: the copies stay within the
+// bytes that the settings allow, and the lasting event is among them. Sending
+// all would take many times the share.
+func TestCopiesStayWithinTheirShare(t *testing.T) {
+	s := DefaultSettings()
+	s.Events = 8192
+	c := newCopying(s)
+	const seconds, perSecond = 300, 40
+	rounds := int(seconds / s.CopyInterval.Seconds())
+	for i := range rounds {
+		if i == rounds-1 {
+			c.from.Record(event.Event{Duty: event.DutyConfig, Kind: event.RevisionApplied, Revision: 3})
+		}
+		for range perSecond * int(s.CopyInterval/time.Millisecond) / 1000 {
+			c.from.Record(event.Event{
+				Duty: event.DutyCaller, Kind: event.RequestReceived, Workspace: "coop-7",
+				Request: "6f0c2f0e-0b7c-4b55-8d1e-b5a8f1f7f9d1",
+			})
+		}
+		c.copier.allowance = min(c.copier.allowance+int(s.CopyBytesPerSecond*s.CopyInterval.Seconds()), s.copyBurst())
+		c.copier.copyOnce(t.Context())
+	}
+	sent := float64(c.copier.metrics.bytes.Get())
+	assert.Assert(t, sent <= s.CopyBytesPerSecond*(seconds+copyBurstTime.Seconds()), "%.0f bytes sent", sent)
+	assert.Assert(t, c.copier.metrics.skipped.Get() > 0)
+	kept := c.copied(Filter{Duty: event.DutyConfig})
+	assert.Equal(t, len(kept), 1)
+	all := c.copies.Page(Query{Limit: maxPageEvents})
+	assert.Assert(t, slices.IsSortedFunc(all.Events, event.Compare))
+	t.Logf("%d of %d events copied, %.0f bytes each", c.copier.metrics.sent.Get(), seconds*perSecond+1, sent/float64(c.copier.metrics.sent.Get()))
+}
+
+// copySource reads the copies of a test.
+type copySource struct{ *copying }
+
+// Name implements Source.
+func (c copySource) Name() string { return "copies" }
+
+// IsBackup implements Backup.
+func (c copySource) IsBackup() {}
+
+// Page implements Source.
+func (c copySource) Page(_ context.Context, q Query) (Page, error) { return c.copies.Page(q), nil }
