--- /dev/null
+++ b/coord/clock/example_test.go
@@ -0,0 +1,17 @@
+package clock_test
+
+import (
+	"fmt"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+)
+
+// A test moves a fake clock past a timer instead of waiting for it.
+func ExampleFake() {
+	fake := clock.NewFake(time.Unix(0, 0))
+	timer := fake.After(time.Hour)
+	fake.Advance(time.Hour)
+	fmt.Println((<-timer).Sub(time.Unix(0, 0)))
+	// Output: 1h0m0s
+}
--- /dev/null
+++ b/coord/platform/example_test.go
@@ -0,0 +1,24 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+// A lost reply is settled by sending the same operation again: the write
+// happens once.
+func ExampleCommitSure() {
+	view := memory.NewStore(clock.Real{}).View()
+	view.SetFaults(memory.Faults{LoseReplies: 2})
+	receipt, err := platform.CommitSure(context.Background(), view, platform.Txn{
+		OpID:   "open-budget-7",
+		Conds:  []platform.Cond{{Key: "budget/7", Version: 0}},
+		Writes: []platform.Write{{Key: "budget/7", Value: []byte("1000")}},
+	})
+	fmt.Println(receipt.Versions, err)
+	// Output: [1] <nil>
+}
