--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -21,4 +21,11 @@
 	PeerMemory           Name = "memory_per_peer"
 	PlatformBytesIdle    Name = "platform_bytes_per_idle_second"
 	PlatformBytesRequest Name = "platform_bytes_per_request"
+	EventsPerRequest     Name = "events_per_request"
+	ReserveCPU           Name = "reserve_cpu_per_request"
+	MemoryPerStream      Name = "memory_per_stream"
+	CPUPerEndpoint       Name = "cpu_per_second_and_endpoint_in_use"
+	CPUPerChange         Name = "cpu_per_change"
+	BytesPerChange       Name = "platform_bytes_per_change"
+	RowsReadPerChange    Name = "rows_read_per_change"
 )
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -14,6 +14,15 @@
 	ChangesPerDay  float64 `json:"changes_per_day"`
 	// ReplacedPerDay counts VMs that fail, are restarted or replaced.
 	ReplacedPerDay float64 `json:"replaced_per_day"`
+	// FailedPerDay counts those of them that fail.
+	FailedPerDay float64 `json:"failed_per_day"`
+	// CallShare is the share of the requests that are calls of plain
+	// services that may not be repeated, and KeyShare the share of the other
+	// requests that carry an idempotency key. Both are assumptions.
+	CallShare float64 `json:"call_share"`
+	KeyShare  float64 `json:"key_share"`
+	// TokenGap is the time between two tokens of a stream, in seconds.
+	TokenGap float64 `json:"token_gap_seconds"`
 }
 
 // DefaultTarget returns the size that the fleet has to reach.
@@ -21,7 +30,8 @@
 	return Target{
 		Daemons: 380, Workers: 1900, RequestsPerSec: 5900, TokensPerSec: 2.2e6,
 		Budgets: 110_000, Workspaces: 16_000, Models: 39, Regions: 4, Domains: 16,
-		ChangesPerDay: 2500, ReplacedPerDay: 33 + 170,
+		ChangesPerDay: 2500, ReplacedPerDay: 33 + 170, FailedPerDay: 33,
+		CallShare: 0.05, KeyShare: 0.2, TokenGap: 0.039,
 	}
 }
 
