--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,7 +44,8 @@
 	metrics  *metrics.Set
 	events   *timeline.Ring
 	copies   *timeline.Copies
-	platform *platformhttp.Client
+	http     *platformhttp.Client
+	platform *platformevents.Platform
 	config   *conf.Keeper
 	holder   budget.Holder
 	dispatch *dispatch.Dispatcher
@@ -61,20 +62,16 @@
 		self:     bus.Peer{ID: bus.ID{VM: s.VM, Incarnation: uuid.NewString()}, Domain: s.Domain, Region: s.Region, Addr: s.Peer.Listen},
 		started:  time.Now(),
 		metrics:  metrics.NewSet(),
-		platform: platformhttp.NewClient(s.Platform, s.VM),
+		http:     platformhttp.NewClient(s.Platform, s.VM),
 	}
-	stamps := hlc.New(clock.Real{})
-	d.events = timeline.NewRing(s.Timeline, d.self.ID, stamps)
-	d.copies = timeline.NewCopies(s.Timeline, d.self.ID, stamps)
-	registerTimelineMetrics(d.metrics, d.events)
-	registerTrafficMetrics(d.metrics, d.platform.Traffic())
-	store := platformevents.Wrap(d.platform, d.events, clock.Real{}, d.metrics)
-	d.config = conf.NewKeeper(s.Config, store, clock.Real{}, d.events, d.part("config"))
-	ledger := budget.NewLedger(store)
+	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	d.watch()
+	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
+	ledger := budget.NewLedger(d.platform)
 	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
 	router := route.NewRouter(s.Route, d.config)
 	d.dispatch = dispatch.New(s.Dispatch, router, d.events)
-	d.calls = calls.New(s.Calls, router, once.NewRecords(store, d.self.ID.String()), d.events)
+	d.calls = calls.New(s.Calls, router, once.NewRecords(d.platform, d.self.ID.String()), d.events)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
@@ -175,7 +172,7 @@
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup())
 	d.dispatch.Close()
 	d.calls.Close()
-	d.platform.Close()
+	d.http.Close()
 	return err
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/timeline.go
@@ -3,10 +3,21 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
 
+// watch has the platform's calls recorded, and keeps copies of other routers'
+// events. It needs the time line and comes before all that uses the platform.
+func (d *Daemon) watch() {
+	d.platform = platformevents.Wrap(d.http, d.events, clock.Real{}, d.metrics)
+	d.copies = timeline.NewCopies(d.settings.Timeline, d.self.ID, d.events.Clock())
+	registerTimelineMetrics(d.metrics, d.events)
+	registerTrafficMetrics(d.metrics, d.http.Traffic())
+}
+
 // registerTimelineMetrics exposes the counts of the time line.
 func registerTimelineMetrics(set *metrics.Set, events *timeline.Ring) {
 	set.NewGauge("daisyslip_timeline_recorded_events_total", func() float64 { return float64(events.Counts().Recorded) })
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -30,6 +30,10 @@
 	return &Ring{self: self, clock: clock, busy: newSegment(s.Events), lasting: newSegment(s.LastingEvents)}
 }
 
+// Clock returns the clock that stamps the events. Messages between routers
+// carry its stamps.
+func (r *Ring) Clock() *hlc.Clock { return r.clock }
+
 // Record implements event.Recorder. The oldest event of the same segment is
 // overwritten if the segment is full.
 func (r *Ring) Record(e event.Event) {
