--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,7 +172,7 @@
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup())
 	d.dispatch.Close()
 	d.calls.Close()
-	d.http.Close()
+	d.platform.Close()
 	return err
 }
 
--- a/internal/platformevents/platformevents.go
+++ b/internal/platformevents/platformevents.go
@@ -31,6 +31,13 @@
 	return &Platform{inner: inner, events: events, clock: c, meters: newMeters(set)}
 }
 
+// Close closes the wrapped platform, if it can be closed.
+func (p *Platform) Close() {
+	if c, ok := p.inner.(interface{ Close() }); ok {
+		c.Close()
+	}
+}
+
 // call is one call of the platform in progress.
 type call struct {
 	step   step
