--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"daisyslip.dev/daisyslip/internal/dispatch"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/settings"
@@ -42,7 +43,9 @@
 
 	metrics  *metrics.Set
 	events   *timeline.Ring
-	platform *platformhttp.Client
+	copies   *timeline.Copies
+	http     *platformhttp.Client
+	platform *platformevents.Platform
 	config   *conf.Keeper
 	holder   *budget.LocalHolder
 	dispatch *dispatch.Dispatcher
@@ -59,9 +62,10 @@
 		self:     bus.Peer{ID: bus.ID{VM: s.VM, Incarnation: uuid.NewString()}, Domain: s.Domain, Region: s.Region, Addr: s.Peer.Listen},
 		started:  time.Now(),
 		metrics:  metrics.NewSet(),
-		platform: platformhttp.NewClient(s.Platform, s.VM),
+		http:     platformhttp.NewClient(s.Platform, s.VM),
 	}
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	d.watch()
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	link := bus.NewNetwork().Join(d.self)
 	ledger := d.newLedger(link)
@@ -84,6 +88,7 @@
 		Ledger:  ledger,
 		Doubts:  operator.Doubts{Flush: d.holder.FlushCopies},
 		Events:  d.events,
+		Copies:  d.copies,
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
 		Status:  d.status,
@@ -102,6 +107,7 @@
 	if err := d.operator.Provision(); err != nil {
 		return errors.Join(err, d.caller.Cleanup())
 	}
+	d.self.Operator = d.Addresses().Operator
 	return nil
 }
 
