Deliver under faults: resume, eject, queue, claim

Cause: the thin path sent each generation once to one of two random engines, waited without bound, and answered a broken read with a failure; a claim whose insertion lost its reply kept its key for ever; an idle connection that had gone silent cost a call its outcome.

Ruled out: a time-out that ends the only attempt which a request can have, as it would help nobody; probing ejected engines with callers' requests, since a caller would wait for an engine that may still be slow.

Change: dispatch makes attempts within deadline and retry budget and resumes broken answers; route keeps load, speed, health and prefix blocks per endpoint; admission queues by priority and deadline; calls outlive their caller, use a connection of their own, and release a claim under which nothing was sent.

--- a/coord/once/once.go
+++ b/coord/once/once.go
@@ -1,106 +1,259 @@
 // Package once keeps records that let a call run at most once. A record is
 // inserted before the call is dispatched; only the inserter dispatches it,
 // once. This stays safe when the inserter is paused between its check and its
-// send, which a lease with a clock does not.
+// send, which a lease with a clock does not: nobody ever takes over a claim
+// on a time-out.
+//
+// A record goes through these states:
+//
+//	absent ──Claim──> claimed ──Finish──> done
+//	                     │
+//	                     ├──Lose──> lost ──Finish──> done
+//	                     └──Release──> released ──Claim──> claimed
+//
+// Release is for a holder that knows that it has sent nothing and will send
+// nothing.
 package once
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
+	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/platform"
 )
 
-const recordPrefix = "call/"
+// Prefix starts the keys of all records in the table.
+const Prefix = "call/"
 
-// record is the row of one call.
-type record struct {
-	Digest  string `json:"digest"`
-	Holder  string `json:"holder"`
-	Attempt string `json:"attempt"`
-	Done    bool   `json:"done"`
-	Answer  []byte `json:"answer,omitempty"`
+// Settings are the settings of the records.
+type Settings struct {
+	// ClaimTimeout bounds the writing of a claim.
+	ClaimTimeout time.Duration `json:"claim_timeout"`
+	// AnswerWait is how long a repeated call waits for the answer of the
+	// first, and AnswerPoll the first time between two reads of its record.
+	AnswerWait time.Duration `json:"answer_wait"`
+	AnswerPoll time.Duration `json:"answer_poll"`
+	// InlineBytes bounds the answers that are kept in the table; larger ones
+	// go to the object store.
+	InlineBytes int `json:"inline_bytes"`
+	// ReleaseTimeout bounds the release of a claim whose insertion is in
+	// doubt.
+	ReleaseTimeout time.Duration `json:"release_timeout"`
+	// Retention is how long an answer is kept. See Records.Sweep.
+	Retention time.Duration `json:"retention"`
 }
 
-// Records keeps the records of calls in the platform's table.
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		ClaimTimeout:   2 * time.Second,
+		AnswerWait:     2 * time.Second,
+		AnswerPoll:     50 * time.Millisecond,
+		InlineBytes:    32 << 10,
+		ReleaseTimeout: time.Minute,
+		Retention:      7 * 24 * time.Hour,
+	}
+}
+
+// Problem is a wrong value of the settings.
+type Problem struct {
+	Path  string
+	Value any
+	Want  string
+}
+
+// Validate returns every problem of the settings.
+func (s Settings) Validate() []Problem {
+	var problems []Problem
+	for path, d := range map[string]time.Duration{
+		"claim_timeout": s.ClaimTimeout, "answer_wait": s.AnswerWait, "answer_poll": s.AnswerPoll,
+		"release_timeout": s.ReleaseTimeout, "retention": s.Retention,
+	} {
+		if d <= 0 {
+			problems = append(problems, Problem{Path: path, Value: d.String(), Want: "a duration above 0"})
+		}
+	}
+	if s.InlineBytes <= 0 {
+		problems = append(problems, Problem{Path: "inline_bytes", Value: s.InlineBytes, Want: "a number above 0"})
+	}
+	return problems
+}
+
+// Store is the part of the platform that records need.
+type Store interface {
+	platform.Table
+	platform.Objects
+}
+
+// Records keeps the records of calls. It is safe for concurrent use.
 type Records struct {
-	table  platform.Table
-	holder string
+	settings Settings
+	store    Store
+	clock    clock.Clock
+	holder   string
 }
 
 // NewRecords returns records that are claimed under the name holder, which is
 // fresh for each start of a process.
-func NewRecords(table platform.Table, holder string) *Records {
-	return &Records{table: table, holder: holder}
+func NewRecords(s Settings, store Store, c clock.Clock, holder string) *Records {
+	return &Records{settings: s, store: store, clock: c, holder: holder}
 }
 
+// Call identifies a call.
+type Call struct {
+	Workspace, Service string
+	// Key is the caller's idempotency key.
+	Key string
+	// Digest identifies the content; another one under the same key is an
+	// error.
+	Digest string
+}
+
+func (c Call) row() string { return Prefix + c.Workspace + "/" + c.Service + "/" + c.Key }
+
 // Claim is the right to dispatch a call once, or its stored answer.
 type Claim struct {
 	// Stored is the answer of an earlier dispatch; nil means that the caller
 	// of Claim must dispatch the call, once.
-	Stored  []byte
-	key     string
+	Stored []byte
+	// Attempt identifies the claim.
+	Attempt string
+	row     string
 	version int64
 	record  record
 }
 
 // Claim inserts the record of a call. If the call was claimed before, it
-// returns the stored answer, or a failure with OutcomeUnknown, or KeyReused if
-// the digests differ.
-func (r *Records) Claim(ctx context.Context, workspace, service, key, digest string) (Claim, error) {
-	row := recordPrefix + workspace + "/" + service + "/" + key
-	rec := record{Digest: digest, Holder: r.holder, Attempt: uuid.NewString()}
-	receipt, err := r.write(ctx, row, 0, rec)
+// waits a little for the answer and returns it, or a failure with
+// OutcomeUnknown, or KeyReused if the digests differ. After any failure the
+// caller must not dispatch.
+func (r *Records) Claim(ctx context.Context, c Call) (*Claim, error) {
+	if err := r.checkAge(c.Key); err != nil {
+		return nil, err
+	}
+	claimCtx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
+	defer cancel()
+	rec := r.newRecord(c, uuid.NewString())
+	receipt, err := r.write(claimCtx, c.row(), 0, rec)
 	if err == nil {
-		return Claim{key: row, version: receipt.Versions[0], record: rec}, nil
+		return rec.claim(c.row(), receipt.Versions[0]), nil
 	}
-	if !platform.IsConflict(err) {
-		return Claim{}, failure.Wrap(failure.StoreUnavailable, "claim call", "platform", err)
+	return r.unclaimed(ctx, c, rec, err)
+}
+
+// unclaimed decides after a write of a claim that did not succeed.
+func (r *Records) unclaimed(ctx context.Context, c Call, rec record, err error) (*Claim, error) {
+	if kind := platform.KindOf(err); kind == platform.KindConflict || kind == platform.KindUnknown {
+		return r.settle(ctx, c, rec, err)
 	}
-	return r.read(ctx, row, digest)
+	return nil, unavailable("claim call", err)
 }
 
+// unavailable is the failure of a call that the store did not let begin.
+func unavailable(step string, err error) error {
+	f := failure.Wrap(failure.StoreUnavailable, step, "platform", err).WithRetry(time.Second)
+	f.Message = "the call was not sent, since its record could not be written: " + err.Error()
+	return f
+}
+
+// write puts a record under the condition that the row has version.
 func (r *Records) write(ctx context.Context, row string, version int64, rec record) (platform.Receipt, error) {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return platform.Receipt{}, fmt.Errorf("encode record: %w", err)
 	}
-	return platform.CommitSure(ctx, r.table, platform.Txn{
+	return platform.CommitSure(ctx, r.store, platform.Txn{
 		OpID:   uuid.NewString(),
 		Conds:  []platform.Cond{{Key: row, Version: version}},
 		Writes: []platform.Write{{Key: row, Value: value}},
 	})
 }
 
-// read answers a claim whose record exists.
-func (r *Records) read(ctx context.Context, row, digest string) (Claim, error) {
-	rows, err := r.table.Get(ctx, row)
-	if err != nil {
-		return Claim{}, failure.Wrap(failure.StoreUnavailable, "read call record", "platform", err)
+// settle finds out whose record is in the row after an insertion that
+// conflicted or whose reply was lost. A row with this claim's own attempt id
+// means that the insertion took effect: nobody else has dispatched.
+func (r *Records) settle(ctx context.Context, c Call, mine record, cause error) (*Claim, error) {
+	row, rec, err := r.read(ctx, c.row())
+	if err != nil || row.Version == 0 {
+		// The insertion may still arrive. It is blocked before the caller is
+		// told, or else in the background.
+		r.block(ctx, c, mine)
+		return nil, unavailable("claim call", errors.Join(cause, err))
 	}
-	var rec record
-	if err := json.Unmarshal(rows[0].Value, &rec); err != nil {
-		return Claim{}, failure.Wrap(failure.Internal, "decode call record", "platform", err)
+	if rec.Attempt == mine.Attempt && rec.State == stateClaimed {
+		return rec.claim(c.row(), row.Version), nil
 	}
-	if rec.Digest != digest {
-		return Claim{}, failure.New(failure.KeyReused, "claim call", "", "the Idempotency-Key was used for another call; choose a new one")
+	return r.join(ctx, c, row, rec)
+}
+
+// join answers a claim whose record another call has made.
+func (r *Records) join(ctx context.Context, c Call, row platform.Row, rec record) (*Claim, error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = r.settings.AnswerPoll
+	end := r.clock.Now().Add(r.settings.AnswerWait)
+	for {
+		if rec.Digest != c.Digest {
+			return nil, failure.New(failure.KeyReused, "claim call", "", "the Idempotency-Key was used for another call; choose a new one")
+		}
+		switch rec.State {
+		case stateReleased:
+			return r.takeOver(ctx, c, row.Version)
+		case stateDone:
+			return r.stored(ctx, c, row, rec)
+		case stateLost:
+			return nil, unknown("the outcome of the first try was lost; the call will not be sent again; check its effect")
+		}
+		if !r.clock.Now().Before(end) {
+			return nil, unknown("the first try of this call is running or its outcome was lost; ask again with the same key: the call will not be sent twice")
+		}
+		if err := clock.Sleep(ctx, r.clock, wait.NextBackOff()); err != nil {
+			return nil, unknown("the first try of this call is running; ask again with the same key")
+		}
+		var err error
+		if row, rec, err = r.read(ctx, c.row()); err != nil {
+			return nil, unknown("the record of the first try could not be read; ask again with the same key: " + err.Error())
+		}
 	}
-	if !rec.Done {
-		return Claim{}, failure.New(failure.OutcomeUnknown, "claim call", "", "an earlier try of this call is running or its outcome was lost").WithRan(failure.RanUnknown)
+}
+
+// unknown is the failure of a call whose first try may have run.
+func unknown(message string) error {
+	return failure.New(failure.OutcomeUnknown, "claim call", "", message).WithRan(failure.RanUnknown).WithRetry(time.Second)
+}
+
+// takeOver claims a call whose earlier holder has said that it sent nothing.
+func (r *Records) takeOver(ctx context.Context, c Call, version int64) (*Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
+	defer cancel()
+	rec := r.newRecord(c, uuid.NewString())
+	receipt, err := r.write(ctx, c.row(), version, rec)
+	if err == nil {
+		return rec.claim(c.row(), receipt.Versions[0]), nil
 	}
-	return Claim{Stored: rec.Answer, key: row, version: rows[0].Version, record: rec}, nil
+	return r.unclaimed(ctx, c, rec, err)
 }
 
-// Finish stores the answer of a claimed call.
-func (r *Records) Finish(ctx context.Context, c Claim, answer []byte) error {
-	rec := c.record
-	rec.Done, rec.Answer = true, answer
-	if _, err := r.write(ctx, c.key, c.version, rec); err != nil {
-		return fmt.Errorf("store answer of %s: %w", c.key, err)
+// stored returns the answer of a finished call.
+func (r *Records) stored(ctx context.Context, c Call, row platform.Row, rec record) (*Claim, error) {
+	claim := rec.claim(c.row(), row.Version)
+	claim.Stored = rec.Answer
+	if rec.Object != "" {
+		answer, err := r.store.GetObject(ctx, rec.Object)
+		if err != nil {
+			return nil, failure.Wrap(failure.OutcomeUnknown, "read stored answer", "platform", err).WithRan(failure.RanYes).WithRetry(time.Second)
+		}
+		claim.Stored = answer
+	}
+	if claim.Stored == nil {
+		return nil, failure.New(failure.OutcomeUnknown, "read stored answer", "", "the call ran, and its answer is no longer kept").WithRan(failure.RanYes)
 	}
-	return nil
+	return claim, nil
 }
--- a/internal/calls/answer.go
+++ b/internal/calls/answer.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 
 	"daisyslip.dev/daisyslip/coord/failure"
-	"daisyslip.dev/daisyslip/coord/once"
 	"daisyslip.dev/daisyslip/internal/work"
 )
 
@@ -16,10 +15,10 @@
 	return data
 }
 
-// replay returns the answer that an earlier call stored.
-func replay(claim once.Claim) (*work.Answer, error) {
+// decodeAnswer decodes an answer that an earlier call stored.
+func decodeAnswer(stored []byte) (*work.Answer, error) {
 	var answer work.Answer
-	if err := json.Unmarshal(claim.Stored, &answer); err != nil {
+	if err := json.Unmarshal(stored, &answer); err != nil {
 		return nil, failure.Wrap(failure.Internal, "decode stored answer", "", err).WithRan(failure.RanYes)
 	}
 	answer.Replayed = true
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -3,19 +3,18 @@
 package calls
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
+	"log/slog"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/once"
 	"daisyslip.dev/daisyslip/internal/check"
-	"daisyslip.dev/daisyslip/internal/engine"
 	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/work"
 )
@@ -26,95 +25,160 @@
 	DialTimeout time.Duration `json:"dial_timeout"`
 	// MaxAnswerBytes bounds an answer.
 	MaxAnswerBytes int64 `json:"max_answer_bytes"`
+	// MaxAttempts bounds the attempts of an idempotent call.
+	MaxAttempts int `json:"max_attempts"`
+	// AttemptTimeout bounds one attempt of an idempotent call.
+	AttemptTimeout time.Duration `json:"attempt_timeout"`
+	// AnswerTimeout is how long the answer of a call that is not idempotent
+	// is waited for, also after its caller has gone.
+	AnswerTimeout time.Duration `json:"answer_timeout"`
+	// StoreWait is how long a caller waits for its answer to be stored; then
+	// it gets the answer, and the storing goes on.
+	StoreWait time.Duration `json:"store_wait"`
+	// MaxPending bounds the calls that are not idempotent and run at once.
+	MaxPending int `json:"max_pending"`
+	// SweepInterval is the time between two sweeps of old records, and
+	// SweepRows bounds the records that one sweep reads.
+	SweepInterval time.Duration `json:"sweep_interval"`
+	SweepRows     int           `json:"sweep_rows"`
+	// Once are the settings of the at-most-once records.
+	Once once.Settings `json:"once"`
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{DialTimeout: time.Second, MaxAnswerBytes: 256 << 10}
+	return Settings{
+		DialTimeout:    time.Second,
+		MaxAnswerBytes: 8 << 20,
+		MaxAttempts:    3,
+		AttemptTimeout: 10 * time.Second,
+		AnswerTimeout:  2 * time.Minute,
+		StoreWait:      500 * time.Millisecond,
+		MaxPending:     1024,
+		SweepInterval:  10 * time.Minute,
+		SweepRows:      500,
+		Once:           once.DefaultSettings(),
+	}
 }
 
 // Validate adds every problem of the settings to l.
 func (s Settings) Validate(l *check.List, path string) {
 	l.Duration(path+".dial_timeout", s.DialTimeout, time.Millisecond, time.Minute)
 	l.Positive(path+".max_answer_bytes", s.MaxAnswerBytes)
+	l.Positive(path+".max_attempts", int64(s.MaxAttempts))
+	l.Duration(path+".attempt_timeout", s.AttemptTimeout, time.Millisecond, time.Hour)
+	l.Duration(path+".answer_timeout", s.AnswerTimeout, time.Millisecond, time.Hour)
+	l.Duration(path+".store_wait", s.StoreWait, time.Millisecond, time.Minute)
+	l.Positive(path+".max_pending", int64(s.MaxPending))
+	l.Duration(path+".sweep_interval", s.SweepInterval, time.Second, 24*time.Hour)
+	l.Positive(path+".sweep_rows", int64(s.SweepRows))
+	for _, p := range s.Once.Validate() {
+		l.Add(path+".once."+p.Path, p.Value, p.Want)
+	}
+}
+
+// Duties are what the duty of calls uses.
+type Duties struct {
+	Router  *route.Router
+	Records *once.Records
+	Events  event.Recorder
+	Metrics *metrics.Set
+	Log     *slog.Logger
 }
 
 // Runner runs calls. It is safe for concurrent use.
 type Runner struct {
 	settings Settings
-	router   *route.Router
-	records  *once.Records
-	events   event.Recorder
-	client   *http.Client
+	duties   Duties
+	metrics  *callMetrics
+	sender   *sender
+	// slots holds a place for each call that is not idempotent and runs.
+	slots   chan struct{}
+	pending sync.WaitGroup
 }
 
 var _ work.Caller = (*Runner)(nil)
 
-// New returns a runner that keeps its at-most-once records in records.
-func New(s Settings, router *route.Router, records *once.Records, events event.Recorder) *Runner {
-	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
-		IdleConnTimeout: time.Minute,
+// callMetrics count what becomes of calls.
+type callMetrics struct {
+	claimed  *metrics.Counter
+	answered *metrics.Counter
+	unknown  *metrics.Counter
+	replayed *metrics.Counter
+	released *metrics.Counter
+}
+
+// New returns a runner.
+func New(s Settings, d Duties) *Runner {
+	return &Runner{
+		settings: s,
+		duties:   d,
+		sender:   newSender(s),
+		slots:    make(chan struct{}, s.MaxPending),
+		metrics: &callMetrics{
+			claimed:  d.Metrics.NewCounter("daisyslip_calls_claimed_calls_total"),
+			answered: d.Metrics.NewCounter("daisyslip_calls_answered_calls_total"),
+			unknown:  d.Metrics.NewCounter("daisyslip_calls_unknown_calls_total"),
+			replayed: d.Metrics.NewCounter("daisyslip_calls_replayed_calls_total"),
+			released: d.Metrics.NewCounter("daisyslip_calls_released_calls_total"),
+		},
 	}
-	return &Runner{settings: s, router: router, records: records, events: events, client: &http.Client{Transport: transport}}
 }
 
 // Close drops the idle connections.
-func (r *Runner) Close() { r.client.CloseIdleConnections() }
+func (r *Runner) Close() { r.sender.close() }
+
+// Run sweeps old records until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	cursor := ""
+	for clock.Sleep(ctx, clock.Real{}, r.settings.SweepInterval) == nil {
+		next, count, err := r.duties.Records.Sweep(ctx, cursor, r.settings.SweepRows)
+		if err != nil {
+			r.duties.Log.Warn("Sweep of call records failed.", "err", err)
+			continue
+		}
+		r.duties.Log.Debug("Call records swept.", "seen", count.Seen, "deleted", count.Deleted, "compacted", count.Compacted)
+		cursor = next
+	}
+	return nil
+}
+
+// Drain waits until every call that was sent has its outcome on record, or
+// ctx ends.
+func (r *Runner) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		r.pending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return failure.Wrap(failure.Deadline, "wait for calls", "", ctx.Err()).WithRan(failure.RanUnknown)
+	}
+}
 
 // Call implements work.Caller.
 func (r *Runner) Call(ctx context.Context, c *work.Call) (*work.Answer, error) {
 	if c.Idempotent {
-		return r.send(ctx, c)
+		return r.callIdempotent(ctx, c)
 	}
 	if c.Key == "" {
 		return nil, failure.New(failure.KeyRequired, "check call", "", "a call that is not idempotent needs an Idempotency-Key")
 	}
-	claim, err := r.records.Claim(ctx, c.Workspace, c.Service, c.Key, c.Digest)
-	if err != nil {
-		return nil, err
-	}
-	if claim.Stored != nil {
-		return replay(claim)
-	}
-	answer, err := r.send(ctx, c)
-	if err != nil {
-		return nil, err
-	}
-	if err := r.records.Finish(ctx, claim, encodeAnswer(answer)); err != nil {
-		r.events.Record(event.Event{Duty: event.DutyCall, Kind: event.CallUnknown, Request: c.RequestID, Detail: err.Error()})
-	}
-	return answer, nil
+	return r.callOnce(ctx, c)
 }
 
-// send sends the call to one instance.
-func (r *Runner) send(ctx context.Context, c *work.Call) (*work.Answer, error) {
-	lease, err := r.router.PickService(c, nil)
-	if err != nil {
-		return nil, err
-	}
-	defer lease.Done()
-	url := lease.Endpoint.URL + c.Path
-	if c.Query != "" {
-		url += "?" + c.Query
-	}
-	req, err := http.NewRequestWithContext(ctx, c.Method, url, bytes.NewReader(c.Body))
-	if err != nil {
-		return nil, failure.Wrap(failure.BadRequest, "make call", lease.Endpoint.Name, err)
-	}
-	req.Header = c.Header.Clone()
-	req.Header.Set(engine.RequestIDHeader, c.RequestID)
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return nil, failure.Wrap(failure.OutcomeUnknown, "call service", lease.Endpoint.Name, err).WithRan(failure.RanUnknown)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, r.settings.MaxAnswerBytes+1))
-	if err == nil && int64(len(body)) > r.settings.MaxAnswerBytes {
-		err = fmt.Errorf("answer is longer than %d bytes", r.settings.MaxAnswerBytes)
-	}
-	if err != nil {
-		return nil, failure.Wrap(failure.OutcomeUnknown, "read answer", lease.Endpoint.Name, err).WithRan(failure.RanUnknown)
-	}
-	return &work.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Endpoint: lease.Endpoint.Name}, nil
+// record puts an event of a call on the time line.
+func (r *Runner) record(c *work.Call, kind event.Kind, attempt, endpoint, detail string) {
+	r.duties.Events.Record(event.Event{
+		Duty:      event.DutyCall,
+		Kind:      kind,
+		Request:   c.RequestID,
+		Attempt:   attempt,
+		Workspace: c.Workspace,
+		Endpoint:  endpoint,
+		Detail:    detail,
+	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,15 +17,11 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/hlc"
-	"daisyslip.dev/daisyslip/coord/once"
 	"daisyslip.dev/daisyslip/internal/caller"
-	"daisyslip.dev/daisyslip/internal/calls"
 	"daisyslip.dev/daisyslip/internal/conf"
-	"daisyslip.dev/daisyslip/internal/dispatch"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
-	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/settings"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
@@ -45,8 +41,7 @@
 	platform *platformhttp.Client
 	config   *conf.Keeper
 	holder   budget.Holder
-	dispatch *dispatch.Dispatcher
-	calls    *calls.Runner
+	delivery delivery
 	caller   *caller.Server
 	operator *operator.Server
 }
@@ -65,14 +60,12 @@
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	ledger := budget.NewLedger(d.platform)
 	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
-	router := route.NewRouter(s.Route, d.config)
-	d.dispatch = dispatch.New(s.Dispatch, router, d.events)
-	d.calls = calls.New(s.Calls, router, once.NewRecords(d.platform, d.self.ID.String()), d.events)
+	d.delivery = d.newDelivery(nil)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
-		Generator: d.dispatch,
-		Calls:     d.calls,
+		Generator: d.delivery.dispatch,
+		Calls:     d.delivery.calls,
 		Events:    d.events,
 		Metrics:   d.metrics,
 		Log:       d.part("caller"),
@@ -124,7 +117,7 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	failed := make(chan error, 3)
+	failed := make(chan error, 5)
 	start := func(name string, run func() error) {
 		running.Go(func() {
 			if err := run(); err != nil {
@@ -133,6 +126,8 @@
 		})
 	}
 	start("config", func() error { return d.config.Run(duties) })
+	start("route", func() error { return d.delivery.router.Run(duties) })
+	start("calls", func() error { return d.delivery.calls.Run(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
 	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
@@ -155,7 +150,7 @@
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainStarted})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Timeout)
 	defer cancel()
-	err := errors.Join(d.caller.Drain(ctx), d.holder.Close(ctx))
+	err := errors.Join(d.caller.Drain(ctx), d.delivery.drain(ctx), d.holder.Close(ctx))
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainEnded})
 	d.log.Info("Drain ended.", "err", err)
 	return err
@@ -164,8 +159,7 @@
 // cleanup closes what Provision and New opened.
 func (d *Daemon) cleanup() error {
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup())
-	d.dispatch.Close()
-	d.calls.Close()
+	d.delivery.close()
 	d.platform.Close()
 	return err
 }
--- /dev/null
+++ b/internal/daemon/delivery.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/once"
+	"daisyslip.dev/daisyslip/internal/admission"
+	"daisyslip.dev/daisyslip/internal/calls"
+	"daisyslip.dev/daisyslip/internal/dispatch"
+	"daisyslip.dev/daisyslip/internal/route"
+)
+
+// delivery is the path of work from this router to the endpoints.
+type delivery struct {
+	router   *route.Router
+	queues   *admission.Queues
+	dispatch *dispatch.Dispatcher
+	calls    *calls.Runner
+}
+
+// newDelivery assembles the path. leaving reports the VMs that the platform
+// lists as leaving; it may be nil.
+func (d *Daemon) newDelivery(leaving func(vm string) bool) delivery {
+	queues := admission.NewQueues(d.settings.Admission, clock.Real{}, d.metrics)
+	router := route.NewRouter(d.settings.Route, route.Duties{
+		Config:     d.config,
+		Events:     d.events,
+		Metrics:    d.metrics,
+		Clock:      clock.Real{},
+		Log:        d.part("route"),
+		LeavingVMs: leaving,
+		OnSlots:    queues.SetSlots,
+	})
+	return delivery{
+		router: router,
+		queues: queues,
+		dispatch: dispatch.New(d.settings.Dispatch, dispatch.Duties{
+			Router: router, Queues: queues, Events: d.events, Metrics: d.metrics,
+		}),
+		calls: calls.New(d.settings.Calls, calls.Duties{
+			Router:  router,
+			Records: once.NewRecords(d.settings.Calls.Once, d.platform, clock.Real{}, d.self.ID.String()),
+			Events:  d.events,
+			Metrics: d.metrics,
+			Log:     d.part("calls"),
+		}),
+	}
+}
+
+// drain waits for the calls that outlive their callers.
+func (d *delivery) drain(ctx context.Context) error { return d.calls.Drain(ctx) }
+
+// close drops the idle connections.
+func (d *delivery) close() {
+	d.router.Close()
+	d.dispatch.Close()
+	d.calls.Close()
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -1,102 +1,152 @@
 package dispatch
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
 
+	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
-	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/engine"
+	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/sse"
-	"daisyslip.dev/daisyslip/internal/work"
 )
 
+// errSilent ends an attempt whose endpoint has sent nothing for too long.
+var errSilent = errors.New("the endpoint was silent for too long")
+
 // attempt is one try of a generation on one endpoint.
 type attempt struct {
-	id         string
-	generation *work.Generation
-	endpoint   catalog.Endpoint
-	sink       work.Sink
-	usage      work.Usage
+	id      string
+	run     *run
+	lease   *route.Lease
+	started time.Time
+	cancel  context.CancelCauseFunc
+	watch   *watch
+	stream  stream
+	// reused is true if the connection had been used before.
+	reused atomic.Bool
 }
 
-// body encodes the request to the engine: the caller's options, with the
-// fields that the router sets on top.
-func (a *attempt) body() ([]byte, error) {
-	fields := make(map[string]any)
-	if len(a.generation.Options) > 0 {
-		if err := json.Unmarshal(a.generation.Options, &fields); err != nil {
-			return nil, fmt.Errorf("decode options: %w", err)
-		}
+// begin counts and records the attempt.
+func (a *attempt) begin() {
+	m := a.run.dispatcher.metrics
+	m.attempts.Inc()
+	detail := ""
+	if a.run.answer.begun() {
+		m.resumed.Inc()
+		detail = fmt.Sprintf("resumes after %d tokens", a.run.answer.tokens)
 	}
-	fields["model"] = a.generation.Model
-	fields["messages"] = json.RawMessage(a.generation.Messages)
-	fields["max_tokens"] = a.generation.MaxTokens
-	fields["stream"] = true
-	fields["stream_options"] = engine.StreamOptions{IncludeUsage: true, ContinuousUsage: true}
-	fields["priority"] = -int(a.generation.Priority)
-	return json.Marshal(fields)
+	a.record(event.AttemptStarted, detail)
 }
 
-// read passes the pieces of the stream on until its end marker.
-func (a *attempt) read(events *sse.Reader) (work.Outcome, error) {
-	finish := ""
-	for {
-		data, err := events.Next()
-		if err != nil {
-			return work.Outcome{Usage: a.usage}, a.broken(err)
-		}
-		if string(data) == engine.EndOfStream {
-			if finish == "" {
-				return work.Outcome{Usage: a.usage}, a.broken(errors.New("end marker without finish reason"))
-			}
-			return work.Outcome{FinishReason: finish, Usage: a.usage}, nil
-		}
-		reason, err := a.take(data)
-		if err != nil {
-			return work.Outcome{Usage: a.usage}, err
-		}
-		if reason != "" {
-			finish = reason
+// end tells the router and the time line how the attempt ended.
+func (a *attempt) end(ctx context.Context, result result) {
+	m := a.run.dispatcher.metrics
+	switch {
+	case result.err == nil:
+		a.lease.Succeeded()
+		a.record(event.AttemptEnded, "")
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) || result.err.Code == failure.Canceled:
+		m.canceled.Inc()
+		a.record(event.AttemptCanceled, result.err.Error())
+	default:
+		m.failed.Inc()
+		if result.retry && !result.staleConn {
+			a.lease.Failed(result.err.Message)
 		}
+		a.record(event.AttemptFailed, result.err.Error())
+	}
+}
+
+// execute sends the attempt and reads its stream to the end.
+func (a *attempt) execute(ctx context.Context) result {
+	a.watch = a.startWatch(ctx)
+	defer a.watch.stop()
+	resp, err := a.send(ctx)
+	if err != nil {
+		return a.settle(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(a.lease.Endpoint.Name, resp)
 	}
+	a.stream = stream{attempt: a, events: sse.NewReader(resp.Body, maxEventBytes), last: time.Now()}
+	return a.settle(ctx, a.stream.read())
 }
 
-func (a *attempt) broken(err error) error {
-	if errors.Is(err, io.EOF) {
-		err = errors.New("stream ended without its end marker")
+// settle completes the result of an attempt with why it ended.
+func (a *attempt) settle(ctx context.Context, err *failure.Error) result {
+	if err == nil {
+		return result{}
 	}
-	return failure.Wrap(failure.EndpointFailed, "read answer", a.endpoint.Name, err).WithRan(failure.RanYes)
+	if errors.Is(context.Cause(ctx), errSilent) {
+		a.run.dispatcher.metrics.silent.Inc()
+		silent := failure.Wrap(failure.EndpointFailed, err.Step, err.Peer, errSilent).WithRan(err.Ran).WithRetry(time.Second)
+		return result{err: silent, retry: true, retryTaken: true, staleConn: a.reused.Load() && !a.stream.begun}
+	}
+	return result{err: err, retry: err.Code == failure.EndpointFailed, retryTaken: a.watch.taken()}
 }
 
-// take passes one chunk on, if it belongs to this attempt.
-func (a *attempt) take(data []byte) (finish string, err error) {
-	var chunk engine.Chunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return "", a.broken(fmt.Errorf("decode chunk: %w", err))
+// send sends the request and waits for the header of the answer.
+func (a *attempt) send(ctx context.Context) (*http.Response, *failure.Error) {
+	name := a.lease.Endpoint.Name
+	body, err := a.run.answer.body()
+	if err != nil {
+		return nil, failure.Wrap(failure.BadRequest, "encode attempt", name, err)
 	}
-	if chunk.ID != engine.ResponseIDPrefix+a.id {
-		return "", nil
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.reused.Store(info.Reused) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, a.lease.Endpoint.URL+engine.PathChat, bytes.NewReader(body))
+	if err != nil {
+		return nil, failure.Wrap(failure.Internal, "make attempt", name, err)
 	}
-	tokens := int64(0)
-	if chunk.Usage != nil {
-		tokens = chunk.Usage.CompletionTokens - a.usage.CompletionTokens
-		a.usage = work.Usage(*chunk.Usage)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(engine.RequestIDHeader, a.id)
+	client := a.run.dispatcher.pooled
+	if a.run.attempts > 1 {
+		client = a.run.dispatcher.fresh
 	}
-	if len(chunk.Choices) == 0 {
-		return "", nil
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, failure.Wrap(failure.EndpointFailed, "send attempt", name, err).WithRan(ranAfter(err)).WithRetry(time.Second)
 	}
-	choice := chunk.Choices[0]
-	if choice.FinishReason != nil {
-		finish = *choice.FinishReason
+	return resp, nil
+}
+
+// ranAfter tells whether work may have run when sending it failed: only a
+// connection that was never made proves that no byte has left.
+func ranAfter(err error) failure.Ran {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return failure.RanNo
 	}
-	if choice.Delta == nil || choice.Delta.Content == "" {
-		return finish, nil
+	return failure.RanUnknown
+}
+
+// refusal turns an engine's error answer into a result. An engine that
+// answers 4xx or 503 says that it did not run the work; any other status
+// leaves it open.
+func refusal(name string, resp *http.Response) result {
+	var body engine.ErrorBody
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEventBytes)).Decode(&body); err != nil {
+		body.Error.Message = err.Error()
 	}
-	if err := a.sink(work.Piece{Text: choice.Delta.Content, Tokens: tokens}); err != nil {
-		return "", failure.Wrap(failure.Canceled, "pass answer on", "caller", err).WithRan(failure.RanYes)
+	message := fmt.Sprintf("status %d: %s", resp.StatusCode, body.Error.Message)
+	failed := failure.New(failure.EndpointFailed, "send attempt", name, message).WithRetry(time.Second)
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+		return result{err: failed, retry: true}
+	case resp.StatusCode >= 400 && resp.StatusCode < 500:
+		return result{err: failure.New(failure.BadRequest, "send attempt", name, message)}
 	}
-	return finish, nil
+	return result{err: failed.WithRan(failure.RanUnknown), retry: true}
 }
--- /dev/null
+++ b/internal/route/capacity.go
@@ -0,0 +1,91 @@
+package route
+
+import (
+	"slices"
+
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/work"
+)
+
+// PoolOfModel names the pool that serves the workspace's work for a model, or
+// returns false if none does.
+func (r *Router) PoolOfModel(workspace, model string) (string, bool) {
+	members := r.duties.Config.Catalog().ForModel(workspace, model)
+	if len(members) == 0 {
+		return "", false
+	}
+	return members[0].Pool.Name, true
+}
+
+// HasOther reports whether an endpoint besides the current one and those
+// tried may serve the generation.
+func (r *Router) HasOther(g *work.Generation, tried map[string]bool, current string) bool {
+	members := r.duties.Config.Catalog().ForModel(g.Workspace, g.Model)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(members, func(m *catalog.Member) bool {
+		return m.Name != current && !tried[m.Name] && !r.leavingLocked(m)
+	})
+}
+
+// TimesOf returns the medians over a pool.
+func (r *Router) TimesOf(name string) Times {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[name]
+	if p == nil {
+		return Times{}
+	}
+	return Times{First: seconds(r.medianFirstLocked(p)), Gap: seconds(r.medianGapLocked(p))}
+}
+
+// publishSlots tells how many of its requests each pool has room for.
+func (r *Router) publishSlots() {
+	if r.duties.OnSlots == nil {
+		return
+	}
+	for name, slots := range r.slots() {
+		r.duties.OnSlots(name, slots)
+	}
+}
+
+// slots returns the room for this router's requests in each pool, or 0 where
+// an endpoint's slots are unknown.
+func (r *Router) slots() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.indexLocked()
+	slots := make(map[string]int, len(r.pools))
+	for name, p := range r.pools {
+		slots[name] = r.poolSlotsLocked(p)
+	}
+	return slots
+}
+
+func (r *Router) poolSlotsLocked(p *pool) int {
+	sum := 0
+	for _, name := range p.members {
+		m, s := r.index.Endpoint(name), r.stateLocked(name)
+		if r.leavingLocked(m) || s.health == ejected {
+			continue
+		}
+		room := s.room(m)
+		if room == 0 {
+			return 0
+		}
+		sum += room
+	}
+	return sum
+}
+
+// room returns how many of this router's requests fit at the endpoint, or 0
+// if its slots are unknown. One always fits, so that a router which is late
+// gets a share at a pool that others fill.
+func (s *state) room(m *catalog.Member) int {
+	slots := s.slots(m)
+	if slots == 0 {
+		return 0
+	}
+	others := max(s.report.Running+s.report.Waiting-s.ownAtReport, 0)
+	return max(slots-others, 1)
+}
--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"daisyslip.dev/daisyslip/internal/catalog"
+)
+
+// Candidate is an endpoint that may get an attempt.
+type Candidate struct {
+	Member *catalog.Member
+	// InFlight counts this router's attempts at the endpoint.
+	InFlight int
+	// Load is the number of requests at the endpoint, weighed by how much
+	// slower than its pool it is.
+	Load float64
+	// Slots is the number of requests that run at once, or 0 if unknown.
+	Slots int
+	// Hits is the number of leading prefix blocks thought to be cached.
+	Hits int
+}
+
+// Chooser takes one of at least one candidates and returns its index. It is
+// called under the router's lock.
+type Chooser interface {
+	Choose(prefixes []uint64, candidates []Candidate) int
+}
+
+// prefixChooser follows the longest cached prefix to endpoints whose load is
+// bounded. A prefix that is cached nowhere goes where rendezvous hashing puts
+// its first block, so that all routers agree before any cache event arrives.
+type prefixChooser struct {
+	loadBound float64
+}
+
+// Choose implements Chooser.
+func (c prefixChooser) Choose(prefixes []uint64, candidates []Candidate) int {
+	if len(prefixes) == 0 {
+		return powerOfTwo(candidates)
+	}
+	limit := c.limit(candidates)
+	best, bestScore := -1, uint64(0)
+	for i, candidate := range candidates {
+		if candidate.Load > limit || full(candidate) {
+			continue
+		}
+		score := rendezvous(prefixes[0], candidate.Member.Name)
+		if best < 0 || candidate.Hits > candidates[best].Hits || candidate.Hits == candidates[best].Hits && score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return leastLoaded(candidates)
+	}
+	return best
+}
+
+// limit is the load up to which an endpoint may be taken for its cache.
+func (c prefixChooser) limit(candidates []Candidate) float64 {
+	sum := 0.0
+	for _, candidate := range candidates {
+		sum += candidate.Load
+	}
+	return c.loadBound*sum/float64(len(candidates)) + 1
+}
+
+func full(c Candidate) bool { return c.Slots > 0 && c.Load >= float64(c.Slots) }
+
+// leastLoaded takes the candidate with the lowest load for its slots; among
+// equals, the first after a random start.
+func leastLoaded(candidates []Candidate) int {
+	start := rand.IntN(len(candidates))
+	best := start
+	for n := 1; n < len(candidates); n++ {
+		i := (start + n) % len(candidates)
+		if relativeLoad(candidates[i]) < relativeLoad(candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func relativeLoad(c Candidate) float64 { return c.Load / float64(max(c.Slots, 1)) }
+
+// powerOfTwo takes the less loaded of two candidates drawn at random.
+func powerOfTwo(candidates []Candidate) int {
+	first, second := rand.IntN(len(candidates)), rand.IntN(len(candidates))
+	if relativeLoad(candidates[second]) < relativeLoad(candidates[first]) {
+		return second
+	}
+	return first
+}
+
+// rendezvous scores an endpoint for a block; the highest score wins.
+func rendezvous(block uint64, endpoint string) uint64 {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], block)
+	var digest xxhash.Digest
+	digest.Reset()
+	digest.Write(key[:])
+	digest.WriteString(endpoint)
+	return digest.Sum64()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/go-viper/mapstructure/v2"
 
 	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/internal/admission"
 	"daisyslip.dev/daisyslip/internal/caller"
 	"daisyslip.dev/daisyslip/internal/calls"
 	"daisyslip.dev/daisyslip/internal/check"
@@ -45,38 +46,40 @@
 // Settings are all settings of a router.
 type Settings struct {
 	// VM, Domain and Region say where the router runs.
-	VM       string                `json:"vm"`
-	Domain   string                `json:"domain"`
-	Region   string                `json:"region"`
-	Caller   caller.Settings       `json:"caller"`
-	Operator operator.Settings     `json:"operator"`
-	Peer     peer.Settings         `json:"peer"`
-	Platform platformhttp.Settings `json:"platform"`
-	Budget   budget.Settings       `json:"budget"`
-	Route    route.Settings        `json:"route"`
-	Dispatch dispatch.Settings     `json:"dispatch"`
-	Calls    calls.Settings        `json:"calls"`
-	Config   conf.Settings         `json:"config"`
-	Timeline timeline.Settings     `json:"timeline"`
-	Drain    Drain                 `json:"drain"`
-	Log      Log                   `json:"log"`
+	VM        string                `json:"vm"`
+	Domain    string                `json:"domain"`
+	Region    string                `json:"region"`
+	Caller    caller.Settings       `json:"caller"`
+	Operator  operator.Settings     `json:"operator"`
+	Peer      peer.Settings         `json:"peer"`
+	Platform  platformhttp.Settings `json:"platform"`
+	Budget    budget.Settings       `json:"budget"`
+	Route     route.Settings        `json:"route"`
+	Admission admission.Settings    `json:"admission"`
+	Dispatch  dispatch.Settings     `json:"dispatch"`
+	Calls     calls.Settings        `json:"calls"`
+	Config    conf.Settings         `json:"config"`
+	Timeline  timeline.Settings     `json:"timeline"`
+	Drain     Drain                 `json:"drain"`
+	Log       Log                   `json:"log"`
 }
 
 // Default returns the defaults of all settings that have one.
 func Default() Settings {
 	return Settings{
-		Caller:   caller.DefaultSettings(),
-		Operator: operator.DefaultSettings(),
-		Peer:     peer.DefaultSettings(),
-		Platform: platformhttp.DefaultSettings(),
-		Budget:   budget.DefaultSettings(),
-		Route:    route.DefaultSettings(),
-		Dispatch: dispatch.DefaultSettings(),
-		Calls:    calls.DefaultSettings(),
-		Config:   conf.DefaultSettings(),
-		Timeline: timeline.DefaultSettings(),
-		Drain:    Drain{Timeout: 15 * time.Minute},
-		Log:      Log{Level: "info", Format: "text"},
+		Caller:    caller.DefaultSettings(),
+		Operator:  operator.DefaultSettings(),
+		Peer:      peer.DefaultSettings(),
+		Platform:  platformhttp.DefaultSettings(),
+		Budget:    budget.DefaultSettings(),
+		Route:     route.DefaultSettings(),
+		Admission: admission.DefaultSettings(),
+		Dispatch:  dispatch.DefaultSettings(),
+		Calls:     calls.DefaultSettings(),
+		Config:    conf.DefaultSettings(),
+		Timeline:  timeline.DefaultSettings(),
+		Drain:     Drain{Timeout: 15 * time.Minute},
+		Log:       Log{Level: "info", Format: "text"},
 	}
 }
 
@@ -90,6 +93,7 @@
 	s.Peer.Validate(l, "peer")
 	s.Platform.Validate(l, "platform")
 	s.Route.Validate(l, "route")
+	s.Admission.Validate(l, "admission")
 	s.Dispatch.Validate(l, "dispatch")
 	s.Calls.Validate(l, "calls")
 	s.Config.Validate(l, "config")
