--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -54,14 +54,25 @@
 	// StallAfter stops a stream without closing it after this many tokens.
 	StallAfter int `json:"stall_after,omitempty"`
 	// TruncateAfter ends a stream cleanly, without its end marker, after this
-	// many tokens.
+	// many tokens; -1 ends it before the first.
 	TruncateAfter int `json:"truncate_after,omitempty"`
 	// BreakAfter breaks the connection after this many tokens.
 	BreakAfter int `json:"break_after,omitempty"`
+	// PauseAfter stops a stream for PauseFor after this many tokens and then
+	// goes on, in nanoseconds in JSON.
+	PauseAfter int           `json:"pause_after,omitempty"`
+	PauseFor   time.Duration `json:"pause_for,omitempty"`
+	// SkipAfter passes this many tokens and leaves the next SkipTokens out of
+	// the stream, though they are counted.
+	SkipAfter  int `json:"skip_after,omitempty"`
+	SkipTokens int `json:"skip_tokens,omitempty"`
 	// WrongID tags all pieces with another request's id.
 	WrongID bool `json:"wrong_id,omitempty"`
 	// Crossed puts a piece of another request's answer between the pieces.
 	Crossed bool `json:"crossed,omitempty"`
+	// Late sends the pieces of an earlier request's answer, with its id,
+	// before the pieces of this one.
+	Late bool `json:"late,omitempty"`
 	// Duplicate sends every piece twice.
 	Duplicate bool `json:"duplicate,omitempty"`
 	// FirstDelay delays the first piece, in nanoseconds in JSON.
@@ -72,6 +83,8 @@
 	// delays the others.
 	DropEvents float64       `json:"drop_events,omitempty"`
 	EventDelay time.Duration `json:"event_delay,omitempty"`
+	// Requests ends the faults after this many requests; 0 is no end.
+	Requests int `json:"requests,omitempty"`
 }
 
 // EngineRecord is what an engine did for one attempt.
@@ -140,6 +153,19 @@
 	return e.faults
 }
 
+// takeFaults returns the faults of a new request.
+func (e *Engine) takeFaults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.faults
+	if f.Requests > 0 {
+		if e.faults.Requests--; e.faults.Requests == 0 {
+			e.faults = EngineFaults{}
+		}
+	}
+	return f
+}
+
 // Records returns copies of what the engine did, in order of arrival.
 func (e *Engine) Records() []EngineRecord {
 	e.mu.Lock()
@@ -213,7 +239,7 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	faults := e.Faults()
+	faults := e.takeFaults()
 	if faults.Refuse {
 		writeJSON(w, http.StatusServiceUnavailable, engine.ErrorBody{Error: engine.ErrorDetail{Message: "engine refuses work", Code: "refused"}})
 		return
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -125,17 +125,26 @@
 		<-ctx.Done()
 		g.note(func(r *EngineRecord) { r.Canceled = true })
 		return false
-	case f.TruncateAfter > 0 && done >= f.TruncateAfter:
+	case f.TruncateAfter < 0, f.TruncateAfter > 0 && done >= f.TruncateAfter:
 		return false
 	case f.BreakAfter > 0 && done >= f.BreakAfter:
 		panic(http.ErrAbortHandler)
 	}
+	if f.PauseAfter > 0 && done == f.PauseAfter {
+		pause(ctx, f.PauseFor)
+	}
 	g.note(func(r *EngineRecord) { r.Generated++ })
+	if f.SkipTokens > 0 && done >= f.SkipAfter && done < f.SkipAfter+f.SkipTokens {
+		return true
+	}
 	word := AnswerWord(g.seed, i)
 	if !g.request.Stream {
 		g.pending.WriteString(word)
 		return true
 	}
+	if f.Late && done < 3 {
+		g.send(w, g.chunk("earlier-"+g.id, "late ", nil, done+1))
+	}
 	if f.Crossed && done%3 == 1 {
 		g.send(w, g.chunk("someone-else", "crossed ", nil, done))
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -11,7 +11,7 @@
 
 // ServiceFaults are the faults of a plain service. The zero value is healthy.
 type ServiceFaults struct {
-	// Refuse answers 503 before the call runs.
+	// Refuse answers 503 before the call runs, and says that it did not run.
 	Refuse bool `json:"refuse,omitempty"`
 	// SilentBefore never answers and does not run the call.
 	SilentBefore bool `json:"silent_before,omitempty"`
@@ -19,6 +19,11 @@
 	SilentAfter bool `json:"silent_after,omitempty"`
 	// BreakAfter runs the call and breaks the connection.
 	BreakAfter bool `json:"break_after,omitempty"`
+	// RedirectAfter runs the call and answers with a redirect to itself.
+	RedirectAfter bool `json:"redirect_after,omitempty"`
+	// DelayAfter passes between the run and the answer, in nanoseconds in
+	// JSON.
+	DelayAfter time.Duration `json:"delay_after,omitempty"`
 	// Delay passes before the call runs, in nanoseconds in JSON.
 	Delay time.Duration `json:"delay,omitempty"`
 	// Leaving reports the instance as leaving.
@@ -146,6 +151,7 @@
 	pause(r.Context(), faults.Delay)
 	switch {
 	case faults.Refuse:
+		w.Header().Set("Daisyslip-Ran", "no")
 		http.Error(w, "service refuses work", http.StatusServiceUnavailable)
 		return
 	case faults.SilentBefore:
@@ -160,6 +166,11 @@
 		<-r.Context().Done()
 		return
 	}
+	pause(r.Context(), faults.DelayAfter)
+	if faults.RedirectAfter {
+		http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
+		return
+	}
 	writeJSON(w, http.StatusOK, ServiceReply{Service: s.name, Run: run.Number, Method: r.Method, Path: r.URL.Path, Echo: string(body)})
 }
 
