--- a/internal/route/poll.go
+++ b/internal/route/poll.go
@@ -54,7 +54,8 @@
 				s.probeAt = now.Add(s.ejectedFor)
 				tasks = append(tasks, func(ctx context.Context) { r.probe(ctx, m) })
 			}
-		case now.Sub(s.lastUsed) < r.settings.ActiveTime:
+		case now.Sub(s.lastUsed) < r.settings.ActiveTime, s.leaving && now.Sub(s.reportAt) > r.settings.MaxViewAge:
+			// A leaving endpoint gets no work that would have it asked again.
 			tasks = append(tasks, func(ctx context.Context) { r.poll(ctx, m) })
 		}
 	}
