--- /dev/null
+++ b/coord/once/once_test.go
@@ -0,0 +1,255 @@
+package once_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/once"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+// day is the time after which a key is replayed.
+const day = 24 * time.Hour
+
+var fanCall = once.Call{Workspace: "coop", Service: "fans", Key: "fan-7", Digest: "on"}
+
+// quick returns settings with short waits.
+func quick() once.Settings {
+	s := once.DefaultSettings()
+	s.ClaimTimeout = 50 * time.Millisecond
+	s.AnswerWait = time.Millisecond
+	s.AnswerPoll = time.Millisecond
+	return s
+}
+
+// run claims a call and finishes it with the answer, unless it has run.
+func run(ctx context.Context, r *once.Records, c once.Call, answer []byte) (stored []byte, ran bool, err error) {
+	claim, err := r.Claim(ctx, c)
+	if err != nil {
+		return nil, false, err
+	}
+	if claim.Stored != nil {
+		return claim.Stored, false, nil
+	}
+	return answer, true, r.Finish(ctx, claim, answer)
+}
+
+// newUUID7 returns a key made at a time.
+func newUUID7(t *testing.T, at time.Time) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	assert.NilError(t, err)
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return id.String()
+}
+
+// TestReplayAfterTime replays keys after a day and after many, with sweeps
+// between; no call runs twice, as it does where records end after an hour.
+func TestReplayAfterTime(t *testing.T) {
+	for _, kind := range []string{"plain key", "key with its time"} {
+		for _, days := range []int{1, 6, 8, 15, 400} {
+			t.Run(fmt.Sprintf("%s after %d days", kind, days), func(t *testing.T) {
+				now := clock.NewFake(time.Unix(1_800_000_000, 0))
+				store := memory.NewStore(clock.Real{})
+				r := once.NewRecords(quick(), store.View(), now, "first")
+				c := fanCall
+				if kind != "plain key" {
+					c.Key = newUUID7(t, now.Now())
+				}
+				_, ran, err := run(t.Context(), r, c, []byte("answer"))
+				assert.NilError(t, err)
+				assert.Assert(t, ran)
+				for range days {
+					now.Advance(day)
+					_, _, err := r.Sweep(t.Context(), "", 100)
+					assert.NilError(t, err)
+				}
+				stored, ran, err := run(t.Context(), once.NewRecords(quick(), store.View(), now, "second"), c, nil)
+				assert.Assert(t, !ran, "the call ran twice")
+				if days < 7 {
+					assert.NilError(t, err)
+					assert.Equal(t, string(stored), "answer")
+					return
+				}
+				assert.Assert(t, err != nil)
+				if kind != "plain key" && days >= 15 {
+					assert.Equal(t, len(store.Dump(once.Prefix)), 0)
+				}
+			})
+		}
+	}
+	t.Run("naive expiry", func(t *testing.T) {
+		store := memory.NewStore(clock.Real{})
+		naive := naiveExpiry{store: store.View(), keep: time.Hour}
+		runs := 0
+		for _, at := range []time.Time{time.Unix(1_800_000_000, 0), time.Unix(1_800_000_000, 0).Add(day)} {
+			naive.sweep(t.Context(), at)
+			if naive.claim(t.Context(), fanCall.Key, at) {
+				runs++
+			}
+		}
+		assert.Equal(t, runs, 2)
+	})
+}
+
+// naiveExpiry inserts records and deletes them after a time.
+type naiveExpiry struct {
+	store platform.Table
+	keep  time.Duration
+}
+
+func (n naiveExpiry) claim(ctx context.Context, key string, at time.Time) bool {
+	_, err := n.store.Commit(ctx, platform.Txn{
+		OpID:   uuid.NewString(),
+		Conds:  []platform.Cond{{Key: "naive/" + key}},
+		Writes: []platform.Write{{Key: "naive/" + key, Value: []byte(at.Format(time.RFC3339))}},
+	})
+	return err == nil
+}
+
+func (n naiveExpiry) sweep(ctx context.Context, now time.Time) {
+	rows, _ := n.store.Range(ctx, "naive/", platform.PrefixEnd("naive/"), 100)
+	for _, row := range rows {
+		made, _ := time.Parse(time.RFC3339, string(row.Value))
+		if now.Sub(made) > n.keep {
+			n.store.Commit(ctx, platform.Txn{
+				OpID:   uuid.NewString(),
+				Conds:  []platform.Cond{{Key: row.Key, Version: row.Version}},
+				Writes: []platform.Write{{Key: row.Key, Delete: true}},
+			})
+		}
+	}
+}
+
+// TestSweepPages sweeps more records than one page holds.
+func TestSweepPages(t *testing.T) {
+	now := clock.NewFake(time.Unix(1_800_000_000, 0))
+	store := memory.NewStore(clock.Real{})
+	r := once.NewRecords(quick(), store.View(), now, "first")
+	for i := range 7 {
+		c := fanCall
+		c.Key = fmt.Sprint("key/", i)
+		_, _, err := run(t.Context(), r, c, []byte("answer"))
+		assert.NilError(t, err)
+	}
+	now.Advance(8 * day)
+	compacted, pages := 0, 0
+	for cursor := ""; ; pages++ {
+		next, count, err := r.Sweep(t.Context(), cursor, 3)
+		assert.NilError(t, err)
+		compacted += count.Compacted
+		if cursor = next; next == "" {
+			break
+		}
+	}
+	assert.Equal(t, compacted, 7)
+	assert.Equal(t, pages, 2)
+	assert.Equal(t, len(store.Dump(once.Prefix)), 7)
+}
+
+// TestLargeAnswer keeps an answer in the object store.
+func TestLargeAnswer(t *testing.T) {
+	store := memory.NewStore(clock.Real{})
+	r := once.NewRecords(quick(), store.View(), clock.Real{}, "first")
+	large := bytes.Repeat([]byte("a"), 2*quick().InlineBytes)
+	_, _, err := run(t.Context(), r, fanCall, large)
+	assert.NilError(t, err)
+	assert.Assert(t, len(store.Dump(once.Prefix)[0].Value) < 1000)
+	stored, ran, err := run(t.Context(), r, fanCall, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, !ran)
+	assert.Assert(t, bytes.Equal(stored, large))
+}
+
+// TestLostThenFinished finishes a call whose outcome was noted as lost, with
+// the replies of both writes lost.
+func TestLostThenFinished(t *testing.T) {
+	store := memory.NewStore(clock.Real{})
+	view := store.View()
+	r := once.NewRecords(quick(), view, clock.Real{}, "first")
+	claim, err := r.Claim(t.Context(), fanCall)
+	assert.NilError(t, err)
+	view.SetFaults(memory.Faults{LoseReplies: 1})
+	assert.NilError(t, r.Lose(t.Context(), claim))
+	_, err = r.Claim(t.Context(), fanCall)
+	assert.Equal(t, failure.CodeOf(err), failure.OutcomeUnknown)
+	view.SetFaults(memory.Faults{LoseReplies: 1})
+	assert.NilError(t, r.Finish(t.Context(), claim, []byte("answer")))
+	again, err := r.Claim(t.Context(), fanCall)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again.Stored), "answer")
+}
+
+// lateStore holds back the first commit and delivers it when asked.
+type lateStore struct {
+	*memory.View
+	held *platform.Txn
+}
+
+// Commit implements platform.Table.
+func (s *lateStore) Commit(ctx context.Context, txn platform.Txn) (platform.Receipt, error) {
+	if s.held == nil {
+		s.held = &txn
+	}
+	if s.held.OpID == txn.OpID {
+		return platform.Receipt{}, &platform.Error{Kind: platform.KindUnknown, Step: "commit", Err: errors.New("no reply")}
+	}
+	return s.View.Commit(ctx, txn)
+}
+
+// TestLateInsertion has an insertion arrive after its caller was refused: the
+// key is not stuck, and the next call runs.
+func TestLateInsertion(t *testing.T) {
+	store := memory.NewStore(clock.Real{})
+	late := &lateStore{View: store.View()}
+	r := once.NewRecords(quick(), late, clock.Real{}, "first")
+	_, err := r.Claim(t.Context(), fanCall)
+	assert.Equal(t, failure.CodeOf(err), failure.StoreUnavailable)
+	assert.Equal(t, failure.As(err).Ran, failure.RanNo)
+	for len(store.Dump(once.Prefix)) == 0 { // the release in the background
+		time.Sleep(time.Millisecond)
+	}
+	_, err = store.View().Commit(t.Context(), *late.held)
+	assert.Assert(t, platform.IsConflict(err), "%v", err)
+	_, ran, err := run(t.Context(), once.NewRecords(quick(), store.View(), clock.Real{}, "second"), fanCall, []byte("answer"))
+	assert.NilError(t, err)
+	assert.Assert(t, ran)
+}
+
+func Example() {
+	ctx := context.Background()
+	store := memory.NewStore(clock.Real{})
+	records := once.NewRecords(once.DefaultSettings(), store.View(), clock.Real{}, "router-1")
+	switchFan := func() string {
+		claim, err := records.Claim(ctx, once.Call{Workspace: "coop", Service: "fans", Key: "order-41", Digest: "bin 7 on"})
+		if err != nil {
+			return err.Error()
+		}
+		if claim.Stored != nil {
+			return "replayed: " + string(claim.Stored)
+		}
+		// The call is sent here, once.
+		if err := records.Finish(ctx, claim, []byte("fan is on")); err != nil {
+			return err.Error()
+		}
+		return "ran: fan is on"
+	}
+	fmt.Println(switchFan())
+	fmt.Println(switchFan())
+	// Output:
+	// ran: fan is on
+	// replayed: fan is on
+}
