--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -235,6 +235,7 @@
 
 // answered is what a caller received.
 type answered struct {
+	prompt  string
 	text    string
 	tokens  int64
 	outcome work.Outcome
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -92,14 +92,24 @@
 	if !result.retryTaken && !lease.TakeRetry() {
 		return false
 	}
-	// A connection that was kept idle may be silent while its endpoint is
-	// well: the endpoint stays in the choice.
-	if !result.staleConn {
+	if !r.mayAskAgain(lease, result) {
 		r.tried[lease.Endpoint.Name] = true
 	}
 	return true
 }
 
+// mayAskAgain reports whether the endpoint stays in the choice. A connection
+// that was kept idle may be silent while its endpoint is well; and where
+// there is no other endpoint, one that has begun an answer may go on with it
+// over a new connection.
+func (r *run) mayAskAgain(lease *route.Lease, result result) bool {
+	if result.staleConn {
+		return true
+	}
+	begun := result.err.Ran == failure.RanYes
+	return begun && !r.dispatcher.duties.Router.HasOther(r.answer.generation, r.tried, lease.Endpoint.Name)
+}
+
 // result is how one attempt ended.
 type result struct {
 	// err is nil if the answer is whole.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -70,8 +70,8 @@
 	if r.attempts >= r.dispatcher.settings.MaxAttempts || w.begun && !w.resumable {
 		return false
 	}
-	if w.attempt.reused.Load() && !w.begun {
-		return true // a fresh connection may do
+	if w.attempt.reused.Load() || w.begun {
+		return true // a new connection may do
 	}
 	return r.dispatcher.duties.Router.HasOther(r.answer.generation, r.tried, w.attempt.lease.Endpoint.Name)
 }
