--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -66,6 +66,9 @@
 	Deadline time.Time
 	// Expected is the time that the request is expected to run; 0 is unknown.
 	Expected time.Duration
+	// Affinity tells how much of the request's prompt an endpoint is thought
+	// to have cached; nil is none. It must not call the queues.
+	Affinity func(endpoint string) int
 }
 
 // Ticket is the place of an admitted request. Done must be called once.
@@ -81,7 +84,7 @@
 	defer q.mu.Unlock()
 	p := q.poolLocked(pool)
 	p.limit = slots + int(q.settings.Headroom*float64(slots))
-	q.admitLocked(p)
+	q.admitLocked(p, "")
 }
 
 // Waiting returns the number of requests that wait for a pool.
@@ -110,7 +113,7 @@
 		q.metrics.admitted.Inc()
 		return q.ticket(p), nil
 	}
-	w := &waiter{priority: r.Priority, deadline: r.Deadline.Add(-r.Expected), result: make(chan error, 1)}
+	w := &waiter{priority: r.Priority, deadline: r.Deadline.Add(-r.Expected), affinity: r.Affinity, result: make(chan error, 1)}
 	q.order++
 	w.order = q.order
 	if err := q.enterLocked(p, w); err != nil {
@@ -197,7 +200,7 @@
 	if err := <-w.result; err != nil {
 		return nil, err
 	}
-	q.release(p)
+	q.release(p, "")
 	return nil, gone(ctx)
 }
 
@@ -218,32 +221,32 @@
 	return q.ticket(p), nil
 }
 
-// Done ends the request's run and admits the next one.
-func (t *Ticket) Done() {
+// Done ends the request's run and admits the next one. The endpoint is the
+// one at which a place has become free, or empty.
+func (t *Ticket) Done(endpoint string) {
 	q := t.queues
 	q.mu.Lock()
 	elapsed := q.clock.Now().Sub(t.started).Seconds()
 	t.queue.samples++
 	t.queue.service += max(serviceWeight, 1/float64(t.queue.samples)) * (elapsed - t.queue.service)
 	q.mu.Unlock()
-	q.release(t.queue)
+	q.release(t.queue, endpoint)
 }
 
 // release frees the place of a request.
-func (q *Queues) release(p *queue) {
+func (q *Queues) release(p *queue, endpoint string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p.running--
-	q.admitLocked(p)
+	q.admitLocked(p, endpoint)
 }
 
 // admitLocked admits waiters while there is room, and refuses those that
 // cannot be on time any more.
-func (q *Queues) admitLocked(p *queue) {
-	now := q.clock.Now()
+func (q *Queues) admitLocked(p *queue, endpoint string) {
 	for len(p.waiting) > 0 && (p.limit == 0 || p.running < p.limit) {
-		w := heap.Pop(&p.waiting).(*waiter)
-		if now.After(w.deadline) {
+		w := q.nextLocked(p, endpoint)
+		if q.clock.Now().After(w.deadline) {
 			q.metrics.shed.Inc()
 			w.result <- refusal("the answer can no longer be on time", q.expectedWait(p, 1))
 			continue
@@ -252,3 +255,30 @@
 		w.result <- nil
 	}
 }
+
+// nextLocked takes the next waiter out of the queue. Among the first of equal
+// priority it prefers the one whose prompt the free endpoint has cached most
+// of: at a full pool this is the only choice left that keeps prefixes where
+// they are cached. A first waiter that has no time to spare is not passed.
+func (q *Queues) nextLocked(p *queue, endpoint string) *waiter {
+	first := heap.Pop(&p.waiting).(*waiter)
+	spare := time.Duration(p.service * float64(time.Second))
+	if endpoint == "" || first.affinity == nil || q.clock.Now().Add(spare).After(first.deadline) {
+		return first
+	}
+	best, most := first, first.affinity(endpoint)
+	passed := []*waiter{first}
+	for len(passed) < q.settings.LookAhead && len(p.waiting) > 0 && p.waiting[0].priority == first.priority {
+		w := heap.Pop(&p.waiting).(*waiter)
+		passed = append(passed, w)
+		if hits := w.affinity(endpoint); hits > most {
+			best, most = w, hits
+		}
+	}
+	for _, w := range passed {
+		if w != best {
+			heap.Push(&p.waiting, w)
+		}
+	}
+	return best
+}
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -18,6 +18,9 @@
 	// Margin multiplies the expected time of a request when it is compared
 	// with its deadline.
 	Margin float64 `json:"margin"`
+	// LookAhead is the number of waiters among which the one is taken whose
+	// prompt a free endpoint has cached.
+	LookAhead int `json:"look_ahead"`
 	// MaxWait bounds the expected wait of a request that is let into the
 	// queue.
 	MaxWait time.Duration `json:"max_wait"`
@@ -25,7 +28,7 @@
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{MaxWaiting: 4096, Headroom: 0, Margin: 1.2, MaxWait: 10 * time.Second}
+	return Settings{MaxWaiting: 4096, Headroom: 0, Margin: 1.2, LookAhead: 32, MaxWait: 10 * time.Second}
 }
 
 // Validate adds every problem of the settings to l.
@@ -37,5 +40,6 @@
 	if s.Margin < 1 {
 		l.Add(path+".margin", s.Margin, "1 or more")
 	}
+	l.Positive(path+".look_ahead", int64(s.LookAhead))
 	l.Duration(path+".max_wait", s.MaxWait, time.Millisecond, time.Hour)
 }
--- a/internal/admission/waiters.go
+++ b/internal/admission/waiters.go
@@ -11,6 +11,7 @@
 	priority work.Priority
 	deadline time.Time
 	order    uint64
+	affinity func(endpoint string) int
 	// result receives nil once the request is admitted, or why it is refused.
 	result chan error
 	index  int // in the heap, or -1
--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -115,6 +115,8 @@
 	admission admission.Settings
 	calls     calls.Settings
 	chooser   route.Chooser
+	// unbounded leaves the admission queues without bounds.
+	unbounded bool
 }
 
 // quickOptions have short time-outs and room for retries.
@@ -154,8 +156,12 @@
 	set, events := metrics.NewSet(), &recorder{}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	queues := admission.NewQueues(o.admission, clock.Real{}, set)
+	onSlots := queues.SetSlots
+	if o.unbounded {
+		onSlots = nil
+	}
 	router := route.NewRouter(o.route, route.Duties{
-		Config: b, Events: events, Metrics: set, Clock: clock.Real{}, Log: log, OnSlots: queues.SetSlots, Chooser: o.chooser,
+		Config: b, Events: events, Metrics: set, Clock: clock.Real{}, Log: log, OnSlots: onSlots, Chooser: o.chooser,
 	})
 	n := &node{router: router, events: events, view: b.store.View()}
 	n.records = once.NewRecords(o.calls.Once, n.view, clock.Real{}, fmt.Sprintf("node-%d", nodeCount.Add(1)))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,16 +79,14 @@
 // prompt once and each token that the sink took once, however many attempts
 // it took.
 func (d *Dispatcher) Generate(ctx context.Context, g *work.Generation, sink work.Sink) (work.Outcome, error) {
+	r := &run{dispatcher: d, answer: answer{generation: g, sink: sink}, tried: make(map[string]bool)}
 	if pool, found := d.duties.Router.PoolOfModel(g.Workspace, g.Model); found {
-		ticket, err := d.duties.Queues.Admit(ctx, admission.Request{
-			Pool: pool, Priority: g.Priority, Deadline: g.Deadline, Expected: d.expected(pool, g),
-		})
+		ticket, err := d.admit(ctx, pool, g)
 		if err != nil {
 			return work.Outcome{}, err
 		}
-		defer ticket.Done()
+		defer func() { ticket.Done(r.endpoint) }()
 	}
-	r := &run{dispatcher: d, answer: answer{generation: g, sink: sink}, tried: make(map[string]bool)}
 	err := r.generate(ctx)
 	if err == nil {
 		d.lengths.add(float64(r.answer.tokens) / float64(max(g.MaxTokens, 1)))
@@ -96,6 +94,17 @@
 	return r.outcome(), err
 }
 
+// admit waits for a place in the pool.
+func (d *Dispatcher) admit(ctx context.Context, pool string, g *work.Generation) (*admission.Ticket, error) {
+	return d.duties.Queues.Admit(ctx, admission.Request{
+		Pool:     pool,
+		Priority: g.Priority,
+		Deadline: g.Deadline,
+		Expected: d.expected(pool, g),
+		Affinity: func(endpoint string) int { return d.duties.Router.Hits(endpoint, g.Prefixes) },
+	})
+}
+
 // expected is the time that a generation is expected to run; 0 is unknown.
 func (d *Dispatcher) expected(pool string, g *work.Generation) time.Duration {
 	times := d.duties.Router.TimesOf(pool)
--- a/internal/route/capacity.go
+++ b/internal/route/capacity.go
@@ -17,6 +17,18 @@
 	return members[0].Pool.Name, true
 }
 
+// Hits returns how many leading prefix blocks an endpoint is thought to have
+// cached.
+func (r *Router) Hits(endpoint string, prefixes []uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[endpoint]
+	if s == nil {
+		return 0
+	}
+	return s.cached.hits(prefixes)
+}
+
 // HasOther reports whether an endpoint besides the current one and those
 // tried may serve the generation.
 func (r *Router) HasOther(g *work.Generation, tried map[string]bool, current string) bool {
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -29,6 +29,10 @@
 	Choose(prefixes []uint64, candidates []Candidate) int
 }
 
+// queueShare is how many times its slots an endpoint may have requests for a
+// cached prefix to lead more there.
+const queueShare = 1.25
+
 // prefixChooser follows the longest cached prefix to endpoints whose load is
 // bounded. A prefix that is cached nowhere goes where rendezvous hashing puts
 // its first block, so that all routers agree before any cache event arrives.
@@ -67,7 +71,9 @@
 	return c.loadBound*sum/float64(len(candidates)) + 1
 }
 
-func full(c Candidate) bool { return c.Slots > 0 && c.Load >= float64(c.Slots) }
+// full reports whether a request would wait at the endpoint longer than a
+// cached prefix can save.
+func full(c Candidate) bool { return c.Slots > 0 && c.Load >= queueShare*float64(c.Slots) }
 
 // leastLoaded takes the candidate with the lowest load for its slots; among
 // equals, the first after a random start.
