--- a/internal/delivery/measure_test.go
+++ b/internal/delivery/measure_test.go
@@ -167,8 +167,8 @@
 	tokens   int64 // of answers on time that ended in the measured part
 	wrong    int
 	from, to time.Time // the measured part of the run
-	asked    [3]int // by priority
-	served   [3]int // on time, by priority
+	asked    [3]int    // by priority
+	served   [3]int    // on time, by priority
 }
 
 func newTally(from time.Time) *tally {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -40,6 +40,8 @@
 	engines  []string
 	service  string
 	routers  []*router
+	// readinessLag is the routers' setting of that name.
+	readinessLag string
 }
 
 // router is a running daisyslipd.
@@ -52,7 +54,15 @@
 // budget tokens paid.
 func startFleet(t *testing.T, n, e int, tokens int64) *fleet {
 	t.Helper()
-	f := &fleet{t: t}
+	f := &fleet{t: t, readinessLag: "100ms"}
+	f.start(n, e, tokens)
+	return f
+}
+
+// start starts what startFleet describes.
+func (f *fleet) start(n, e int, tokens int64) {
+	t := f.t
+	t.Helper()
 	f.platform = startStandin(t, "platform")
 	for range e {
 		f.engines = append(f.engines, startStandin(t, "engine", "--model", testModel))
@@ -65,7 +75,6 @@
 	for _, r := range f.routers {
 		f.waitReady(r)
 	}
-	return f
 }
 
 func startStandin(t *testing.T, kind string, args ...string) string {
@@ -84,7 +93,7 @@
 		"domain":   fmt.Sprintf("kr-central-%c", 'a'+i%3),
 		"region":   "kr-central",
 		"platform": map[string]any{"url": f.platform},
-		"caller":   map[string]any{"listen": "127.0.0.1:0", "readiness_lag": "100ms"},
+		"caller":   map[string]any{"listen": "127.0.0.1:0", "readiness_lag": f.readinessLag},
 		"operator": map[string]any{"listen": "127.0.0.1:0", "token_hash": catalog.HashKey(testToken)},
 		"peer":     map[string]any{"listen": "127.0.0.1:0", "secret": testSecret},
 	})
