Retry a silent attempt at the only endpoint over a new connection

Cause: TestSilentConnections failed under load: a connection that went silent before the first token, on its first use, left the request of a one-endpoint pool waiting until its deadline, since no other endpoint could take it.

Change: a silent attempt may be made again at the only endpoint, within the retry budget.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -100,14 +100,14 @@
 
 // mayAskAgain reports whether the endpoint stays in the choice. A connection
 // that was kept idle may be silent while its endpoint is well; and where
-// there is no other endpoint, one that has begun an answer may go on with it
-// over a new connection.
+// there is no other endpoint, one that was silent or has begun an answer may
+// go on over a new connection.
 func (r *run) mayAskAgain(lease *route.Lease, result result) bool {
 	if result.staleConn {
 		return true
 	}
-	begun := result.err.Ran == failure.RanYes
-	return begun && !r.dispatcher.duties.Router.HasOther(r.answer.generation, r.tried, lease.Endpoint.Name)
+	reached := result.err.Ran == failure.RanYes || errors.Is(result.err, errSilent)
+	return reached && !r.dispatcher.duties.Router.HasOther(r.answer.generation, r.tried, lease.Endpoint.Name)
 }
 
 // result is how one attempt ended.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -67,13 +67,7 @@
 // mayRetryLocked reports whether another attempt could serve the request.
 func (w *watch) mayRetryLocked() bool {
 	r := w.attempt.run
-	if r.attempts >= r.dispatcher.settings.MaxAttempts || w.begun && !w.resumable {
-		return false
-	}
-	if w.attempt.reused.Load() || w.begun {
-		return true // a new connection may do
-	}
-	return r.dispatcher.duties.Router.HasOther(r.answer.generation, r.tried, w.attempt.lease.Endpoint.Name)
+	return r.attempts < r.dispatcher.settings.MaxAttempts && (!w.begun || w.resumable)
 }
 
 func (w *watch) stop() {
