--- /dev/null
+++ b/coord/member/directory.go
@@ -0,0 +1,359 @@
+package member
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/platform"
+)
+
+// Store is what membership needs of the platform.
+type Store interface {
+	platform.Table
+	platform.VMs
+}
+
+// Directory is one member's view of the fleet. It is safe for concurrent use.
+type Directory struct {
+	settings Settings
+	store    Store
+	clock    clock.Clock
+	events   event.Recorder
+
+	mu       sync.Mutex // guards all below; never held over a call of the store
+	self     bus.Peer
+	version  int64 // of the own row, 0 before Register
+	beat     int64
+	lastBeat time.Time // start of the last successful write of the own row
+	entries  map[string]*entry
+	vms      map[string]*vmEntry
+}
+
+// NewDirectory returns a directory that knows no other member.
+func NewDirectory(s Settings, self bus.Peer, store Store, c clock.Clock, events event.Recorder) *Directory {
+	return &Directory{
+		settings: s, self: self, store: store, clock: c, events: events,
+		entries: make(map[string]*entry), vms: make(map[string]*vmEntry),
+	}
+}
+
+// SetAddr sets where this member listens. It is called before Register.
+func (d *Directory) SetAddr(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.self.Addr = addr
+}
+
+// Register writes this member's row. It replaces the row of an earlier
+// incarnation on the same VM.
+func (d *Directory) Register(ctx context.Context) error {
+	rows, err := d.store.Get(ctx, rowPrefix+d.self.ID.VM)
+	if err != nil {
+		return fmt.Errorf("register member: %w", err)
+	}
+	return d.write(ctx, rows[0].Version)
+}
+
+// write puts the own row over the version given.
+func (d *Directory) write(ctx context.Context, version int64) error {
+	d.mu.Lock()
+	d.beat++
+	r := record{Peer: d.self, Beat: d.beat}
+	d.mu.Unlock()
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode member: %w", err)
+	}
+	key := rowPrefix + r.Peer.ID.VM
+	started := d.clock.Now()
+	receipt, err := platform.CommitSure(ctx, d.store, platform.Txn{
+		OpID:   uuid.NewString(),
+		Conds:  []platform.Cond{{Key: key, Version: version}},
+		Writes: []platform.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return fmt.Errorf("write member: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version, d.lastBeat = receipt.Versions[0], started
+	return nil
+}
+
+// Heartbeat writes the own row again. It returns ErrSuperseded if another
+// incarnation has the row; a row that was removed is written anew.
+func (d *Directory) Heartbeat(ctx context.Context) error {
+	rows, err := d.store.Get(ctx, rowPrefix+d.self.ID.VM)
+	if err != nil {
+		return fmt.Errorf("heartbeat: %w", err)
+	}
+	if rows[0].Version != 0 && d.registeredOnce() {
+		r, err := decode(rows[0])
+		if err != nil {
+			return err
+		}
+		if r.Peer.ID != d.self.ID {
+			return fmt.Errorf("heartbeat: %w: %s", ErrSuperseded, r.Peer.ID)
+		}
+	}
+	return d.write(ctx, rows[0].Version)
+}
+
+func (d *Directory) registeredOnce() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version != 0
+}
+
+// RegisteredSince returns when the own row was last written, as the start of
+// that write by this process's clock, or the zero time.
+func (d *Directory) RegisteredSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lastBeat
+}
+
+// Deregister removes the own row. The member takes no more work.
+func (d *Directory) Deregister(ctx context.Context) error {
+	d.mu.Lock()
+	key, version := rowPrefix+d.self.ID.VM, d.version
+	d.version, d.lastBeat = 0, time.Time{}
+	d.mu.Unlock()
+	if version == 0 {
+		return nil
+	}
+	return d.remove(ctx, key, version)
+}
+
+func (d *Directory) remove(ctx context.Context, key string, version int64) error {
+	_, err := platform.CommitSure(ctx, d.store, platform.Txn{
+		OpID:   uuid.NewString(),
+		Conds:  []platform.Cond{{Key: key, Version: version}},
+		Writes: []platform.Write{{Key: key, Delete: true}},
+	})
+	if err != nil && !platform.IsConflict(err) {
+		return fmt.Errorf("remove member: %w", err)
+	}
+	return nil
+}
+
+// Refresh reads all rows and the platform's VM list, and removes the rows of
+// members that are silent beyond RemoveAfter or whose VM is gone.
+func (d *Directory) Refresh(ctx context.Context) error {
+	rows, err := d.readRows(ctx)
+	if err != nil {
+		return fmt.Errorf("read members: %w", err)
+	}
+	vms, vmErr := d.store.ListVMs(ctx)
+	now := d.clock.Now()
+	d.mu.Lock()
+	if vmErr == nil {
+		d.mergeVMs(vms, now)
+	}
+	d.mergeRows(rows, now)
+	dead := d.deadLocked(now)
+	d.mu.Unlock()
+	for _, row := range dead {
+		if err := d.remove(ctx, row.Key, row.Version); err != nil {
+			return err
+		}
+	}
+	if vmErr != nil {
+		return fmt.Errorf("list VMs: %w", vmErr)
+	}
+	return nil
+}
+
+// readRows reads the rows of all members, page by page.
+func (d *Directory) readRows(ctx context.Context) ([]platform.Row, error) {
+	var rows []platform.Row
+	from, end := rowPrefix, platform.PrefixEnd(rowPrefix)
+	for {
+		page, err := d.store.Range(ctx, from, end, rangeLimit)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page...)
+		if len(page) < rangeLimit {
+			return rows, nil
+		}
+		from = page[len(page)-1].Key + "\x00"
+	}
+}
+
+func decode(row platform.Row) (record, error) {
+	var r record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, fmt.Errorf("decode member %s: %w", row.Key, err)
+	}
+	return r, nil
+}
+
+// mergeRows takes over the rows; a member without a row stays only while it
+// has been in touch without one.
+func (d *Directory) mergeRows(rows []platform.Row, now time.Time) {
+	seen := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		r, err := decode(row)
+		if err != nil || r.Peer.ID.VM == d.self.ID.VM {
+			continue // another version's row, or the own one
+		}
+		seen[r.Peer.ID.VM] = true
+		d.mergeRow(r, row.Version, now)
+	}
+	for vm, e := range d.entries {
+		expired := now.Sub(e.beatSeen) > d.settings.SilentAfter
+		if !seen[vm] && (e.version != 0 || expired) {
+			delete(d.entries, vm)
+			d.record(event.MemberLeft, e.peer.ID)
+		}
+	}
+}
+
+func (d *Directory) mergeRow(r record, version int64, now time.Time) {
+	e := d.entries[r.Peer.ID.VM]
+	if e == nil || e.peer.ID != r.Peer.ID {
+		e = &entry{}
+		d.entries[r.Peer.ID.VM] = e
+		d.record(event.MemberJoined, r.Peer.ID)
+	}
+	if e.version == 0 || e.beat != r.Beat {
+		e.beatSeen = now
+	}
+	e.peer, e.version, e.beat = r.Peer, version, r.Beat
+}
+
+// deadLocked returns the rows to remove.
+func (d *Directory) deadLocked(now time.Time) []platform.Row {
+	var dead []platform.Row
+	for vm, e := range d.entries {
+		if e.version != 0 && (now.Sub(e.beatSeen) > d.settings.RemoveAfter || d.goneLocked(vm, now)) {
+			dead = append(dead, platform.Row{Key: rowPrefix + vm, Version: e.version})
+		}
+	}
+	return dead
+}
+
+func (d *Directory) record(kind event.Kind, id bus.ID) {
+	d.events.Record(event.Event{Duty: event.DutyMember, Kind: kind, Peer: id.String()})
+}
+
+// Live lists the members that this one believes alive, in order of VM.
+func (d *Directory) Live() []bus.Peer {
+	var peers []bus.Peer
+	for _, s := range d.Members() {
+		if !s.Suspected && !s.Silent && !s.Gone {
+			peers = append(peers, s.Peer)
+		}
+	}
+	return peers
+}
+
+// Members lists all members known, without this one, in order of VM.
+func (d *Directory) Members() []Status {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]Status, 0, len(d.entries))
+	for vm, e := range d.entries {
+		all = append(all, Status{
+			Peer:         e.peer,
+			Suspected:    now.Before(e.suspectUntil),
+			Silent:       now.Sub(e.beatSeen) > d.settings.SilentAfter,
+			Leaving:      d.leavingLocked(vm),
+			Gone:         d.goneLocked(vm, now),
+			Unregistered: e.version == 0,
+		})
+	}
+	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.Peer.ID.VM, b.Peer.ID.VM) })
+	return all
+}
+
+// Lookup returns where a member listens.
+func (d *Directory) Lookup(id bus.ID) (bus.Peer, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id.VM]
+	if e == nil || e.peer.ID != id {
+		return bus.Peer{}, false
+	}
+	return e.peer, true
+}
+
+// Trust notes that a member has been in touch. One without a row is kept
+// while its contact is fresh.
+func (d *Directory) Trust(p bus.Peer) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.ID.VM == d.self.ID.VM {
+		return
+	}
+	e := d.entries[p.ID.VM]
+	if e == nil || e.version == 0 && e.peer.ID != p.ID {
+		d.entries[p.ID.VM] = &entry{peer: p, beatSeen: now}
+		d.record(event.MemberJoined, p.ID)
+		return
+	}
+	if e.peer.ID == p.ID {
+		e.suspectUntil = time.Time{}
+		if e.version == 0 {
+			e.beatSeen = now
+		}
+	}
+}
+
+// Suspect notes that a member could not be reached. It only leaves the
+// member out of Live for a while.
+func (d *Directory) Suspect(id bus.ID) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id.VM]
+	if e == nil || e.peer.ID != id {
+		return
+	}
+	if !now.Before(e.suspectUntil) {
+		d.record(event.MemberSuspected, id)
+	}
+	e.suspectUntil = now.Add(d.settings.SuspectFor)
+}
+
+// Run registers this member, keeps its heartbeat and refreshes the view until
+// ctx ends. It returns ErrSuperseded if a newer incarnation took over.
+func (d *Directory) Run(ctx context.Context, failed func(error)) error {
+	nextBeat := d.clock.Now()
+	for {
+		if !d.clock.Now().Before(nextBeat) {
+			err := d.bounded(ctx, d.Heartbeat)
+			if isSuperseded(err) {
+				return err
+			}
+			if err == nil {
+				nextBeat = d.clock.Now().Add(d.settings.HeartbeatInterval)
+			}
+			report(ctx, err, failed)
+		}
+		report(ctx, d.bounded(ctx, d.Refresh), failed)
+		if err := clock.Sleep(ctx, d.clock, d.settings.RefreshInterval); err != nil {
+			return nil
+		}
+	}
+}
+
+// bounded gives a call of the store at most a heartbeat's time.
+func (d *Directory) bounded(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.HeartbeatInterval)
+	defer cancel()
+	return call(ctx)
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,289 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/failure"
+)
+
+// errIdle and errReplaced end connections that are not suspect.
+var (
+	errIdle     = errors.New("idle")
+	errReplaced = errors.New("replaced by a newer connection")
+	errSilent   = errors.New("no answer to a ping")
+	errStopped  = errors.New("the link stops")
+)
+
+// conn is one authenticated connection. Requests go both ways over it. Four
+// goroutines serve it: reader, writer, keeper of the pings, and one per
+// request being handled, bounded by handling.
+type conn struct {
+	link     *Link
+	ws       *websocket.Conn
+	peer     bus.Peer
+	send     chan []byte
+	handling chan struct{}
+	probe    chan struct{}
+
+	// received and used are the nanoseconds since the link started at which
+	// the last message came and the last request passed.
+	received atomic.Int64
+	used     atomic.Int64
+
+	ctx  context.Context // ends with the connection
+	stop context.CancelCauseFunc
+
+	mu      sync.Mutex // guards below
+	nextID  uint64
+	pending map[uint64]chan *envelope
+}
+
+func newConn(link *Link, ws *websocket.Conn, peer bus.Peer) *conn {
+	ctx, stop := context.WithCancelCause(link.ctx)
+	c := &conn{
+		link:     link,
+		ws:       ws,
+		peer:     peer,
+		send:     make(chan []byte, link.settings.SendQueue),
+		handling: make(chan struct{}, link.settings.MaxInFlight),
+		probe:    make(chan struct{}, 1),
+		ctx:      ctx,
+		stop:     stop,
+		pending:  make(map[uint64]chan *envelope),
+	}
+	c.received.Store(link.sinceStart())
+	c.used.Store(link.sinceStart())
+	ws.SetReadLimit(link.settings.MaxMessageBytes)
+	return c
+}
+
+// run serves the connection until it ends and returns why.
+func (c *conn) run() error {
+	var loops sync.WaitGroup
+	loops.Go(c.readLoop)
+	loops.Go(c.writeLoop)
+	loops.Go(c.pingLoop)
+	<-c.ctx.Done()
+	c.ws.CloseNow()
+	loops.Wait()
+	return context.Cause(c.ctx)
+}
+
+func (c *conn) readLoop() {
+	for {
+		_, data, err := c.ws.Read(c.ctx)
+		if err != nil {
+			c.stop(err)
+			return
+		}
+		c.received.Store(c.link.sinceStart())
+		c.link.metrics.received(len(data))
+		e, err := decodeEnvelope(data)
+		if err != nil {
+			c.stop(err)
+			return
+		}
+		c.link.hlc.Observe(e.Stamp)
+		c.take(e)
+	}
+}
+
+// take hands a message to the waiting request or to a handler.
+func (c *conn) take(e *envelope) {
+	if !e.isRequest() {
+		c.mu.Lock()
+		answer := c.pending[e.ID]
+		delete(c.pending, e.ID)
+		c.mu.Unlock()
+		if answer != nil {
+			answer <- e // has room for the one answer
+		}
+		return
+	}
+	c.used.Store(c.link.sinceStart())
+	select {
+	case c.handling <- struct{}{}:
+		c.link.handlers.Go(func() {
+			defer func() { <-c.handling }()
+			c.handle(e)
+		})
+	default:
+		full := failure.New(failure.Overloaded, string(e.Kind), "", "too many requests of this peer are being handled")
+		c.answer(e, nil, full)
+	}
+}
+
+// handle runs the handler of a request within the time its sender waits.
+func (c *conn) handle(e *envelope) {
+	timeout := c.link.settings.CallTimeout
+	if e.TimeoutMS > 0 {
+		timeout = time.Duration(e.TimeoutMS) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	defer cancel()
+	handler := c.link.handler(e.Kind)
+	if handler == nil {
+		c.answer(e, nil, failure.New(failure.NotFound, string(e.Kind), "", "the peer does not handle this kind"))
+		return
+	}
+	body, err := handler(ctx, c.peer.ID, e.Body)
+	c.answer(e, body, err)
+}
+
+// answer queues the answer; if the queue is full the sender runs into its
+// time-out, as with a lost answer.
+func (c *conn) answer(request *envelope, body []byte, err error) {
+	answer := &envelope{ID: request.ID, Body: body}
+	if err != nil {
+		answer.Body, answer.Fault = nil, faultOf(request.Kind, err)
+	}
+	if err := c.enqueue(answer); err != nil {
+		c.link.metrics.answersDropped.Inc()
+	}
+}
+
+// enqueue encodes and queues a message; it never blocks.
+func (c *conn) enqueue(e *envelope) error {
+	e.Version = protocolVersion
+	e.Stamp = c.link.hlc.Now()
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > c.link.settings.MaxMessageBytes {
+		return failure.New(failure.TooLarge, string(e.Kind), c.peer.ID.String(), "the message is above peer.max_message_bytes")
+	}
+	select {
+	case c.send <- data:
+		return nil
+	default:
+		c.link.metrics.refused.Inc()
+		return failure.New(failure.Overloaded, string(e.Kind), c.peer.ID.String(), "the send queue to the peer is full").WithRetry(time.Second)
+	}
+}
+
+// writeLoop sends queued messages. A write that a silent connection holds up
+// ends the connection after PingTimeout.
+func (c *conn) writeLoop() {
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case data := <-c.send:
+			ctx, cancel := context.WithTimeout(c.ctx, c.link.settings.PingTimeout)
+			err := c.ws.Write(ctx, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				c.stop(err)
+				return
+			}
+			c.link.metrics.sent(len(data))
+		}
+	}
+}
+
+// pingLoop pings a connection on which nothing came for PingInterval, or at
+// once after a request went unanswered, and closes it when no answer comes
+// or when no request has used it for IdleTimeout.
+func (c *conn) pingLoop() {
+	s := c.link.settings
+	tick := time.NewTicker(s.PingInterval)
+	defer tick.Stop()
+	for {
+		asked := false
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.probe:
+			asked = true
+		case <-tick.C:
+		}
+		now := c.link.sinceStart()
+		if time.Duration(now-c.used.Load()) > s.IdleTimeout {
+			c.stop(errIdle)
+			return
+		}
+		if !asked && time.Duration(now-c.received.Load()) < s.PingInterval {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, s.PingTimeout)
+		err := c.ws.Ping(ctx)
+		cancel()
+		if err != nil {
+			c.stop(errSilent)
+			return
+		}
+		c.received.Store(c.link.sinceStart())
+		c.link.metrics.pings.Inc()
+	}
+}
+
+// request sends a request and waits for its answer.
+func (c *conn) request(ctx context.Context, kind bus.Kind, body []byte) ([]byte, error) {
+	c.used.Store(c.link.sinceStart())
+	id, answered, err := c.register(kind)
+	if err != nil {
+		return nil, err
+	}
+	defer c.forget(id)
+	e := &envelope{ID: id, Kind: kind, Body: body}
+	if deadline, set := ctx.Deadline(); set {
+		e.TimeoutMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	if err := c.enqueue(e); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-answered:
+		if answer.Fault != nil {
+			return nil, answer.Fault.err(c.peer.ID.String())
+		}
+		return answer.Body, nil
+	case <-ctx.Done():
+		c.suspect()
+		return nil, lost(kind, c.peer.ID, ctx.Err())
+	case <-c.ctx.Done():
+		return nil, lost(kind, c.peer.ID, context.Cause(c.ctx))
+	}
+}
+
+// lost is the failure of a request that may have been handled.
+func lost(kind bus.Kind, to bus.ID, err error) error {
+	return failure.Wrap(failure.PeerUnavailable, string(kind), to.String(), err).WithRan(failure.RanUnknown)
+}
+
+// suspect has the connection pinged at once.
+func (c *conn) suspect() {
+	select {
+	case c.probe <- struct{}{}:
+	default:
+	}
+}
+
+// register makes room for an answer.
+func (c *conn) register(kind bus.Kind) (uint64, chan *envelope, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) >= c.link.settings.MaxInFlight {
+		c.link.metrics.refused.Inc()
+		return 0, nil, failure.New(failure.Overloaded, string(kind), c.peer.ID.String(), "too many requests to the peer are in flight").WithRetry(time.Second)
+	}
+	c.nextID++
+	answered := make(chan *envelope, 1)
+	c.pending[c.nextID] = answered
+	return c.nextID, answered, nil
+}
+
+func (c *conn) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,298 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/coder/websocket"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/hlc"
+)
+
+// path is the path of the peer listener that is upgraded to WebSocket.
+const path = "/peer/v1"
+
+// Directory knows the members of the fleet.
+type Directory interface {
+	// Live lists the members believed alive, without this one.
+	Live() []bus.Peer
+	// Lookup returns where a member listens.
+	Lookup(id bus.ID) (bus.Peer, bool)
+	// Trust notes that a member has been in touch, Suspect that it could not
+	// be reached.
+	Trust(p bus.Peer)
+	Suspect(id bus.ID)
+}
+
+// Duties are what a link needs from its process.
+type Duties struct {
+	Directory Directory
+	Clock     *hlc.Clock
+	Events    event.Recorder
+	Metrics   *metrics.Set
+	Log       *slog.Logger
+}
+
+// Link is the peer link of a router. It implements bus.Bus. It holds one
+// connection per peer, dialed when a request needs it and closed when idle.
+type Link struct {
+	settings  Settings
+	directory Directory
+	hlc       *hlc.Clock
+	events    event.Recorder
+	metrics   *linkMetrics
+	log       *slog.Logger
+	server    server
+	started   time.Time
+	handlers  sync.WaitGroup
+
+	ctx  context.Context // ends with the link
+	stop context.CancelCauseFunc
+
+	mu      sync.Mutex // guards all below; never held over a network call
+	self    bus.Peer
+	kinds   map[bus.Kind]bus.Handler
+	conns   map[bus.ID]*conn
+	dialing map[bus.ID]*dialing
+	closed  bool
+}
+
+// dialing is a dial in progress, shared by the requests that wait for it.
+type dialing struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+var _ bus.Bus = (*Link)(nil)
+
+// New returns a link that does not listen yet.
+func New(s Settings, self bus.Peer, d Duties) *Link {
+	ctx, stop := context.WithCancelCause(context.Background())
+	l := &Link{
+		settings: s, self: self, directory: d.Directory, hlc: d.Clock, events: d.Events, log: d.Log,
+		metrics: newLinkMetrics(d.Metrics), started: time.Now(), ctx: ctx, stop: stop,
+		kinds: make(map[bus.Kind]bus.Handler), conns: make(map[bus.ID]*conn), dialing: make(map[bus.ID]*dialing),
+	}
+	d.Metrics.NewGauge("daisyslip_peer_connections", func() float64 { return float64(l.connections()) })
+	return l
+}
+
+// sinceStart is the monotonic nanoseconds since the link was made.
+func (l *Link) sinceStart() int64 { return int64(time.Since(l.started)) }
+
+// Self implements bus.Bus.
+func (l *Link) Self() bus.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.self
+}
+
+// Peers implements bus.Bus.
+func (l *Link) Peers() []bus.Peer { return l.directory.Live() }
+
+// Handle implements bus.Bus.
+func (l *Link) Handle(kind bus.Kind, handler bus.Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.kinds[kind] != nil {
+		panic("second handler of " + string(kind))
+	}
+	l.kinds[kind] = handler
+}
+
+func (l *Link) handler(kind bus.Kind) bus.Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.kinds[kind]
+}
+
+func (l *Link) connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// Request implements bus.Bus. It takes at most CallTimeout, unless ctx has
+// an own deadline.
+func (l *Link) Request(ctx context.Context, to bus.ID, kind bus.Kind, body []byte) ([]byte, error) {
+	if _, set := ctx.Deadline(); !set {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, l.settings.CallTimeout)
+		defer cancel()
+	}
+	c, err := l.connect(ctx, to)
+	if err != nil {
+		return nil, failure.Wrap(failure.PeerUnavailable, string(kind), to.String(), err)
+	}
+	return c.request(ctx, kind, body)
+}
+
+// connect returns the connection to a member and dials if there is none.
+func (l *Link) connect(ctx context.Context, to bus.ID) (*conn, error) {
+	l.mu.Lock()
+	if c := l.conns[to]; c != nil && c.ctx.Err() == nil {
+		l.mu.Unlock()
+		return c, nil
+	}
+	if l.closed {
+		l.mu.Unlock()
+		return nil, errStopped
+	}
+	d := l.dialing[to]
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		l.dialing[to] = d
+		l.handlers.Go(func() { l.dialShared(to, d) })
+	}
+	l.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for the dial: %w", ctx.Err())
+	}
+}
+
+// dialShared dials once for all requests that wait. Its time does not depend
+// on theirs.
+func (l *Link) dialShared(to bus.ID, d *dialing) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.settings.DialTimeout)
+	defer cancel()
+	d.conn, d.err = l.dial(ctx, to)
+	if d.err != nil {
+		l.metrics.dialsFailed.Inc()
+		l.directory.Suspect(to)
+	}
+	l.mu.Lock()
+	delete(l.dialing, to)
+	l.mu.Unlock()
+	close(d.done)
+}
+
+func (l *Link) dial(ctx context.Context, to bus.ID) (*conn, error) {
+	peer, found := l.directory.Lookup(to)
+	if !found {
+		return nil, errors.New("the member is not known")
+	}
+	c, err := l.dialAddr(ctx, peer.Addr)
+	if err != nil {
+		return nil, err
+	}
+	if c.peer.ID != to {
+		return nil, fmt.Errorf("%s answers at the address of the member", c.peer.ID)
+	}
+	return c, nil
+}
+
+// Introduce dials an address without knowing who listens there, and returns
+// the peer that proved to know the secret.
+func (l *Link) Introduce(ctx context.Context, addr string) (bus.Peer, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.settings.DialTimeout)
+	defer cancel()
+	c, err := l.dialAddr(ctx, addr)
+	if err != nil {
+		return bus.Peer{}, failure.Wrap(failure.PeerUnavailable, "introduce", addr, err)
+	}
+	return c.peer, nil
+}
+
+func (l *Link) dialAddr(ctx context.Context, addr string) (*conn, error) {
+	l.metrics.dials.Inc()
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", addr, err)
+	}
+	ws.SetReadLimit(maxHandshakeBytes)
+	peer, err := greet(ctx, ws, l.settings.Secret, l.Self())
+	if err != nil {
+		ws.CloseNow()
+		return nil, fmt.Errorf("handshake with %s: %w", addr, err)
+	}
+	return l.adopt(ws, peer)
+}
+
+// adopt makes an authenticated connection the one for its peer. An older one
+// ends once its requests have had their time.
+func (l *Link) adopt(ws *websocket.Conn, peer bus.Peer) (*conn, error) {
+	c := newConn(l, ws, peer)
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		ws.CloseNow()
+		return nil, errStopped
+	}
+	old := l.conns[peer.ID]
+	l.conns[peer.ID] = c
+	l.handlers.Go(func() { l.serve(c) })
+	l.mu.Unlock()
+	if old != nil {
+		time.AfterFunc(l.settings.CallTimeout, func() { old.stop(errReplaced) })
+	}
+	l.directory.Trust(peer)
+	l.events.Record(event.Event{Duty: event.DutyPeer, Kind: event.PeerConnected, Peer: peer.ID.String()})
+	return c, nil
+}
+
+// serve runs a connection to its end.
+func (l *Link) serve(c *conn) {
+	why := c.run()
+	l.mu.Lock()
+	if l.conns[c.peer.ID] == c {
+		delete(l.conns, c.peer.ID)
+	}
+	l.mu.Unlock()
+	if errors.Is(why, errIdle) || errors.Is(why, errReplaced) || errors.Is(why, errStopped) {
+		return
+	}
+	l.metrics.lost.Inc()
+	l.log.Debug("Connection lost.", "peer", c.peer.ID.String(), "err", why)
+	l.events.Record(event.Event{Duty: event.DutyPeer, Kind: event.PeerLost, Peer: c.peer.ID.String(), Detail: why.Error()})
+	if errors.Is(why, errSilent) {
+		l.directory.Suspect(c.peer.ID)
+	}
+}
+
+// Provision opens the listener. The address that is advertised is the
+// listener's unless the settings name another.
+func (l *Link) Provision() error {
+	if l.settings.Listen == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	l.server.provision(l, listener)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.self.Addr = listener.Addr().String()
+	if l.settings.Advertise != "" {
+		l.self.Addr = l.settings.Advertise
+	}
+	return nil
+}
+
+// Run serves until Cleanup.
+func (l *Link) Run() error { return l.server.run() }
+
+// Cleanup closes the listener and all connections and waits for their
+// goroutines.
+func (l *Link) Cleanup() error {
+	err := l.server.close()
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.stop(errStopped)
+	l.handlers.Wait()
+	return err
+}
--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"fmt"
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/check"
@@ -16,12 +17,41 @@
 	Advertise string `json:"advertise"`
 	// Secret authenticates the routers of one fleet to each other.
 	Secret string `json:"secret"`
+	// Seeds are the host:port of routers that are asked for their
+	// configuration if the platform is away when this router starts.
+	Seeds []string `json:"seeds"`
 	// CallTimeout bounds one request to a peer.
 	CallTimeout time.Duration `json:"call_timeout"`
+	// DialTimeout bounds a dial with its handshake.
+	DialTimeout time.Duration `json:"dial_timeout"`
+	// PingInterval is the time without a received message after which a
+	// connection is pinged, and PingTimeout the wait for the answer.
+	PingInterval time.Duration `json:"ping_interval"`
+	PingTimeout  time.Duration `json:"ping_timeout"`
+	// IdleTimeout closes a connection that carried no request for so long.
+	IdleTimeout time.Duration `json:"idle_timeout"`
+	// MaxMessageBytes bounds one message.
+	MaxMessageBytes int64 `json:"max_message_bytes"`
+	// SendQueue is the number of messages that wait to be sent to one peer.
+	SendQueue int `json:"send_queue"`
+	// MaxInFlight bounds the requests of one connection that wait for their
+	// answers, and those that are being handled, each by itself.
+	MaxInFlight int `json:"max_in_flight"`
 }
 
 // DefaultSettings returns the defaults.
-func DefaultSettings() Settings { return Settings{CallTimeout: time.Second} }
+func DefaultSettings() Settings {
+	return Settings{
+		CallTimeout:     time.Second,
+		DialTimeout:     time.Second,
+		PingInterval:    2 * time.Second,
+		PingTimeout:     time.Second,
+		IdleTimeout:     time.Minute,
+		MaxMessageBytes: 16 << 20,
+		SendQueue:       256,
+		MaxInFlight:     1024,
+	}
+}
 
 // minSecretBytes is the shortest secret that is taken.
 const minSecretBytes = 16
@@ -38,5 +68,15 @@
 	if len(s.Secret) < minSecretBytes {
 		l.Add(path+".secret", "(hidden)", "16 or more characters, the same on all routers")
 	}
+	for i, seed := range s.Seeds {
+		l.Listen(fmt.Sprintf("%s.seeds[%d]", path, i), seed)
+	}
 	l.Duration(path+".call_timeout", s.CallTimeout, time.Millisecond, time.Minute)
+	l.Duration(path+".dial_timeout", s.DialTimeout, time.Millisecond, time.Minute)
+	l.Duration(path+".ping_interval", s.PingInterval, time.Millisecond, time.Minute)
+	l.Duration(path+".ping_timeout", s.PingTimeout, time.Millisecond, time.Minute)
+	l.Duration(path+".idle_timeout", s.IdleTimeout, time.Second, time.Hour)
+	l.Positive(path+".max_message_bytes", s.MaxMessageBytes)
+	l.Positive(path+".send_queue", int64(s.SendQueue))
+	l.Positive(path+".max_in_flight", int64(s.MaxInFlight))
 }
