Peer link over WebSocket and membership in the table

Cause: the duties had no way to talk to each other's routers, and no address book; the bus existed in memory only.

Weighed: a full mesh held open (380 daemons would keep 379 sockets each and ping them) against connections dialed on demand and closed when idle; kept the latter. A sender in each envelope was ruled out: the handshake fixes it for the connection.

Change: internal/peer (challenge and response both ways over the shared secret, versioned CBOR envelopes, bounded queue, in-flight and message size, pings on quiet connections, a suspect connection is closed and dialed anew); coord/member (one row per VM, heartbeat each 30 s, platform's VM list, local suspicion that frees nothing); wired into the daemon.

Conclusion: requests go both ways over one connection; a connection that goes silent for good is replaced (TestSilentConnectionIsReplaced, where the naive link fails every try).

--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex // guards all below; never held over a call of the store
 	self     bus.Peer
+	left     bool  // no more heartbeats
 	version  int64 // of the own row, 0 before Register
 	beat     int64
 	lastBeat time.Time // start of the last successful write of the own row
@@ -93,6 +94,9 @@
 // Heartbeat writes the own row again. It returns ErrSuperseded if another
 // incarnation has the row; a row that was removed is written anew.
 func (d *Directory) Heartbeat(ctx context.Context) error {
+	if d.hasLeft() {
+		return nil
+	}
 	rows, err := d.store.Get(ctx, rowPrefix+d.self.ID.VM)
 	if err != nil {
 		return fmt.Errorf("heartbeat: %w", err)
@@ -109,6 +113,12 @@
 	return d.write(ctx, rows[0].Version)
 }
 
+func (d *Directory) hasLeft() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.left
+}
+
 func (d *Directory) registeredOnce() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -127,7 +137,7 @@
 func (d *Directory) Deregister(ctx context.Context) error {
 	d.mu.Lock()
 	key, version := rowPrefix+d.self.ID.VM, d.version
-	d.version, d.lastBeat = 0, time.Time{}
+	d.version, d.lastBeat, d.left = 0, time.Time{}, true
 	d.mu.Unlock()
 	if version == 0 {
 		return nil
--- /dev/null
+++ b/coord/member/member_test.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+// fleet is a store with directories of several members on one fake clock.
+type fleet struct {
+	t     *testing.T
+	clock *clock.Fake
+	store *memory.Store
+}
+
+func newFleet(t *testing.T) *fleet {
+	c := clock.NewFake(time.Unix(1_000_000, 0))
+	return &fleet{t: t, clock: c, store: memory.NewStore(c)}
+}
+
+func (f *fleet) join(vm, incarnation string) (*Directory, *memory.View) {
+	f.t.Helper()
+	view := f.store.View()
+	self := bus.Peer{ID: bus.ID{VM: vm, Incarnation: incarnation}, Addr: vm + ":1"}
+	d := NewDirectory(DefaultSettings(), self, view, f.clock, event.Discard{})
+	f.ok(d.Register(context.Background()))
+	return d, view
+}
+
+func (f *fleet) ok(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// pass lets time go by in steps, with heartbeats of the members that run.
+func (f *fleet) pass(d time.Duration, running ...*Directory) {
+	f.t.Helper()
+	for ; d > 0; d -= 10 * time.Second {
+		f.clock.Advance(10 * time.Second)
+		for _, r := range running {
+			f.ok(r.Heartbeat(context.Background()))
+			f.ok(r.Refresh(context.Background()))
+		}
+	}
+}
+
+func (f *fleet) want(d *Directory, want ...string) {
+	f.t.Helper()
+	f.ok(d.Refresh(context.Background()))
+	var got []string
+	for _, p := range d.Live() {
+		got = append(got, p.ID.String())
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		f.t.Fatalf("live members are %v, want %v", got, want)
+	}
+}
+
+func TestMembersSeeEachOther(t *testing.T) {
+	f := newFleet(t)
+	one, _ := f.join("one", "1")
+	two, _ := f.join("two", "1")
+	f.want(one, "two/1")
+	f.want(two, "one/1")
+	f.ok(two.Deregister(context.Background()))
+	f.ok(two.Heartbeat(context.Background())) // a heartbeat after leaving writes nothing
+	f.want(one)
+}
+
+func TestNewIncarnationSupersedes(t *testing.T) {
+	f := newFleet(t)
+	one, _ := f.join("one", "1")
+	old, _ := f.join("two", "1")
+	f.join("two", "2")
+	f.want(one, "two/2")
+	if _, found := one.Lookup(bus.ID{VM: "two", Incarnation: "1"}); found {
+		t.Fatal("the old incarnation is still in the book")
+	}
+	if err := old.Heartbeat(context.Background()); !errors.Is(err, ErrSuperseded) {
+		t.Fatalf("heartbeat of the old incarnation: %v", err)
+	}
+	f.want(one, "two/2")
+}
+
+func TestSuspicionIsLocalAndFreesNothing(t *testing.T) {
+	f := newFleet(t)
+	one, _ := f.join("one", "1")
+	two, _ := f.join("two", "1")
+	f.want(one, "two/1")
+	f.want(two, "one/1")
+	one.Suspect(bus.ID{VM: "two", Incarnation: "1"})
+	f.want(one)
+	f.want(two, "one/1")
+	if rows := f.store.Dump(rowPrefix); len(rows) != 2 {
+		t.Fatalf("suspicion left %d rows, want 2", len(rows))
+	}
+	f.clock.Advance(DefaultSettings().SuspectFor)
+	f.want(one, "two/1")
+}
+
+func TestSilentMemberStaysRegisteredUntilRemoved(t *testing.T) {
+	f := newFleet(t)
+	one, _ := f.join("one", "1")
+	frozen, _ := f.join("two", "1")
+	f.want(one, "two/1")
+	f.pass(DefaultSettings().SilentAfter+20*time.Second, one)
+	f.want(one)
+	if got := one.Members(); len(got) != 1 || !got[0].Silent {
+		t.Fatalf("members are %+v, want one that is silent", got)
+	}
+	f.pass(DefaultSettings().RemoveAfter, one)
+	if rows := f.store.Dump(rowPrefix + "two"); len(rows) != 0 {
+		t.Fatal("the silent member's row was not removed")
+	}
+	// It wakes, knows that its row is old, and writes it anew.
+	if f.clock.Now().Sub(frozen.RegisteredSince()) < DefaultSettings().RemoveAfter {
+		t.Fatal("the frozen member believes its row to be fresh")
+	}
+	f.ok(frozen.Heartbeat(context.Background()))
+	f.want(one, "two/1")
+}
+
+func TestGoneVMIsRemovedEarly(t *testing.T) {
+	f := newFleet(t)
+	both := []platform.VM{{ID: "one", State: platform.VMRunning}, {ID: "two", State: platform.VMLeaving}}
+	f.store.SetVMs(both)
+	one, _ := f.join("one", "1")
+	f.join("two", "1")
+	f.join("unlisted", "1")
+	f.want(one, "two/1", "unlisted/1")
+	if !one.VMLeaving("two") || one.VMLeaving("one") {
+		t.Fatal("the platform's states were not taken over")
+	}
+	f.store.SetVMs(both[:1])
+	f.ok(one.Refresh(context.Background()))
+	f.want(one, "two/1", "unlisted/1") // missing, but not for long enough
+	f.clock.Advance(DefaultSettings().GoneAfter)
+	f.ok(one.Refresh(context.Background()))
+	f.want(one, "unlisted/1")
+}
+
+func TestMemberWithoutRowIsKnownWhileInTouch(t *testing.T) {
+	f := newFleet(t)
+	one, view := f.join("one", "1")
+	view.SetFaults(memory.Faults{Outage: true})
+	one.Trust(bus.Peer{ID: bus.ID{VM: "new", Incarnation: "1"}})
+	if got := one.Members(); len(got) != 1 || !got[0].Unregistered {
+		t.Fatalf("members are %+v, want one without a row", got)
+	}
+	view.SetFaults(memory.Faults{})
+	f.want(one, "new/1")
+	f.pass(DefaultSettings().SilentAfter+20*time.Second, one)
+	f.want(one)
+}
+
+func TestLostRepliesAreSettled(t *testing.T) {
+	f := newFleet(t)
+	one, view := f.join("one", "1")
+	view.SetFaults(memory.Faults{LoseReplies: 1})
+	done := make(chan error, 1)
+	go func() { done <- one.Heartbeat(context.Background()) }()
+	f.ok(<-done)
+	if rows := f.store.Dump(rowPrefix); len(rows) != 1 || rows[0].Version != 2 {
+		t.Fatalf("rows are %+v, want one written twice", rows)
+	}
+}
+
+func Example() {
+	store := memory.NewStore(clock.Real{})
+	for _, vm := range []string{"entry-1", "entry-2"} {
+		self := bus.Peer{ID: bus.ID{VM: vm, Incarnation: "a fresh id"}, Addr: "10.0.0.1:7000"}
+		d := NewDirectory(DefaultSettings(), self, store.View(), clock.Real{}, event.Discard{})
+		if err := d.Register(context.Background()); err != nil {
+			fmt.Println(err)
+		}
+		if err := d.Refresh(context.Background()); err != nil {
+			fmt.Println(err)
+		}
+		for _, p := range d.Live() {
+			fmt.Println(vm, "sees", p.ID.VM)
+		}
+	}
+	// Output: entry-2 sees entry-1
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/hlc"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/coord/once"
 	"daisyslip.dev/daisyslip/internal/caller"
 	"daisyslip.dev/daisyslip/internal/calls"
@@ -24,6 +25,7 @@
 	"daisyslip.dev/daisyslip/internal/dispatch"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/settings"
@@ -43,6 +45,9 @@
 	metrics  *metrics.Set
 	events   *timeline.Ring
 	platform *platformhttp.Client
+	members  *member.Directory
+	link     *peer.Link // nil if the peer link is off
+	bus      bus.Bus
 	config   *conf.Keeper
 	holder   budget.Holder
 	dispatch *dispatch.Dispatcher
@@ -61,7 +66,9 @@
 		metrics:  metrics.NewSet(),
 		platform: platformhttp.NewClient(s.Platform, s.VM),
 	}
-	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	stamps := hlc.New(clock.Real{})
+	d.events = timeline.NewRing(s.Timeline, d.self.ID, stamps)
+	d.newPeers(stamps)
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	ledger := budget.NewLedger(d.platform)
 	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
@@ -100,6 +107,9 @@
 	if err := d.operator.Provision(); err != nil {
 		return errors.Join(err, d.caller.Cleanup())
 	}
+	if err := d.provisionPeers(); err != nil {
+		return errors.Join(err, d.caller.Cleanup(), d.operator.Cleanup())
+	}
 	return nil
 }
 
@@ -108,6 +118,8 @@
 	// Caller and Operator are the base URLs of the two APIs.
 	Caller   string `json:"caller"`
 	Operator string `json:"operator"`
+	// Peer is the host:port for other routers; empty if the link is off.
+	Peer string `json:"peer,omitempty"`
 }
 
 // Addresses returns where the router listens, after Provision.
@@ -115,6 +127,7 @@
 	return Addresses{
 		Caller:   "http://" + d.caller.Addr().String(),
 		Operator: "http://" + d.operator.Addr().String(),
+		Peer:     d.bus.Self().Addr,
 	}
 }
 
@@ -124,7 +137,7 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	failed := make(chan error, 3)
+	failed := make(chan error, 5)
 	start := func(name string, run func() error) {
 		running.Go(func() {
 			if err := run(); err != nil {
@@ -133,6 +146,8 @@
 		})
 	}
 	start("config", func() error { return d.config.Run(duties) })
+	start("peers", d.runPeers)
+	start("members", func() error { return d.runMembers(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
 	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
@@ -155,7 +170,7 @@
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainStarted})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Timeout)
 	defer cancel()
-	err := errors.Join(d.caller.Drain(ctx), d.holder.Close(ctx))
+	err := errors.Join(d.caller.Drain(ctx), d.holder.Close(ctx), d.leavePeers(ctx))
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainEnded})
 	d.log.Info("Drain ended.", "err", err)
 	return err
@@ -163,7 +178,7 @@
 
 // cleanup closes what Provision and New opened.
 func (d *Daemon) cleanup() error {
-	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup())
+	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup(), d.cleanupPeers())
 	d.dispatch.Close()
 	d.calls.Close()
 	d.platform.Close()
@@ -180,12 +195,12 @@
 
 func (d *Daemon) status() operator.Status {
 	return operator.Status{
-		Self:     d.self,
+		Self:     d.bus.Self(),
 		Version:  Version,
 		Started:  d.started,
 		Revision: d.config.Catalog().Revision,
 		InFlight: d.caller.InFlight(),
 		Unready:  d.unready(),
-		Peers:    []bus.Peer{},
+		Peers:    append([]bus.Peer{}, d.bus.Peers()...),
 	}
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -77,6 +77,14 @@
 	return context.Cause(c.ctx)
 }
 
+// leave ends the connection and tells the other side that nothing is wrong.
+func (c *conn) leave(why error) {
+	if err := c.ws.Close(websocket.StatusNormalClosure, why.Error()); err != nil {
+		c.link.log.Debug("Close failed.", "peer", c.peer.ID.String(), "err", err)
+	}
+	c.stop(why)
+}
+
 func (c *conn) readLoop() {
 	for {
 		_, data, err := c.ws.Read(c.ctx)
@@ -208,7 +216,7 @@
 		}
 		now := c.link.sinceStart()
 		if time.Duration(now-c.used.Load()) > s.IdleTimeout {
-			c.stop(errIdle)
+			c.leave(errIdle)
 			return
 		}
 		if !asked && time.Duration(now-c.received.Load()) < s.PingInterval {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -236,7 +238,7 @@
 	l.handlers.Go(func() { l.serve(c) })
 	l.mu.Unlock()
 	if old != nil {
-		time.AfterFunc(l.settings.CallTimeout, func() { old.stop(errReplaced) })
+		time.AfterFunc(l.settings.CallTimeout, func() { old.leave(errReplaced) })
 	}
 	l.directory.Trust(peer)
 	l.events.Record(event.Event{Duty: event.DutyPeer, Kind: event.PeerConnected, Peer: peer.ID.String()})
@@ -251,7 +253,7 @@
 		delete(l.conns, c.peer.ID)
 	}
 	l.mu.Unlock()
-	if errors.Is(why, errIdle) || errors.Is(why, errReplaced) || errors.Is(why, errStopped) {
+	if planned(why) {
 		return
 	}
 	l.metrics.lost.Inc()
@@ -262,6 +264,12 @@
 	}
 }
 
+// planned reports whether a connection ended by the will of either side.
+func planned(why error) bool {
+	return errors.Is(why, errIdle) || errors.Is(why, errReplaced) || errors.Is(why, errStopped) ||
+		websocket.CloseStatus(why) == websocket.StatusNormalClosure
+}
+
 // Provision opens the listener. The address that is advertised is the
 // listener's unless the settings name another.
 func (l *Link) Provision() error {
@@ -291,8 +299,32 @@
 	err := l.server.close()
 	l.mu.Lock()
 	l.closed = true
+	open := slices.Collect(maps.Values(l.conns))
 	l.mu.Unlock()
+	l.part(open)
 	l.stop(errStopped)
 	l.handlers.Wait()
 	return err
 }
+
+// part closes connections politely, for at most PingTimeout.
+func (l *Link) part(open []*conn) {
+	done := make(chan struct{}, len(open))
+	for _, c := range open {
+		l.handlers.Go(func() {
+			c.leave(errStopped)
+			done <- struct{}{}
+		})
+	}
+	bound := time.After(l.settings.PingTimeout)
+	for range open {
+		select {
+		case <-done:
+		case <-bound:
+			for _, c := range open {
+				c.ws.CloseNow()
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,299 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/coder/websocket"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/hlc"
+)
+
+const testSecret = "secret of the test fleet"
+
+// book is a directory with fixed members.
+type book struct {
+	mu        sync.Mutex
+	peers     map[bus.ID]bus.Peer
+	suspected map[bus.ID]int
+}
+
+func newBook() *book {
+	return &book{peers: make(map[bus.ID]bus.Peer), suspected: make(map[bus.ID]int)}
+}
+
+func (b *book) Live() []bus.Peer { return nil }
+func (b *book) Lookup(id bus.ID) (bus.Peer, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, found := b.peers[id]
+	return p, found
+}
+func (b *book) Trust(bus.Peer) {}
+func (b *book) Suspect(id bus.ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspected[id]++
+}
+
+func (b *book) add(p bus.Peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[p.ID] = p
+}
+
+func testSettings() Settings {
+	s := DefaultSettings()
+	s.Listen, s.Secret = "127.0.0.1:0", testSecret
+	s.CallTimeout, s.DialTimeout = 2*time.Second, 2*time.Second
+	return s
+}
+
+// startLink starts a link on loopback that ends with the test.
+func startLink(t *testing.T, vm string, s Settings, b *book) *Link {
+	t.Helper()
+	l := New(s, bus.Peer{ID: bus.ID{VM: vm, Incarnation: vm + "-1"}}, Duties{
+		Directory: b, Clock: hlc.New(clock.Real{}), Events: event.Discard{}, Metrics: metrics.NewSet(),
+		Log: slog.New(slog.DiscardHandler),
+	})
+	l.Handle("echo", func(_ context.Context, from bus.ID, body []byte) ([]byte, error) {
+		return append([]byte(from.VM+":"), body...), nil
+	})
+	l.Handle("wait", func(ctx context.Context, _ bus.ID, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	assert.NilError(t, l.Provision())
+	go l.Run()
+	t.Cleanup(func() { assert.NilError(t, l.Cleanup()) })
+	b.add(l.Self())
+	return l
+}
+
+func TestRequestsGoBothWaysOverOneConnection(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("", func(t *testing.T) {
+		b := newBook()
+		one, two := startLink(t, "one", testSettings(), b), startLink(t, "two", testSettings(), b)
+		for _, way := range []struct{ from, to *Link }{{one, two}, {two, one}} {
+			answer, err := way.from.Request(t.Context(), way.to.Self().ID, "echo", []byte("hi"))
+			assert.NilError(t, err)
+			assert.Equal(t, string(answer), way.from.Self().ID.VM+":hi")
+		}
+		assert.Equal(t, one.metrics.dials.Get()+two.metrics.dials.Get(), uint64(1))
+	})
+}
+
+func TestFailuresCrossTheLink(t *testing.T) {
+	b := newBook()
+	one, two := startLink(t, "one", testSettings(), b), startLink(t, "two", testSettings(), b)
+	sent := failure.New(failure.BudgetBusy, "lend", "", "none left").WithRan(failure.RanUnknown).WithRetry(3 * time.Second)
+	two.Handle("typed", func(context.Context, bus.ID, []byte) ([]byte, error) { return nil, fmt.Errorf("wrapped: %w", sent) })
+	two.Handle("plain", func(context.Context, bus.ID, []byte) ([]byte, error) { return nil, errors.New("broken") })
+	to := two.Self().ID
+	for _, test := range []struct {
+		kind bus.Kind
+		want failure.Error
+	}{
+		{"typed", failure.Error{Code: failure.BudgetBusy, Step: "lend", Peer: to.String(), Message: "none left", Ran: failure.RanUnknown, RetryAfter: 3 * time.Second}},
+		{"plain", failure.Error{Code: failure.Internal, Step: "plain", Peer: to.String(), Message: "broken", Ran: failure.RanUnknown}},
+		{"none", failure.Error{Code: failure.NotFound, Step: "none", Peer: to.String(), Message: "the peer does not handle this kind", Ran: failure.RanNo}},
+	} {
+		_, err := one.Request(t.Context(), to, test.kind, nil)
+		assert.DeepEqual(t, *failure.As(err), test.want)
+	}
+	_, err := one.Request(t.Context(), bus.ID{VM: "nobody"}, "echo", nil)
+	assert.Equal(t, failure.CodeOf(err), failure.PeerUnavailable)
+	assert.Equal(t, failure.As(err).Ran, failure.RanNo)
+}
+
+func TestSecretIsProvedByBothSides(t *testing.T) {
+	b := newBook()
+	stranger := testSettings()
+	stranger.Secret = "another secret altogether"
+	one, two := startLink(t, "one", testSettings(), b), startLink(t, "two", stranger, b)
+	for _, way := range []struct{ from, to *Link }{{one, two}, {two, one}} {
+		_, err := way.from.Request(t.Context(), way.to.Self().ID, "echo", nil)
+		assert.ErrorIs(t, err, errSecret)
+	}
+	assert.Equal(t, one.connections()+two.connections(), 0)
+	// A proof of one side is none of the other's, so it cannot be played back.
+	assert.Assert(t, string(prove(testSecret, labelServer, []byte("a"), []byte("b"))) != string(prove(testSecret, labelClient, []byte("a"), []byte("b"))))
+}
+
+func TestDialerWithoutSecretReachesNoHandler(t *testing.T) {
+	one := startLink(t, "one", testSettings(), newBook())
+	ws, _, err := websocket.Dial(t.Context(), "ws://"+one.Self().Addr+path, nil)
+	assert.NilError(t, err)
+	defer ws.CloseNow()
+	_, err = greet(t.Context(), ws, "another secret altogether", bus.Peer{ID: bus.ID{VM: "x", Incarnation: "y"}})
+	assert.ErrorIs(t, err, errSecret)
+	ws.Write(t.Context(), websocket.MessageBinary, []byte("no proof"))
+	_, _, err = ws.Read(t.Context())
+	assert.Assert(t, err != nil)
+	assert.Equal(t, one.connections(), 0)
+}
+
+func TestFullLinkRefuses(t *testing.T) {
+	b := newBook()
+	s := testSettings()
+	s.MaxInFlight = 2
+	one, two := startLink(t, "one", s, b), startLink(t, "two", s, b)
+	c, err := one.connect(t.Context(), two.Self().ID)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var waiting sync.WaitGroup
+	for range s.MaxInFlight {
+		waiting.Go(func() { c.request(ctx, "wait", nil) })
+	}
+	for full := false; !full; {
+		c.mu.Lock()
+		full = len(c.pending) == s.MaxInFlight
+		c.mu.Unlock()
+	}
+	_, err = one.Request(t.Context(), two.Self().ID, "echo", nil)
+	assert.Equal(t, failure.CodeOf(err), failure.Overloaded)
+	assert.Equal(t, failure.As(err).Ran, failure.RanNo)
+	cancel()
+	waiting.Wait()
+	// A message beyond the bound is refused before it is sent.
+	_, err = one.Request(t.Context(), two.Self().ID, "echo", make([]byte, s.MaxMessageBytes))
+	assert.Equal(t, failure.CodeOf(err), failure.TooLarge)
+}
+
+// middlebox forwards TCP connections until it forgets them: then they stay
+// open and silent, while new ones work.
+type middlebox struct {
+	net.Listener
+	mu  sync.Mutex
+	gen int
+}
+
+func (m *middlebox) serve(to string) {
+	for {
+		in, err := m.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		m.mu.Lock()
+		gen := m.gen
+		m.mu.Unlock()
+		go m.forward(in, out, gen)
+		go m.forward(out, in, gen)
+	}
+}
+
+func (m *middlebox) forward(from, to net.Conn, gen int) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			to.Close()
+			return
+		}
+		m.mu.Lock()
+		forgotten := gen < m.gen
+		m.mu.Unlock()
+		if !forgotten {
+			to.Write(buffer[:n])
+		}
+	}
+}
+
+func (m *middlebox) forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gen++
+}
+
+// naiveLink holds on to its connection for as long as TCP does.
+type naiveLink struct{ c *conn }
+
+func (n naiveLink) request(ctx context.Context) error {
+	_, err := n.c.request(ctx, "echo", nil)
+	return err
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, ours := range []bool{false, true} {
+		t.Run(map[bool]string{false: "naive", true: "ours"}[ours], func(t *testing.T) {
+			b := newBook()
+			s := testSettings()
+			s.CallTimeout, s.PingTimeout, s.PingInterval = 200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond
+			if !ours {
+				s.PingTimeout, s.PingInterval = time.Hour, time.Hour
+			}
+			one, two := startLink(t, "one", s, b), startLink(t, "two", s, b)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			box := &middlebox{Listener: listener}
+			defer box.Close()
+			go box.serve(two.Self().Addr)
+			behind := two.Self()
+			behind.Addr = listener.Addr().String()
+			b.add(behind)
+			c, err := one.connect(t.Context(), behind.ID)
+			assert.NilError(t, err)
+			request := func(ctx context.Context) error { return naiveLink{c}.request(ctx) }
+			if ours {
+				request = func(ctx context.Context) error {
+					_, err := one.Request(ctx, behind.ID, "echo", nil)
+					return err
+				}
+			}
+			assert.NilError(t, request(t.Context()))
+			box.forget()
+			// Ten tries, each with a call's time, are far beyond the bound of
+			// one call and one ping.
+			failed := 0
+			for range 10 {
+				ctx, cancel := context.WithTimeout(t.Context(), s.CallTimeout)
+				err := request(ctx)
+				cancel()
+				if err == nil {
+					break
+				}
+				failed++
+			}
+			if ours {
+				assert.Assert(t, failed < 10)
+				assert.Assert(t, one.metrics.lost.Get() >= 1)
+			} else {
+				assert.Equal(t, failed, 10)
+			}
+		})
+	}
+}
+
+func TestIdleConnectionCloses(t *testing.T) {
+	b := newBook()
+	s := testSettings()
+	s.IdleTimeout, s.PingInterval = 50*time.Millisecond, 20*time.Millisecond
+	one, two := startLink(t, "one", s, b), startLink(t, "two", s, b)
+	c, err := one.connect(t.Context(), two.Self().ID)
+	assert.NilError(t, err)
+	<-c.ctx.Done()
+	for two.connections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, one.metrics.lost.Get()+two.metrics.lost.Get(), uint64(0))
+	assert.Equal(t, b.suspected[two.Self().ID], 0)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/go-viper/mapstructure/v2"
 
 	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/caller"
 	"daisyslip.dev/daisyslip/internal/calls"
 	"daisyslip.dev/daisyslip/internal/check"
@@ -51,6 +52,7 @@
 	Caller   caller.Settings       `json:"caller"`
 	Operator operator.Settings     `json:"operator"`
 	Peer     peer.Settings         `json:"peer"`
+	Member   member.Settings       `json:"member"`
 	Platform platformhttp.Settings `json:"platform"`
 	Budget   budget.Settings       `json:"budget"`
 	Route    route.Settings        `json:"route"`
@@ -68,6 +70,7 @@
 		Caller:   caller.DefaultSettings(),
 		Operator: operator.DefaultSettings(),
 		Peer:     peer.DefaultSettings(),
+		Member:   member.DefaultSettings(),
 		Platform: platformhttp.DefaultSettings(),
 		Budget:   budget.DefaultSettings(),
 		Route:    route.DefaultSettings(),
@@ -88,6 +91,9 @@
 	s.Caller.Validate(l, "caller")
 	s.Operator.Validate(l, "operator")
 	s.Peer.Validate(l, "peer")
+	for _, p := range s.Member.Validate() {
+		l.Duration("member."+p.Name, p.Value, p.Low, p.High)
+	}
 	s.Platform.Validate(l, "platform")
 	s.Route.Validate(l, "route")
 	s.Dispatch.Validate(l, "dispatch")
