Revisioned log in the platform's table

Cause: the configuration was one row, rewritten whole; a conflict could not show the other change, and nothing kept the history.

A lost reply is settled by sending again and then by reading the revision's operation id.

--- /dev/null
+++ b/coord/revlog/revlog_test.go
@@ -0,0 +1,253 @@
+package revlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+// appender is a way of making a change against a base revision.
+type appender interface {
+	append(ctx context.Context, opID string) (accepted bool, err error)
+	// kept reports whether the change is in the history.
+	kept(opID string) bool
+}
+
+// ours appends to a Log.
+type ours struct {
+	log  *Log
+	base int64
+}
+
+func (o ours) append(ctx context.Context, opID string) (bool, error) {
+	_, err := o.log.Append(ctx, o.base, Entry{OpID: opID, Author: opID})
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		if len(conflict.Others) == 0 || conflict.Others[0].OpID == opID {
+			return false, fmt.Errorf("the conflict of %s does not show the other change: %w", opID, err)
+		}
+		return false, nil
+	}
+	return err == nil, err
+}
+
+func (o ours) kept(opID string) bool {
+	entries, err := o.log.Since(context.Background(), 0)
+	for _, e := range entries {
+		if e.OpID == opID {
+			return true
+		}
+	}
+	return err != nil
+}
+
+// naive reads the one row of the state and writes it back with its change, as
+// the last writer to win; a lost reply is answered as a failure.
+type naive struct {
+	table platform.Table
+	base  platform.Row
+}
+
+func (n naive) append(ctx context.Context, opID string) (bool, error) {
+	rows, err := n.table.Get(ctx, "state")
+	if err != nil {
+		return false, err
+	}
+	// The state was read at base; only the version is taken anew.
+	_, err = n.table.Commit(ctx, platform.Txn{
+		OpID:   opID,
+		Conds:  []platform.Cond{{Key: "state", Version: rows[0].Version}},
+		Writes: []platform.Write{{Key: "state", Value: append(n.base.Value, " "+opID...)}},
+	})
+	return err == nil, nil
+}
+
+func (n naive) kept(opID string) bool {
+	rows, err := n.table.Get(context.Background(), "state")
+	return err == nil && contains(string(rows[0].Value), opID)
+}
+
+func contains(list, word string) bool {
+	for start := 0; start+len(word) <= len(list); start++ {
+		if list[start:start+len(word)] == word {
+			return true
+		}
+	}
+	return false
+}
+
+// race lets operators append against one base at once, with lost requests and
+// replies, and returns how many accepted changes are lost and how many
+// refused ones are kept.
+func race(t *testing.T, store *memory.Store, random *rand.Rand, operators []appender, views []*memory.View, name string) (lost, kept int) {
+	t.Helper()
+	accepted := make([]bool, len(operators))
+	var all sync.WaitGroup
+	for i, o := range operators {
+		views[i].SetFaults(memory.Faults{LoseReplies: random.IntN(2), LoseRequests: random.IntN(2)})
+		all.Go(func() {
+			var err error
+			if accepted[i], err = o.append(context.Background(), fmt.Sprintf("%s.%d;", name, i)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	all.Wait()
+	store.ForgetOperations()
+	for i, o := range operators {
+		views[i].SetFaults(memory.Faults{})
+		switch is := o.kept(fmt.Sprintf("%s.%d;", name, i)); {
+		case accepted[i] && !is:
+			lost++
+		case !accepted[i] && is:
+			kept++
+		}
+	}
+	return lost, kept
+}
+
+func TestRacesLoseNoChange(t *testing.T) {
+	const seed = 6
+	races := 1000
+	if testing.Short() {
+		races = 100
+	}
+	for _, operators := range []int{2, 5} {
+		t.Run(fmt.Sprint(operators), func(t *testing.T) {
+			t.Parallel()
+			oursLost, oursKept := runRaces(t, seed, races, operators, func(s *memory.Store, v *memory.View) appender {
+				log := New(v, "config")
+				base, err := New(s.View(), "config").Head(context.Background())
+				if err != nil {
+					t.Error(err)
+				}
+				return ours{log: log, base: base}
+			})
+			naiveLost, naiveKept := runRaces(t, seed, races, operators, func(s *memory.Store, v *memory.View) appender {
+				rows, err := s.View().Get(context.Background(), "state")
+				if err != nil {
+					t.Error(err)
+				}
+				return naive{table: v, base: rows[0]}
+			})
+			t.Logf("seed %d, %d races of %d: lost %d (naive %d), kept though refused %d (naive %d)",
+				seed, races, operators, oursLost, naiveLost, oursKept, naiveKept)
+			if oursLost+oursKept != 0 {
+				t.Errorf("%d accepted changes lost, %d refused ones kept", oursLost, oursKept)
+			}
+			if naiveLost == 0 || naiveKept == 0 {
+				t.Errorf("the schedule does not trouble the naive version: lost %d, kept %d", naiveLost, naiveKept)
+			}
+		})
+	}
+}
+
+// runRaces runs the races, many at once since they wait for each other's
+// retries, each with faults drawn from its own seed.
+func runRaces(t *testing.T, seed uint64, races, operators int, join func(*memory.Store, *memory.View) appender) (lost, kept int) {
+	var mu sync.Mutex // guards lost and kept
+	var all sync.WaitGroup
+	slots := make(chan struct{}, 32)
+	for r := range races {
+		slots <- struct{}{}
+		all.Go(func() {
+			defer func() { <-slots }()
+			random := rand.New(rand.NewPCG(seed, uint64(r)))
+			store := memory.NewStore(clock.Real{})
+			views, racers := make([]*memory.View, operators), make([]appender, operators)
+			for i := range racers {
+				views[i] = store.View()
+				racers[i] = join(store, views[i])
+			}
+			l, k := race(t, store, random, racers, views, fmt.Sprintf("r%d", r))
+			mu.Lock()
+			defer mu.Unlock()
+			lost, kept = lost+l, kept+k
+		})
+	}
+	all.Wait()
+	return lost, kept
+}
+
+func newLog(t *testing.T, revisions int) (*Log, *memory.Store, *memory.View) {
+	t.Helper()
+	store := memory.NewStore(clock.Real{})
+	view := store.View()
+	log := New(view, "config")
+	for i := range revisions {
+		if _, err := log.Append(context.Background(), int64(i), Entry{OpID: fmt.Sprint(i + 1), Delta: []byte{byte(i)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return log, store, view
+}
+
+func TestAppendAgainIsAppliedOnce(t *testing.T) {
+	log, store, _ := newLog(t, 3)
+	store.ForgetOperations()
+	revision, err := log.Append(context.Background(), 1, Entry{OpID: "2"})
+	if err != nil || revision != 2 {
+		t.Fatalf("second append of revision 2: %d, %v", revision, err)
+	}
+}
+
+func TestLoadStartsAtSnapshot(t *testing.T) {
+	log, _, view := newLog(t, 2*pageRows+10)
+	ctx := context.Background()
+	for _, revision := range []int64{pageRows, 5} { // an older one changes nothing
+		if err := log.PutSnapshot(ctx, Snapshot{Revision: revision, State: []byte(fmt.Sprint(revision))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, entries, err := log.Load(ctx)
+	if err != nil || string(s.State) != fmt.Sprint(pageRows) || len(entries) != pageRows+10 {
+		t.Fatalf("load: snapshot %d %q, %d entries, %v", s.Revision, s.State, len(entries), err)
+	}
+	if last := entries[len(entries)-1].Revision; last != 2*pageRows+10 {
+		t.Fatalf("last revision is %d", last)
+	}
+	if _, err := log.Entry(ctx, 5000); !errors.Is(err, ErrNotFound) {
+		t.Fatalf("absent entry: %v", err)
+	}
+	view.SetFaults(memory.Faults{Outage: true})
+	if _, _, err := log.Load(ctx); platform.KindOf(err) != platform.KindUnavailable {
+		t.Fatalf("load in an outage: %v", err)
+	}
+}
+
+func TestFollowAppliesInOrder(t *testing.T) {
+	log, _, view := newLog(t, 3)
+	view.SetFaults(memory.Faults{Outage: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	var got []int64
+	err := log.Follow(ctx, clock.Real{}, 1, time.Millisecond, func(e Entry) error {
+		if got = append(got, e.Revision); e.Revision == 3 {
+			cancel()
+		}
+		return nil
+	}, func(error) { view.SetFaults(memory.Faults{}) })
+	if err != nil || fmt.Sprint(got) != "[2 3]" {
+		t.Fatalf("followed %v, %v", got, err)
+	}
+}
+
+func Example() {
+	ctx := context.Background()
+	log := New(memory.NewStore(clock.Real{}).View(), "settings")
+	revision, err := log.Append(ctx, 0, Entry{OpID: "a", Author: "haneul", Note: "first", Delta: []byte("fan=on")})
+	fmt.Println(revision, err)
+	_, err = log.Append(ctx, 0, Entry{OpID: "b", Author: "turnos", Delta: []byte("fan=off")})
+	var conflict *ConflictError
+	fmt.Println(errors.As(err, &conflict), conflict.Others[0].Author, string(conflict.Others[0].Delta))
+	// Output:
+	// 1 <nil>
+	// true haneul fan=on
+}
