--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -36,6 +36,7 @@
 	version  int64 // of the own row, 0 before Register
 	beat     int64
 	lastBeat time.Time // start of the last successful write of the own row
+	present  time.Time // end of the write since which the own row was never missing
 	entries  map[string]*entry
 	vms      map[string]*vmEntry
 }
@@ -87,6 +88,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.version == 0 || d.version != version {
+		d.present = d.clock.Now()
+	}
 	d.version, d.lastBeat = receipt.Versions[0], started
 	return nil
 }
@@ -133,6 +137,14 @@
 	return d.lastBeat
 }
 
+// PresentSince returns the moment since which the own row has not been
+// missing, by this process's clock, or the zero time.
+func (d *Directory) PresentSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.present
+}
+
 // Deregister removes the own row. The member takes no more work.
 func (d *Directory) Deregister(ctx context.Context) error {
 	d.mu.Lock()
@@ -160,17 +172,16 @@
 // Refresh reads all rows and the platform's VM list, and removes the rows of
 // members that are silent beyond RemoveAfter or whose VM is gone.
 func (d *Directory) Refresh(ctx context.Context) error {
-	rows, err := d.readRows(ctx)
+	if err := d.RefreshRows(ctx); err != nil {
+		return err
+	}
+	vms, err := d.store.ListVMs(ctx)
 	if err != nil {
-		return fmt.Errorf("read members: %w", err)
+		return fmt.Errorf("list VMs: %w", err)
 	}
-	vms, vmErr := d.store.ListVMs(ctx)
 	now := d.clock.Now()
 	d.mu.Lock()
-	if vmErr == nil {
-		d.mergeVMs(vms, now)
-	}
-	d.mergeRows(rows, now)
+	d.mergeVMs(vms, now)
 	dead := d.deadLocked(now)
 	d.mu.Unlock()
 	for _, row := range dead {
@@ -178,9 +189,20 @@
 			return err
 		}
 	}
-	if vmErr != nil {
-		return fmt.Errorf("list VMs: %w", vmErr)
+	return nil
+}
+
+// RefreshRows reads all rows: every member registered before the call is
+// known after it.
+func (d *Directory) RefreshRows(ctx context.Context) error {
+	rows, err := d.readRows(ctx)
+	if err != nil {
+		return fmt.Errorf("read members: %w", err)
 	}
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mergeRows(rows, now)
 	return nil
 }
 
--- /dev/null
+++ b/internal/conf/change.go
@@ -0,0 +1,96 @@
+package conf
+
+import (
+	"encoding/json"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/revlog"
+	"daisyslip.dev/daisyslip/internal/catalog"
+)
+
+// EntityKind names a list of the document.
+type EntityKind string
+
+// The kinds of entities.
+const (
+	KindWorkspace EntityKind = "workspace"
+	KindPool      EntityKind = "pool"
+	KindEndpoint  EntityKind = "endpoint"
+	KindRule      EntityKind = "rule"
+)
+
+// Op puts or deletes one entity of the document.
+type Op struct {
+	Kind EntityKind `json:"kind"`
+	Name string     `json:"name"`
+	// Put is the whole new entity as JSON; null deletes it.
+	Put json.RawMessage `json:"put,omitempty"`
+}
+
+// Change is an operator's change of the configuration.
+type Change struct {
+	// ID identifies the change; one that is tried again with the same ID is
+	// made once. Empty means a fresh one.
+	ID string `json:"id,omitempty"`
+	// Base is the revision against which the change was made.
+	Base   int64  `json:"base"`
+	Author string `json:"author,omitempty"`
+	Note   string `json:"note,omitempty"`
+	Ops    []Op   `json:"ops"`
+}
+
+// Result says how far a change has come.
+type Result struct {
+	Revision int64 `json:"revision"`
+	// Accepted is true once every live router has the revision in force.
+	Accepted bool `json:"accepted"`
+	// WaitingFor names the routers that have not acknowledged it.
+	WaitingFor []string `json:"waiting_for,omitempty"`
+}
+
+// Revision is one entry of the history.
+type Revision struct {
+	Revision int64     `json:"revision"`
+	Author   string    `json:"author,omitempty"`
+	Note     string    `json:"note,omitempty"`
+	At       time.Time `json:"at"`
+	Ops      []Op      `json:"ops"`
+}
+
+// Copy is the whole configuration with a view's age, as one router hands it
+// to another.
+type Copy struct {
+	Document catalog.Document
+	Age      time.Duration
+}
+
+// ConflictError says that other changes came first.
+type ConflictError struct {
+	Base   int64
+	Others []Revision
+	cause  error
+}
+
+// Error names the change that came first.
+func (e *ConflictError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ConflictError) Unwrap() error { return e.cause }
+
+// decodeEntry reads a revision of the log.
+func decodeEntry(e revlog.Entry) (Revision, error) {
+	r := Revision{Revision: e.Revision, Author: e.Author, Note: e.Note, At: e.At}
+	return r, json.Unmarshal(e.Delta, &r.Ops)
+}
+
+func decodeEntries(entries []revlog.Entry) ([]Revision, error) {
+	revisions := make([]Revision, 0, len(entries))
+	for _, e := range entries {
+		r, err := decodeEntry(e)
+		if err != nil {
+			return nil, err
+		}
+		revisions = append(revisions, r)
+	}
+	return revisions, nil
+}
--- a/internal/conf/keeper.go
+++ b/internal/conf/keeper.go
@@ -1,5 +1,3 @@
-// Package conf keeps the configuration: it commits the changes of operators
-// to the platform's table and puts each revision in force on this router.
 package conf
 
 import (
@@ -7,86 +5,52 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
-	"daisyslip.dev/daisyslip/coord/failure"
-	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/member"
+	"daisyslip.dev/daisyslip/coord/revlog"
 	"daisyslip.dev/daisyslip/internal/catalog"
-	"daisyslip.dev/daisyslip/internal/check"
 )
 
-// headKey is the row of the newest revision; its version is the revision.
-const headKey = "config/head"
-
-// Settings are the settings of the configuration duty.
-type Settings struct {
-	// PollInterval is the time between two looks at the table.
-	PollInterval time.Duration `json:"poll_interval"`
-}
+// logPrefix starts the rows and objects of the configuration.
+const logPrefix = "config"
 
-// DefaultSettings returns the defaults.
-func DefaultSettings() Settings { return Settings{PollInterval: 500 * time.Millisecond} }
-
-// Validate adds every problem of the settings to l.
-func (s Settings) Validate(l *check.List, path string) {
-	l.Duration(path+".poll_interval", s.PollInterval, 10*time.Millisecond, time.Minute)
-}
-
-// EntityKind names a list of the document.
-type EntityKind string
-
-// The kinds of entities.
-const (
-	KindWorkspace EntityKind = "workspace"
-	KindPool      EntityKind = "pool"
-	KindEndpoint  EntityKind = "endpoint"
-	KindRule      EntityKind = "rule"
-)
-
-// Op puts or deletes one entity of the document.
-type Op struct {
-	Kind EntityKind `json:"kind"`
-	Name string     `json:"name"`
-	// Put is the whole new entity as JSON; null deletes it.
-	Put json.RawMessage `json:"put,omitempty"`
-}
-
-// Change is an operator's change of the configuration.
-type Change struct {
-	// Base is the revision against which the change was made.
-	Base   int64  `json:"base"`
-	Author string `json:"author,omitempty"`
-	Note   string `json:"note,omitempty"`
-	Ops    []Op   `json:"ops"`
-}
-
-// Result says how far a change has come.
-type Result struct {
-	Revision int64 `json:"revision"`
-	// Accepted is true once every live router has the revision in force.
-	Accepted bool `json:"accepted"`
-	// WaitingFor names the routers that have not acknowledged it.
-	WaitingFor []string `json:"waiting_for,omitempty"`
-}
+// recentEntries is the number of newest revisions kept for routers that are
+// a little behind.
+const recentEntries = 128
 
 // Keeper follows and changes the configuration.
 type Keeper struct {
 	settings Settings
-	table    platform.Table
+	history  *revlog.Log
 	clock    clock.Clock
 	events   event.Recorder
 	log      *slog.Logger
-	current  atomic.Pointer[catalog.Index]
+
+	bus     bus.Bus           // nil before Join
+	members *member.Directory // nil before Join
+	view    *view
+	offers  *offers
+	accept  *acceptance
+
+	current atomic.Pointer[catalog.Index]
+
+	mu     sync.Mutex     // guards recent, and orders the changes of current
+	recent []revlog.Entry // the newest revisions in force, without gaps
 }
 
-// NewKeeper returns a keeper without a revision in force.
-func NewKeeper(s Settings, table platform.Table, c clock.Clock, events event.Recorder, log *slog.Logger) *Keeper {
-	k := &Keeper{settings: s, table: table, clock: c, events: events, log: log}
+// NewKeeper returns a keeper without a revision in force. It stands alone
+// until Join.
+func NewKeeper(s Settings, store revlog.Store, c clock.Clock, events event.Recorder, log *slog.Logger) *Keeper {
+	k := &Keeper{
+		settings: s, history: revlog.New(store, logPrefix), clock: c, events: events, log: log,
+		view: newView(s, c), offers: newOffers(), accept: newAcceptance(),
+	}
 	empty, err := catalog.NewIndex(catalog.Document{})
 	if err != nil {
 		panic(err) // the empty document is valid
@@ -95,22 +59,109 @@
 	return k
 }
 
+// Join makes the keeper one of a fleet. It is called before Run.
+func (k *Keeper) Join(b bus.Bus, members *member.Directory) {
+	k.bus, k.members = b, members
+	bus.Handle(b, kindPush, k.handlePush)
+	bus.Handle(b, kindView, k.handleView)
+	bus.Handle(b, kindCopy, k.handleCopy)
+}
+
 // Catalog returns the revision in force.
 func (k *Keeper) Catalog() *catalog.Index { return k.current.Load() }
 
-// Load puts the table's revision in force.
+// Load puts the table's newest revision in force and confirms the view.
 func (k *Keeper) Load(ctx context.Context) error {
-	rows, err := k.table.Get(ctx, headKey)
+	started := k.clock.Now()
+	head, err := k.history.Head(ctx)
 	if err != nil {
-		return fmt.Errorf("load configuration: %w", err)
+		return err
 	}
-	if rows[0].Version <= k.Catalog().Revision {
+	if err := k.catchUp(ctx, head); err != nil {
+		return err
+	}
+	if k.Catalog().Revision >= head {
+		k.view.confirm(started)
+	}
+	return nil
+}
+
+// catchUp reads the revisions up to head from the table and puts them in
+// force.
+func (k *Keeper) catchUp(ctx context.Context, head int64) error {
+	at := k.Catalog().Revision
+	if at >= head {
 		return nil
 	}
-	document, err := decodeDocument(rows[0])
+	if at > 0 && head-at <= recentEntries {
+		entries, err := k.history.Between(ctx, at, head)
+		if err != nil {
+			return err
+		}
+		return k.apply(entries)
+	}
+	snapshot, entries, err := k.history.Load(ctx)
 	if err != nil {
 		return err
 	}
+	if snapshot.Revision > at {
+		var document catalog.Document
+		if err := json.Unmarshal(snapshot.State, &document); err != nil {
+			return fmt.Errorf("decode snapshot %d: %w", snapshot.Revision, err)
+		}
+		if err := k.replace(document); err != nil {
+			return err
+		}
+	}
+	return k.apply(entries)
+}
+
+// apply puts revisions in force, as far as they follow on the one in force.
+// The index is built once, after the last of them.
+func (k *Keeper) apply(entries []revlog.Entry) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	document := k.Catalog().Document()
+	applied := entries[:0:0]
+	for _, e := range entries {
+		if e.Revision != document.Revision+1 {
+			continue
+		}
+		revision, err := decodeEntry(e)
+		if err != nil {
+			return fmt.Errorf("decode revision %d: %w", e.Revision, err)
+		}
+		if err := apply(&document, revision.Ops); err != nil {
+			return fmt.Errorf("apply revision %d: %w", e.Revision, err)
+		}
+		document.Revision = e.Revision
+		applied = append(applied, e)
+	}
+	if len(applied) == 0 {
+		return nil
+	}
+	if err := k.putLocked(document); err != nil {
+		return err
+	}
+	k.recent = append(k.recent, applied...)
+	if extra := len(k.recent) - recentEntries; extra > 0 {
+		k.recent = append([]revlog.Entry(nil), k.recent[extra:]...)
+	}
+	return nil
+}
+
+// replace puts a whole document in force, unless it is older.
+func (k *Keeper) replace(document catalog.Document) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if document.Revision <= k.Catalog().Revision {
+		return nil
+	}
+	k.recent = nil
+	return k.putLocked(document)
+}
+
+func (k *Keeper) putLocked(document catalog.Document) error {
 	index, err := catalog.NewIndex(document)
 	if err != nil {
 		return err
@@ -120,71 +171,30 @@
 	return nil
 }
 
-func decodeDocument(row platform.Row) (catalog.Document, error) {
-	var document catalog.Document
-	if row.Version == 0 {
-		return document, nil
-	}
-	if err := json.Unmarshal(row.Value, &document); err != nil {
-		return document, fmt.Errorf("decode configuration %d: %w", row.Version, err)
+// recentAfter returns the kept revisions after the one given, and whether
+// they reach back so far.
+func (k *Keeper) recentAfter(revision int64) ([]revlog.Entry, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, e := range k.recent {
+		if e.Revision == revision+1 {
+			return append([]revlog.Entry(nil), k.recent[i:]...), true
+		}
 	}
-	document.Revision = row.Version
-	return document, nil
+	return nil, revision >= k.Catalog().Revision
 }
 
-// Run polls the table until ctx ends.
+// Run confirms the view and sees to the acceptance of changes until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	loops.Go(func() { k.runAcceptance(ctx) })
+	defer loops.Wait()
 	for {
-		if err := k.Load(ctx); err != nil {
-			k.log.Warn("Load failed.", "err", err)
+		if err := k.refresh(ctx); err == nil && !k.Confirmed() {
+			k.log.Warn("View not confirmed.", "age", k.view.age().Round(time.Millisecond))
 		}
 		if err := clock.Sleep(ctx, k.clock, k.settings.PollInterval); err != nil {
 			return nil
 		}
 	}
 }
-
-// Commit writes a change as the next revision. A change against another
-// revision than the newest is a failure.Conflict.
-func (k *Keeper) Commit(ctx context.Context, change Change) (Result, error) {
-	rows, err := k.table.Get(ctx, headKey)
-	if err != nil {
-		return Result{}, failure.Wrap(failure.StoreUnavailable, "commit configuration", "platform", err)
-	}
-	if rows[0].Version != change.Base {
-		return Result{}, conflict(change.Base, rows[0].Version)
-	}
-	document, err := decodeDocument(rows[0])
-	if err != nil {
-		return Result{}, err
-	}
-	if err := apply(&document, change.Ops); err != nil {
-		return Result{}, err
-	}
-	document.Revision = change.Base + 1
-	if _, err := catalog.NewIndex(document); err != nil {
-		return Result{}, failure.Wrap(failure.BadRequest, "check configuration", "", err)
-	}
-	value, err := json.Marshal(document)
-	if err != nil {
-		return Result{}, fmt.Errorf("encode configuration: %w", err)
-	}
-	_, err = platform.CommitSure(ctx, k.table, platform.Txn{
-		OpID:   uuid.NewString(),
-		Conds:  []platform.Cond{{Key: headKey, Version: change.Base}},
-		Writes: []platform.Write{{Key: headKey, Value: value}},
-	})
-	if platform.IsConflict(err) {
-		return Result{}, conflict(change.Base, change.Base+1)
-	}
-	if err != nil {
-		return Result{}, failure.Wrap(failure.StoreUnavailable, "commit configuration", "platform", err)
-	}
-	k.events.Record(event.Event{Duty: event.DutyConfig, Kind: event.RevisionCommitted, Revision: document.Revision})
-	return Result{Revision: document.Revision}, k.Load(ctx)
-}
-
-func conflict(base, head int64) error {
-	return failure.New(failure.Conflict, "commit configuration", "",
-		fmt.Sprintf("the change was made against revision %d, the newest is %d; read it and try again", base, head))
-}
--- /dev/null
+++ b/internal/conf/push.go
@@ -0,0 +1,145 @@
+package conf
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/revlog"
+)
+
+// maxPushes bounds the pushes that one router has in flight.
+const maxPushes = 32
+
+// offerGrace is how long this router answers for one that has a row by now.
+// Whoever sees to the acceptance of a change has read that row by then.
+const offerGrace = 10 * time.Second
+
+// pushRequest brings new revisions to a router, and through it to targets.
+type pushRequest struct {
+	Entries []revlog.Entry `cbor:"1,keyasint"`
+	// Targets are to be pushed to by the receiver.
+	Targets []bus.ID `cbor:"2,keyasint,omitempty"`
+}
+
+// ack says which revision is in force at a router.
+type ack struct {
+	ID       bus.ID `cbor:"1,keyasint"`
+	Revision int64  `cbor:"2,keyasint"`
+}
+
+// pushAnswer holds the acknowledgements of the receiver and its targets.
+type pushAnswer struct {
+	Acks []ack `cbor:"1,keyasint"`
+}
+
+// handlePush puts the revisions in force, passes them on, and answers for
+// the routers that depend on this one's view.
+func (k *Keeper) handlePush(ctx context.Context, from bus.ID, req pushRequest) (pushAnswer, error) {
+	if err := k.apply(req.Entries); err != nil {
+		return pushAnswer{}, err
+	}
+	last := int64(0)
+	if len(req.Entries) > 0 {
+		last = req.Entries[len(req.Entries)-1].Revision
+	}
+	if k.Catalog().Revision < last {
+		if err := k.fetch(ctx, from); err != nil {
+			k.log.Warn("Revisions before a push not fetched.", "from", from.String(), "err", err)
+		}
+	}
+	acks := k.pushAll(ctx, req.Entries, plan{direct: req.Targets})
+	own := k.answerFor(ctx, req.Entries, k.Catalog().Revision, last)
+	return pushAnswer{Acks: append(acks, ack{ID: k.bus.Self().ID, Revision: own})}, nil
+}
+
+// answerFor returns the revision that this router acknowledges: the one in
+// force, or one below last while a router that depends on it is behind.
+func (k *Keeper) answerFor(ctx context.Context, entries []revlog.Entry, own, last int64) int64 {
+	dependents := k.offers.open(k.clock.Now(), k.settings.UnconfirmedBound)
+	if len(dependents) == 0 {
+		return own
+	}
+	behind := make(map[bus.ID]bool, len(dependents))
+	for _, id := range dependents {
+		behind[id] = true
+	}
+	for _, a := range k.pushAll(ctx, entries, plan{direct: dependents}) {
+		if a.Revision >= last {
+			delete(behind, a.ID)
+		}
+	}
+	for id := range behind {
+		if k.rowOf(id) && k.offers.olderThan(id, k.clock.Now(), offerGrace) {
+			k.offers.forget(id)
+			delete(behind, id)
+		}
+	}
+	if len(behind) > 0 {
+		return min(own, last-1)
+	}
+	return own
+}
+
+// rowOf reports whether the member has a row of its own by now.
+func (k *Keeper) rowOf(id bus.ID) bool {
+	for _, m := range k.members.Members() {
+		if m.Peer.ID == id {
+			return !m.Unregistered
+		}
+	}
+	return false
+}
+
+// plan says which routers are pushed to, and by whom.
+type plan struct {
+	direct []bus.ID
+	// relayed maps a relay to the routers that it pushes to.
+	relayed map[bus.ID][]bus.ID
+}
+
+// pushTimeout leaves a relay the time to answer before its own caller's time
+// is over.
+func (k *Keeper) pushTimeout(ctx context.Context) time.Duration {
+	timeout := k.settings.CallTimeout
+	if deadline, set := ctx.Deadline(); set {
+		timeout = min(timeout, time.Until(deadline)*3/4)
+	}
+	return timeout
+}
+
+// pushAll carries out a plan and returns the acknowledgements that came.
+func (k *Keeper) pushAll(ctx context.Context, entries []revlog.Entry, p plan) []ack {
+	if len(p.direct)+len(p.relayed) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.pushTimeout(ctx))
+	defer cancel()
+	var mu sync.Mutex // guards acks
+	var acks []ack
+	var all sync.WaitGroup
+	slots := make(chan struct{}, maxPushes)
+	push := func(to bus.ID, targets []bus.ID) {
+		slots <- struct{}{}
+		all.Go(func() {
+			defer func() { <-slots }()
+			answer, err := bus.Call[pushRequest, pushAnswer](ctx, k.bus, to, kindPush, pushRequest{Entries: entries, Targets: targets})
+			if err != nil {
+				k.log.Debug("Push failed.", "to", to.String(), "err", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			acks = append(acks, answer.Acks...)
+		})
+	}
+	for relay, targets := range p.relayed {
+		push(relay, targets)
+	}
+	for _, to := range p.direct {
+		push(to, nil)
+	}
+	all.Wait()
+	return acks
+}
--- /dev/null
+++ b/internal/conf/relay.go
@@ -0,0 +1,79 @@
+package conf
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+)
+
+// relaysPerDomain is the number of relays that a router tries before it reads
+// the table itself.
+const relaysPerDomain = 2
+
+// ranked orders the routers of one failure domain as its relays, the same at
+// every router that knows the same members.
+func ranked(peers []bus.Peer, domain string) []bus.ID {
+	var ids []bus.ID
+	for _, p := range peers {
+		if p.Domain == domain {
+			ids = append(ids, p.ID)
+		}
+	}
+	slices.SortFunc(ids, func(a, b bus.ID) int {
+		return cmp.Compare(xxhash.Sum64String(a.String()), xxhash.Sum64String(b.String()))
+	})
+	return ids
+}
+
+// ownRelays returns the routers to ask for a view: none in a small fleet or
+// if this router is a relay itself.
+func (k *Keeper) ownRelays() []bus.ID {
+	if k.bus == nil {
+		return nil
+	}
+	peers := k.bus.Peers()
+	if len(peers)+1 <= k.settings.RelayAbove {
+		return nil
+	}
+	self := k.bus.Self()
+	ids := ranked(append(slices.Clip(peers), self), self.Domain)
+	before := slices.Index(ids, self.ID)
+	return ids[:min(before, relaysPerDomain)]
+}
+
+// planFor says how the waiting routers are reached. In a large fleet the
+// first live router of each failure domain passes the push on; on a second
+// try, when a relay may be the one that fails, all are reached directly.
+func (k *Keeper) planFor(waiting []bus.Peer, attempt int) plan {
+	var p plan
+	if len(waiting) <= k.settings.RelayAbove || attempt > 0 {
+		for _, w := range waiting {
+			p.direct = append(p.direct, w.ID)
+		}
+		return p
+	}
+	p.relayed = make(map[bus.ID][]bus.ID)
+	self := k.bus.Self().Domain
+	for _, domain := range domainsOf(waiting) {
+		ids := ranked(waiting, domain)
+		if domain == self {
+			p.direct = append(p.direct, ids...)
+			continue
+		}
+		p.relayed[ids[0]] = ids[1:]
+	}
+	return p
+}
+
+func domainsOf(peers []bus.Peer) []string {
+	var domains []string
+	for _, p := range peers {
+		if !slices.Contains(domains, p.Domain) {
+			domains = append(domains, p.Domain)
+		}
+	}
+	return domains
+}
