Configuration over the revisioned log, accepted only when in force

Cause: a change was answered before any other router had it, polling alone brought it to them, and a frozen or cut-off router went on with the old one.

Weighed: (1) accept after commit: violates the promise; (2) a short lease on the view alone: a store outage of seconds would stop every router; (3) a quorum of routers that vouch for each other: close to a consensus group, ruled out. Kept: acknowledgement by every router with a row, a view that is confirmed before new work once it is older than 3 s, and a long bound (10 minutes) after which an unconfirmed router stops by itself; past that bound a change is accepted without the missing acknowledgement.

Change: internal/conf (commit, acceptance, push with a relay per failure domain, confirmation through relay, table or peers, a peer's copy for a router that starts in an outage, and the peer then answers for it), history, diff, rollback, whole-document apply in API and command line; members listing.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -118,3 +118,22 @@
 	// suspectUntil is when a failed attempt to reach it is forgotten.
 	suspectUntil time.Time
 }
+
+// Flags names the states that hold, or "live".
+func (s Status) Flags() []string {
+	var flags []string
+	for _, f := range []struct {
+		set  bool
+		name string
+	}{
+		{s.Suspected, "suspected"}, {s.Silent, "silent"}, {s.Leaving, "leaving"}, {s.Gone, "gone"}, {s.Unregistered, "unregistered"},
+	} {
+		if f.set {
+			flags = append(flags, f.name)
+		}
+	}
+	if len(flags) == 0 {
+		return []string{"live"}
+	}
+	return flags
+}
--- a/internal/cli/observe.go
+++ b/internal/cli/observe.go
@@ -74,7 +74,8 @@
 }
 
 func (a *app) newConfig() *cobra.Command {
-	cmd := &cobra.Command{Use: "config", Short: "The whole configuration"}
+	cmd := &cobra.Command{Use: "config", Short: "The whole configuration and its history"}
+	cmd.AddCommand(a.newHistory(), a.newDiff(), a.newRollback(), a.newRevisionStatus())
 	cmd.AddCommand(&cobra.Command{
 		Use:   "show",
 		Short: "Print the configuration in force as JSON",
--- a/internal/conf/accept_test.go
+++ b/internal/conf/accept_test.go
@@ -143,9 +143,8 @@
 	assert.Equal(t, f.said(), int64(2))
 }
 
-// TestWallClockJumpsEndNoWait jumps the wall clock of the whole fleet ahead,
-// as the fake clock has no monotonic reading: views lapse early, which is
-// safe, and back, which must not make an old view young.
+// TestViewAgeSurvivesClockJumps takes the clock that says more: a suspended
+// VM's monotonic clock may have stood still, and a wall clock may be set back.
 func TestViewAgeSurvivesClockJumps(t *testing.T) {
 	start := time.Now() // has a monotonic reading
 	later := start.Add(5 * time.Second)
--- a/internal/conf/change.go
+++ b/internal/conf/change.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"strings"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/revlog"
-	"daisyslip.dev/daisyslip/internal/catalog"
 )
 
 // EntityKind names a list of the document.
@@ -57,25 +58,44 @@
 	Ops      []Op      `json:"ops"`
 }
 
-// Copy is the whole configuration with a view's age, as one router hands it
-// to another.
-type Copy struct {
-	Document catalog.Document
-	Age      time.Duration
-}
-
-// ConflictError says that other changes came first.
+// ConflictError says that other changes came first. Nothing was written.
 type ConflictError struct {
-	Base   int64
+	// Others are the changes since the base, oldest first.
 	Others []Revision
-	cause  error
 }
 
-// Error names the change that came first.
-func (e *ConflictError) Error() string { return e.cause.Error() }
+// Error names each of the changes that came first.
+func (e *ConflictError) Error() string {
+	if len(e.Others) == 0 {
+		return "the change was not made against the newest revision; read it and try again"
+	}
+	var b strings.Builder
+	b.WriteString("other changes came first; read the newest revision and try again:")
+	for i, r := range e.Others {
+		if i == maxNamed {
+			fmt.Fprintf(&b, " and %d more", len(e.Others)-i)
+			break
+		}
+		fmt.Fprintf(&b, " revision %d by %q (%s)", r.Revision, r.Author, summary(r.Ops))
+	}
+	return b.String()
+}
+
+// maxNamed bounds what a message names.
+const maxNamed = 3
 
-// Unwrap returns the cause.
-func (e *ConflictError) Unwrap() error { return e.cause }
+// summary names the entities that operations touch.
+func summary(ops []Op) string {
+	var names []string
+	for i, op := range ops {
+		if i == maxNamed {
+			names = append(names, fmt.Sprintf("and %d more", len(ops)-i))
+			break
+		}
+		names = append(names, string(op.Kind)+" "+op.Name)
+	}
+	return strings.Join(names, ", ")
+}
 
 // decodeEntry reads a revision of the log.
 func decodeEntry(e revlog.Entry) (Revision, error) {
--- a/internal/conf/commit.go
+++ b/internal/conf/commit.go
@@ -145,7 +145,7 @@
 		if decodeErr != nil {
 			return decodeErr
 		}
-		return failure.Wrap(failure.Conflict, stepCommit, "", &ConflictError{Base: conflict.Base, Others: others, cause: conflict})
+		return failure.Wrap(failure.Conflict, stepCommit, "", &ConflictError{Others: others})
 	}
 	f := failure.Wrap(failure.StoreUnavailable, stepCommit, "platform", err)
 	if ctx.Err() != nil {
--- a/internal/conf/fleet_test.go
+++ b/internal/conf/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"slices"
 	"testing"
 	"time"
@@ -70,7 +69,7 @@
 	r := &router{fleet: f, id: self.ID, view: f.store.View()}
 	r.setAway(away)
 	r.members = member.NewDirectory(member.DefaultSettings(), self, r.view, f.clock, event.Discard{})
-	r.Keeper = NewKeeper(testSettings(), r.view, f.clock, event.Discard{}, slog.New(slog.DiscardHandler))
+	r.Keeper = NewKeeper(testSettings(), r.view, f.clock, event.Discard{}, discardLog)
 	r.Join(f.network.Join(self), r.members)
 	// A router without the table knows others from its seeds.
 	for _, other := range f.routers {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,12 +48,14 @@
 	members  *member.Directory
 	link     *peer.Link // nil if the peer link is off
 	bus      bus.Bus
-	config   *conf.Keeper
-	holder   budget.Holder
-	dispatch *dispatch.Dispatcher
-	calls    *calls.Runner
-	caller   *caller.Server
-	operator *operator.Server
+	// supersede starts the drain when a newer incarnation runs on this VM.
+	supersede context.CancelFunc
+	config    *conf.Keeper
+	holder    budget.Holder
+	dispatch  *dispatch.Dispatcher
+	calls     *calls.Runner
+	caller    *caller.Server
+	operator  *operator.Server
 }
 
 // New assembles a router from its settings; nothing runs yet.
@@ -70,6 +72,7 @@
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, stamps)
 	d.newPeers(stamps)
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
+	d.config.Join(d.bus, d.members)
 	ledger := budget.NewLedger(d.platform)
 	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
 	router := route.NewRouter(s.Route, d.config)
@@ -84,6 +87,7 @@
 		Metrics:   d.metrics,
 		Log:       d.part("caller"),
 		Unready:   d.unready,
+		Fresh:     d.config.Fresh,
 	})
 	d.operator = operator.New(s.Operator, operator.Duties{
 		Config:  d.config,
@@ -92,6 +96,7 @@
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
 		Status:  d.status,
+		Members: d.members.Members,
 	})
 	return d
 }
@@ -136,8 +141,10 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
+	ctx, d.supersede = context.WithCancel(ctx)
+	defer d.supersede()
 	var running sync.WaitGroup
-	failed := make(chan error, 5)
+	failed := make(chan error, 6)
 	start := func(name string, run func() error) {
 		running.Go(func() {
 			if err := run(); err != nil {
@@ -147,6 +154,7 @@
 	}
 	start("config", func() error { return d.config.Run(duties) })
 	start("peers", d.runPeers)
+	start("seeds", func() error { return d.greetSeeds(duties) })
 	start("members", func() error { return d.runMembers(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
@@ -187,8 +195,8 @@
 
 // unready returns why the router should get no requests.
 func (d *Daemon) unready() []string {
-	if d.config.Catalog().Revision == 0 {
-		return []string{"no configuration is in force"}
+	if reason := d.config.Unready(); reason != "" {
+		return []string{reason}
 	}
 	return nil
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
@@ -44,14 +46,51 @@
 	return d.link.Run()
 }
 
-// runMembers keeps the membership until ctx ends.
+// runMembers keeps the membership until ctx ends. A router that a newer
+// incarnation on its VM has superseded drains.
 func (d *Daemon) runMembers(ctx context.Context) error {
 	log := d.part("member")
-	return d.members.Run(ctx, func(err error) { log.Warn("Refresh failed.", "err", err) })
+	err := d.members.Run(ctx, func(err error) { log.Warn("Refresh failed.", "err", err) })
+	if errors.Is(err, member.ErrSuperseded) {
+		log.Warn("Superseded; the router drains.", "err", err)
+		d.supersede()
+		return nil
+	}
+	return err
+}
+
+// seedInterval is the time between two rounds of dials to the seeds.
+const seedInterval = 2 * time.Second
+
+// greetSeeds dials the seeds until another router is known, so that a router
+// which starts while the platform is away knows whom to ask.
+func (d *Daemon) greetSeeds(ctx context.Context) error {
+	if d.link == nil {
+		return nil
+	}
+	for ctx.Err() == nil && len(d.bus.Peers()) == 0 && len(d.settings.Peer.Seeds) > 0 {
+		for _, addr := range d.settings.Peer.Seeds {
+			if _, err := d.link.Introduce(ctx, addr); err != nil {
+				d.part("peer").Debug("Seed not reached.", "addr", addr, "err", err)
+			}
+		}
+		if clock.Sleep(ctx, clock.Real{}, seedInterval) != nil {
+			break
+		}
+	}
+	return nil
 }
 
+// leaveTimeout bounds the removal of the router's row; one that stays is
+// removed by the others in time.
+const leaveTimeout = 3 * time.Second
+
 // leavePeers takes the router out of the membership.
-func (d *Daemon) leavePeers(ctx context.Context) error { return d.members.Deregister(ctx) }
+func (d *Daemon) leavePeers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return d.members.Deregister(ctx)
+}
 
 func (d *Daemon) cleanupPeers() error {
 	if d.link == nil {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -19,6 +19,7 @@
 	"daisyslip.dev/daisyslip/coord/budget"
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/timeline"
@@ -51,6 +52,8 @@
 	Metrics *metrics.Set
 	Log     *slog.Logger
 	Status  func() Status
+	// Members lists the routers known; nil if there is no membership.
+	Members func() []member.Status
 }
 
 // Server serves the operator API.
@@ -195,6 +198,8 @@
 	Message string       `json:"message"`
 	Step    string       `json:"step"`
 	Peer    string       `json:"peer"`
+	// Others are the changes that came before a refused one.
+	Others []conf.Revision `json:"others,omitempty"`
 }
 
 func (s *Server) handleError(err error, c echo.Context) {
@@ -203,6 +208,7 @@
 	}
 	f, status := describe(err)
 	body := ErrorBody{Error: ErrorDetail{Code: f.Code, Message: f.Message, Step: f.Step, Peer: f.Peer}}
+	body.Error.Others = othersOf(err)
 	if err := c.JSON(status, body); err != nil {
 		s.duties.Log.Debug("Answer not written.", "err", err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,6 +94,8 @@
 	for _, p := range s.Member.Validate() {
 		l.Duration("member."+p.Name, p.Value, p.Low, p.High)
 	}
+	// A member's row must outlive the work that it may do unconfirmed.
+	l.Duration("config.unconfirmed_bound", s.Config.UnconfirmedBound, time.Second, s.Member.RemoveAfter/3)
 	s.Platform.Validate(l, "platform")
 	s.Route.Validate(l, "route")
 	s.Dispatch.Validate(l, "dispatch")
