--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -27,7 +27,9 @@
 
 // Duties are the other duties that the caller API uses.
 type Duties struct {
-	Config    Configuration
+	Config Configuration
+	// Fresh, unless nil, returns why the revision in force may not be served.
+	Fresh     func(ctx context.Context) error
 	Budgets   budget.Holder
 	Generator work.Generator
 	Calls     work.Caller
