False refusals at the end of a budget: small requests go on, peers give all

A short budget refused smaller requests for 2 s along with the large one that found it short; holders kept a second of spending, which fades slowly in the serve lean; two holders that both waited gave each other nothing.

Ruled out: a longer pause between looks (it refuses more).

Change: being short is remembered with the size of the request; a recalled holder gives all that is not in use; of two that wait, the greater id gives.

--- a/coord/budget/account.go
+++ b/coord/budget/account.go
@@ -7,6 +7,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
 )
 
 // account is a holder's state of one budget.
@@ -34,6 +36,10 @@
 	reason     error
 	retryAt    time.Time
 	prefetchAt time.Time
+	// shortOf is the least size of a request that the budget was found short
+	// of; until shortUntil none of that size is tried.
+	shortOf    int64
+	shortUntil time.Time
 
 	spending rate
 	// request is a running mean of the tokens of a reservation.
@@ -59,7 +65,9 @@
 }
 
 func newAccount(h *LocalHolder, name Account) *account {
-	return &account{holder: h, name: name, lastUse: h.options.Clock.Now(), spending: rate{last: h.options.Clock.Now()}}
+	now := h.options.Clock.Now()
+	memory := max(minRateMemory, h.lean(name.Workspace).Horizon/rateMemoryPart)
+	return &account{holder: h, name: name, lastUse: now, spending: rate{start: now, last: now, memory: memory}}
 }
 
 // availableLocked is what can be reserved now.
@@ -85,9 +93,9 @@
 		a.mu.Unlock()
 		return nil
 	}
-	if a.open == 0 && len(a.waiters) == 0 && now.Before(a.retryAt) && errors.Is(a.reason, ErrExhausted) {
+	if a.open == 0 && tokens >= a.shortOf && now.Before(a.shortUntil) {
 		defer a.mu.Unlock()
-		return a.reason
+		return fmt.Errorf("%w: looked for %d tokens a moment ago", ErrExhausted, a.shortOf)
 	}
 	if len(a.waiters) >= a.holder.options.Settings.MaxWaiting {
 		a.mu.Unlock()
@@ -194,16 +202,30 @@
 }
 
 // refuseLocked ends the waiters after a failed draw, unless open reservations
-// may still free tokens for them.
-func (a *account) refuseLocked(reason error) {
+// may still free tokens for them. If the budget is short of what the first
+// one wants, smaller ones wait on.
+func (a *account) refuseLocked(reason error, now time.Time) {
 	a.reason = reason
-	if a.open > 0 || a.unwritten > 0 && a.holder.biller.replaysPending() {
+	if len(a.waiters) == 0 || a.open > 0 || a.unwritten > 0 && a.holder.biller.replaysPending() {
 		return
 	}
+	var least int64
+	if short := errors.Is(reason, errShort); short {
+		least = a.waiters[0].tokens
+		if errors.Is(reason, ErrExhausted) {
+			a.shortOf, a.shortUntil = least, now.Add(exhaustedPause)
+		}
+	}
+	var rest []*waiter
 	for _, w := range a.waiters {
+		if w.tokens < least {
+			rest = append(rest, w)
+			continue
+		}
 		w.result <- reason
 	}
-	a.waiters = nil
+	a.waiters = rest
+	a.serveLocked()
 }
 
 // targetLocked is what the grant should have available.
@@ -216,26 +238,26 @@
 // spending rate is known.
 const firstRequests = 4
 
-// prefetchLocked asks for a draw ahead of need once half of the target is
-// gone.
+// prefetchLocked asks for a draw ahead of need once the stock is below the low
+// water of the lean.
 func (a *account) prefetchLocked(now time.Time) {
 	if a.jobs.draw || a.holder.closing.Load() || now.Before(a.retryAt) || now.Before(a.prefetchAt) {
 		return
 	}
-	if 2*a.availableLocked() < a.targetLocked(now) {
+	if float64(a.availableLocked()) < a.holder.lean(a.name.Workspace).LowWater*float64(a.targetLocked(now)) {
 		a.jobs.draw = true
 		a.startLocked()
 	}
 }
 
-// spareLocked is what the grant can give away: all that open work and the
-// next moments do not need.
-func (a *account) spareLocked(now time.Time, keep time.Duration) int64 {
-	if len(a.waiters) > 0 {
+// spareLocked is what the grant can give away: all that is not in use. Of two
+// holders that both wait for more, the one with the greater id gives, so that
+// one of them is served.
+func (a *account) spareLocked(to bus.ID) int64 {
+	if len(a.waiters) > 0 && a.holder.self.ID.String() < to.String() {
 		return 0
 	}
-	reserve := int64(a.spending.perSecond(now) * keep.Seconds())
-	return max(0, a.availableLocked()-reserve)
+	return max(0, a.availableLocked())
 }
 
 // checkIdle closes a grant without use.
@@ -253,22 +275,33 @@
 	a.startLocked()
 }
 
-// rate is an average of spending that fades with rateMemory.
+// rate is an average of spending whose weight fades to 1/e in its memory.
 type rate struct {
+	memory time.Duration
+	start  time.Time
 	tokens float64 // faded sum
 	last   time.Time
 }
 
-// rateMemory is the time in which the weight of spending falls to 1/e.
-const rateMemory = 30 * time.Second
+// The memory of a rate is a part of the horizon that it serves, but not so
+// short that single requests sway it.
+const (
+	rateMemoryPart = 3
+	minRateMemory  = 30 * time.Second
+)
 
 func (r *rate) add(now time.Time, tokens int64) {
 	r.tokens = r.faded(now) + float64(tokens)
 	r.last = now
 }
 
-func (r *rate) perSecond(now time.Time) float64 { return r.faded(now) / rateMemory.Seconds() }
+// perSecond corrects for the time before start, which the sum lacks.
+func (r *rate) perSecond(now time.Time) float64 {
+	age := max(now.Sub(r.start), minRateMemory).Seconds()
+	memory := r.memory.Seconds()
+	return r.faded(now) / (memory * -math.Expm1(-age/memory))
+}
 
 func (r *rate) faded(now time.Time) float64 {
-	return r.tokens * math.Exp(-now.Sub(r.last).Seconds()/rateMemory.Seconds())
+	return r.tokens * math.Exp(-now.Sub(r.last).Seconds()/r.memory.Seconds())
 }
--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -98,21 +98,15 @@
 		a.serveLocked()
 	default:
 		a.holder.stats.DrawFailures.Add(1)
-		a.retryAt = a.holder.options.Clock.Now().Add(a.retryPause(err))
-		a.refuseLocked(err)
+		now := a.holder.options.Clock.Now()
+		a.retryAt = now.Add(a.holder.options.Settings.RetryAfter)
+		a.refuseLocked(err, now)
 		a.jobs.draw = a.jobs.draw || len(a.waiters) > 0
 	}
 }
 
-// retryPause is the time before the next draw after a failed one.
-func (a *account) retryPause(err error) time.Duration {
-	if errors.Is(err, ErrExhausted) {
-		return exhaustedPause
-	}
-	return a.holder.options.Settings.RetryAfter
-}
-
-// exhaustedPause is how long an exhausted budget is not looked at again.
+// exhaustedPause is how long an exhausted budget is not looked at again for a
+// request of the same size or more.
 const exhaustedPause = 2 * time.Second
 
 // prefetchPause is the pause after a draw ahead of need that found little.
@@ -132,7 +126,7 @@
 		target := a.targetLocked(a.holder.options.Clock.Now())
 		few := int64(minDrawRequests * a.request)
 		byRest := int64(lean.RestShare * float64(source.unspent()) / float64(max(source.Open, 1)))
-		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))-a.availableLocked())
+		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))-(a.tokens-a.settled))
 		amount := min(target-a.availableLocked(), byRest, byHeld)
 		if least == 0 && amount < few {
 			return errNothing
--- a/coord/budget/recall.go
+++ b/coord/budget/recall.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"time"
 
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/event"
@@ -45,9 +44,6 @@
 	})
 }
 
-// keepTime is the time of spending that a recalled grant keeps.
-const keepTime = time.Second
-
 // giveUp returns what this holder can spare of an account.
 func (h *LocalHolder) giveUp(ctx context.Context, from bus.ID, req recallRequest) (recallAnswer, error) {
 	h.mu.Lock()
@@ -56,7 +52,7 @@
 	if a == nil {
 		return recallAnswer{}, nil
 	}
-	returned, err := a.spare(ctx, req.Tokens)
+	returned, err := a.spare(ctx, from, req.Tokens)
 	if returned > 0 {
 		h.options.Events.Record(event.Event{
 			Duty: event.DutyBudget, Kind: event.GrantTransferred, Workspace: req.Account.Workspace,
@@ -69,10 +65,10 @@
 }
 
 // spare returns up to want tokens to the platform.
-func (a *account) spare(ctx context.Context, want int64) (int64, error) {
+func (a *account) spare(ctx context.Context, to bus.ID, want int64) (int64, error) {
 	over := make(chan error, 1)
 	a.mu.Lock()
-	amount := min(want, a.spareLocked(a.holder.options.Clock.Now(), keepTime))
+	amount := min(want, a.spareLocked(to))
 	if amount <= 0 {
 		a.mu.Unlock()
 		return 0, nil
--- a/coord/budget/settings.go
+++ b/coord/budget/settings.go
@@ -10,6 +10,8 @@
 	// Horizon is the time of spending, at the present rate, that a grant
 	// should cover.
 	Horizon time.Duration `json:"horizon"`
+	// LowWater is the share of that stock below which more is drawn.
+	LowWater float64 `json:"low_water"`
 	// RestShare bounds a draw by a share of the unspent tokens, divided by
 	// the number of open grants, so that little is stranded near the end.
 	RestShare float64 `json:"rest_share"`
@@ -57,8 +59,8 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		Small:        Lean{Horizon: 20 * time.Second, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 30 * time.Second},
-		Serve:        Lean{Horizon: 15 * time.Minute, RestShare: 0.5, HeldShare: 0.01, IdleAfter: 30 * time.Minute},
+		Small:        Lean{Horizon: 20 * time.Second, LowWater: 0.5, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 30 * time.Second},
+		Serve:        Lean{Horizon: 15 * time.Minute, LowWater: 0.8, RestShare: 0.5, HeldShare: 0.0085, IdleAfter: 30 * time.Minute},
 		WaitMax:      10 * time.Second,
 		MaxWaiting:   1024,
 		CallTimeout:  10 * time.Second,
@@ -93,6 +95,7 @@
 	for path, lean := range map[string]Lean{"small_holdings": s.Small, "serve": s.Serve} {
 		require(lean.Horizon > 0, path+".horizon", lean.Horizon, "a duration above 0")
 		require(lean.IdleAfter > 0, path+".idle_after", lean.IdleAfter, "a duration above 0")
+		require(lean.LowWater > 0 && lean.LowWater <= 1, path+".low_water", lean.LowWater, "a share above 0, at most 1")
 		require(lean.RestShare > 0 && lean.RestShare <= 1, path+".rest_share", lean.RestShare, "a share above 0, at most 1")
 		require(lean.HeldShare > 0 && lean.HeldShare <= 1, path+".held_share", lean.HeldShare, "a share above 0, at most 1")
 	}
