--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -125,12 +125,21 @@
 		short, least := a.shortLocked()
 		target := a.targetLocked(a.holder.options.Clock.Now())
 		few := int64(minDrawRequests * a.request)
-		byRest := int64(lean.RestShare * float64(source.unspent()) / float64(max(source.Open, 1)))
+		rest := source.unspent()
+		refill := int64(0)
+		if g.Source != budgetKey(a.name) {
+			refill = refillOf(budget)
+			rest = max(rest, refill)
+		}
+		byRest := int64(lean.RestShare * float64(rest) / float64(max(source.Open, 1)))
 		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))-(a.tokens-a.settled))
 		amount := min(target-a.availableLocked(), byRest, byHeld)
 		if least == 0 && amount < few {
 			return errNothing
 		}
+		if amount > source.unspent() && refill >= few {
+			return errShort // worth a refill of the share row
+		}
 		amount = min(max(amount, short), source.unspent())
 		if amount < least || amount <= 0 {
 			return errShort
--- a/coord/budget/fleet_test.go
+++ b/coord/budget/fleet_test.go
@@ -31,6 +31,7 @@
 	serve   bool
 	nodes   []*node
 	started int
+	domains int
 
 	mu       sync.Mutex       // guards all below
 	served   map[string]int64 // tokens that engines made for callers, by key
@@ -47,7 +48,7 @@
 }
 
 func newFleet(n int, paid int64) *fleet {
-	f := &fleet{store: memory.NewStore(clock.Real{}), network: bus.NewNetwork(), config: DefaultSettings(), served: map[string]int64{}, settles: map[string]int{}, answered: map[string]bool{}}
+	f := &fleet{store: memory.NewStore(clock.Real{}), network: bus.NewNetwork(), config: DefaultSettings(), domains: 3, served: map[string]int64{}, settles: map[string]int{}, answered: map[string]bool{}}
 	f.ledger = NewLedger(f.store.View()).WithLive(f.live)
 	if paid > 0 {
 		if _, err := f.ledger.TopUp(context.Background(), testAccount, "first", paid); err != nil {
@@ -60,12 +61,12 @@
 	return f
 }
 
-// start starts one more holder, in the next of three failure domains.
+// start starts one more holder, in the next failure domain.
 func (f *fleet) start() *node {
 	i := f.started
 	f.started++
 	id := bus.ID{VM: fmt.Sprintf("entry-%d", i+1), Incarnation: fmt.Sprintf("inc-%d", i+1)}
-	member := f.network.Join(bus.Peer{ID: id, Domain: fmt.Sprintf("kr-central-%c", 'a'+i%3), Region: "kr-central"})
+	member := f.network.Join(bus.Peer{ID: id, Domain: fmt.Sprintf("kr-central-%c", 'a'+i%f.domains), Region: "kr-central"})
 	n := &node{id: id, view: f.store.View()}
 	n.LocalHolder = NewHolder(Options{
 		Settings: f.config, Table: n.view, Bus: member, Clock: clock.Real{}, Events: event.Discard{},
--- a/coord/budget/measure_test.go
+++ b/coord/budget/measure_test.go
@@ -59,8 +59,6 @@
 
 // system is a way to decide about budgets, with n routers.
 type system struct {
-	name    string
-	store   *memory.Store
 	views   []*memory.View
 	reserve func(ctx context.Context, router int, req Request) (Reservation, error)
 	crash   func(router int)
--- a/coord/budget/source.go
+++ b/coord/budget/source.go
@@ -49,9 +49,13 @@
 	return a.holder.self.Domain != "" && row.Open >= a.holder.options.Settings.ShareDrawers, err
 }
 
-// Shares of the budget's unspent tokens that one refill of a share row moves.
+// refillShare is the share of the budget's unspent tokens that one refill of a
+// share row moves.
 const refillShare = 1.0 / 32
 
+// refillOf is what a refill moves when nobody needs more.
+func refillOf(budget *sourceRow) int64 { return int64(refillShare * float64(budget.unspent())) }
+
 // refill moves tokens from the budget's row to the share row, so that it has
 // need unspent. It tells whether the account draws on a share row and tokens
 // were moved.
@@ -68,7 +72,7 @@
 	if err != nil {
 		return false, err
 	}
-	amount := min(budget.unspent(), max(need, int64(refillShare*float64(budget.unspent()))))
+	amount := min(budget.unspent(), max(need, refillOf(&budget)))
 	if amount <= 0 {
 		return false, nil
 	}
--- a/coord/budget/ways_test.go
+++ b/coord/budget/ways_test.go
@@ -46,7 +46,7 @@
 		}
 		f.start()
 	}
-	sys := &system{store: store, stop: f.stop}
+	sys := &system{stop: f.stop}
 	for _, n := range f.nodes {
 		sys.views = append(sys.views, n.view)
 	}
@@ -86,7 +86,7 @@
 
 // newCentral reserves and settles each request at one row of the budget.
 func newCentral(tr trial, store *memory.Store) *system {
-	sys := &system{store: store, views: viewsOf(store, tr.routers), crash: func(int) {}, stop: func() {}}
+	sys := &system{views: viewsOf(store, tr.routers), crash: func(int) {}, stop: func() {}}
 	sys.reserve = func(ctx context.Context, i int, req Request) (Reservation, error) {
 		table := sys.views[i]
 		move := func(reserved, used int64) error { return centralMove(ctx, table, req.Account, reserved, used) }
@@ -119,7 +119,7 @@
 
 // newFixedSplit gives each router an equal part of each budget for good.
 func newFixedSplit(tr trial, store *memory.Store) *system {
-	sys := &system{store: store, views: viewsOf(store, tr.routers), crash: func(int) {}, stop: func() {}}
+	sys := &system{views: viewsOf(store, tr.routers), crash: func(int) {}, stop: func() {}}
 	left := make([]map[Account]int64, tr.routers)
 	for i := range left {
 		left[i] = make(map[Account]int64)
