--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,10 +174,14 @@
 
 // unready returns why the router should get no requests.
 func (d *Daemon) unready() []string {
+	var reasons []string
 	if d.config.Catalog().Revision == 0 {
-		return []string{"no configuration is in force"}
+		reasons = append(reasons, "no configuration is in force")
 	}
-	return nil
+	if d.holder.Fenced() {
+		reasons = append(reasons, "an operator has settled this process's budgets; start it anew")
+	}
+	return reasons
 }
 
 func (d *Daemon) status() operator.Status {
--- a/internal/e2e/budget_test.go
+++ b/internal/e2e/budget_test.go
@@ -1,14 +1,19 @@
 package e2e
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
 )
 
 // TestKilledRouterLeavesDoubt kills a router with a grant: its rest is in
@@ -49,3 +54,81 @@
 	other := f.post(f.routers[0], "/v1/chat/completions", `{"model":"`+testModel+`","messages":[{"role":"user","content":"Else"}]}`, "question-7")
 	assert.Equal(t, other.status, http.StatusConflict, string(other.body))
 }
+
+// faults sets the platform's faults for one router, or for all.
+func (f *fleet) faults(vm string, faults memory.Faults) {
+	f.t.Helper()
+	body, err := json.Marshal(faults)
+	assert.NilError(f.t, err)
+	url := f.platform + "/standin/faults"
+	if vm != "" {
+		url += "/" + vm
+	}
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPut, url, bytes.NewReader(body))
+	assert.NilError(f.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, resp.Body.Close())
+	assert.Assert(f.t, resp.StatusCode < http.StatusMultipleChoices, "status %d", resp.StatusCode)
+}
+
+// settled waits until the budget shows that exactly want tokens were billed.
+func (f *fleet) settled(r *router, want int64) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		b := f.balance(r)
+		assert.Equal(f.t, b.Paid, b.Unspent+b.Held+b.Settled+b.InDoubt)
+		if b.Settled != want {
+			return poll.Continue("settled %d, want %d", b.Settled, want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// TestCutRouterSpendsOnlyItsGrant cuts a router off from the platform while a
+// top-up lands on the other side. It serves from its grant, refuses what goes
+// beyond with "did not run", and its bills arrive once it is back.
+func TestCutRouterSpendsOnlyItsGrant(t *testing.T) {
+	f := startFleet(t, 2, 1, 100_000)
+	var used int64
+	serve := func(r *router) bool {
+		chunk, answer := f.chat(r, "Short question.", 5)
+		if answer.status == http.StatusOK {
+			used += chunk.Usage.TotalTokens
+			return true
+		}
+		assert.Equal(t, answer.status, http.StatusServiceUnavailable, string(answer.body))
+		assert.Equal(t, answer.header.Get("Daisyslip-Ran"), "no")
+		return false
+	}
+	assert.Assert(t, serve(f.routers[0]))
+	f.faults("entry-1", memory.Faults{Outage: true})
+	_, err := f.client(f.routers[1]).TopUp(t.Context(), account, "far side", 50_000)
+	assert.NilError(t, err)
+	served, refused := 0, 0
+	for range 20 {
+		if serve(f.routers[0]) {
+			served++
+		} else {
+			refused++
+		}
+	}
+	assert.Assert(t, served > 0 && refused > 0, "served %d, refused %d", served, refused)
+	assert.Assert(t, serve(f.routers[1]))
+	f.faults("entry-1", memory.Faults{})
+	f.settled(f.routers[1], used)
+}
+
+// TestLostRepliesBillOnce loses a reply of the platform before each request.
+func TestLostRepliesBillOnce(t *testing.T) {
+	f := startFleet(t, 2, 1, 100_000)
+	var used int64
+	for i := range 10 {
+		f.faults("", memory.Faults{LoseReplies: 1})
+		chunk, answer := f.chat(f.routers[i%2], "Short question.", 5)
+		assert.Equal(t, answer.status, http.StatusOK, string(answer.body))
+		used += chunk.Usage.TotalTokens
+	}
+	f.faults("", memory.Faults{})
+	f.settled(f.routers[0], used)
+}
