--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,10 +201,14 @@
 
 // unready returns why the router should get no requests.
 func (d *Daemon) unready() []string {
+	var reasons []string
 	if reason := d.config.Unready(); reason != "" {
-		return []string{reason}
+		reasons = append(reasons, reason)
 	}
-	return nil
+	if d.holder.Fenced() {
+		reasons = append(reasons, "an operator has settled this process's budgets; start it anew")
+	}
+	return reasons
 }
 
 func (d *Daemon) status() operator.Status {
