--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -18,7 +18,7 @@
 // NewReader returns a reader of r whose events hold at most maxBytes a line.
 func NewReader(r io.Reader, maxBytes int) *Reader {
 	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, 4096), maxBytes)
+	lines.Buffer(make([]byte, 0, min(4096, maxBytes)), maxBytes)
 	return &Reader{lines: lines}
 }
 
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,58 @@
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// read returns all events of a stream and the error that ended it.
+func read(r io.Reader, maxBytes int) (events []string, err error) {
+	reader := NewReader(r, maxBytes)
+	for {
+		data, err := reader.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, string(data))
+	}
+}
+
+func TestNext(t *testing.T) {
+	for name, c := range map[string]struct {
+		stream string
+		want   []string
+	}{
+		"empty":                      {"", nil},
+		"one event":                  {"data: a\n\n", []string{"a"}},
+		"no space and CRLF":          {"data:a\r\n\r\ndata: b\r\n\r\n", []string{"a", "b"}},
+		"lines of one event":         {"data: a\ndata: b\n\n", []string{"a\nb"}},
+		"comments and other fields":  {": ping\n\nevent: x\nid: 1\ndata: a\n\n", []string{"a"}},
+		"event cut before its end":   {"data: a\n\ndata: b\n", []string{"a"}},
+		"event cut in its last line": {"data: a\n\ndata: b", []string{"a"}},
+	} {
+		events, err := read(bytes.NewReader([]byte(c.stream)), 64)
+		assert.Check(t, errors.Is(err, io.EOF), name)
+		assert.Check(t, len(events) == len(c.want), "%s: %q", name, events)
+		for i := range c.want {
+			assert.Check(t, events[i] == c.want[i], "%s: %q", name, events)
+		}
+	}
+	_, err := read(bytes.NewReader(append([]byte("data: "), make([]byte, 100)...)), 64)
+	assert.Assert(t, err != nil && !errors.Is(err, io.EOF))
+}
+
+// FuzzNext reads any stream whole and byte by byte: both give the same.
+func FuzzNext(f *testing.F) {
+	f.Add([]byte("data: a\ndata: b\r\n\r\n: c\n\ndata:[DONE]\n\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		whole, wholeErr := read(bytes.NewReader(stream), 256)
+		slow, slowErr := read(iotest.OneByteReader(bytes.NewReader(stream)), 256)
+		assert.DeepEqual(t, whole, slow)
+		assert.Equal(t, errors.Is(wholeErr, io.EOF), errors.Is(slowErr, io.EOF))
+	})
+}
