--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/settings"
 	"daisyslip.dev/daisyslip/internal/timeline"
@@ -38,9 +39,11 @@
 
 	metrics  *metrics.Set
 	events   *timeline.Ring
-	platform *platformhttp.Client
+	copies   *timeline.Copies
+	http     *platformhttp.Client
+	platform *platformevents.Platform
 	config   *conf.Keeper
-	holder   budget.Holder
+	holder   *budget.LocalHolder
 	delivery delivery
 	caller   *caller.Server
 	operator *operator.Server
@@ -54,12 +57,14 @@
 		self:     bus.Peer{ID: bus.ID{VM: s.VM, Incarnation: uuid.NewString()}, Domain: s.Domain, Region: s.Region, Addr: s.Peer.Listen},
 		started:  time.Now(),
 		metrics:  metrics.NewSet(),
-		platform: platformhttp.NewClient(s.Platform, s.VM),
+		http:     platformhttp.NewClient(s.Platform, s.VM),
 	}
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	d.watch()
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
-	ledger := budget.NewLedger(d.platform)
-	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
+	link := bus.NewNetwork().Join(d.self)
+	ledger := d.newLedger(link)
+	d.holder = d.newHolder(link)
 	d.delivery = d.newDelivery(nil)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
@@ -74,7 +79,9 @@
 	d.operator = operator.New(s.Operator, operator.Duties{
 		Config:  d.config,
 		Ledger:  ledger,
+		Doubts:  operator.Doubts{Flush: d.holder.FlushCopies},
 		Events:  d.events,
+		Copies:  d.copies,
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
 		Status:  d.status,
@@ -93,6 +100,7 @@
 	if err := d.operator.Provision(); err != nil {
 		return errors.Join(err, d.caller.Cleanup())
 	}
+	d.self.Operator = d.Addresses().Operator
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/timeline.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/platformevents"
+	"daisyslip.dev/daisyslip/internal/platformhttp"
+	"daisyslip.dev/daisyslip/internal/timeline"
+)
+
+// watch has the platform's calls recorded, and keeps copies of other routers'
+// events. It needs the time line and comes before all that uses the platform.
+func (d *Daemon) watch() {
+	d.platform = platformevents.Wrap(d.http, d.events, clock.Real{}, d.metrics)
+	d.copies = timeline.NewCopies(d.settings.Timeline, d.self.ID, d.events.Clock())
+	registerTimelineMetrics(d.metrics, d.events)
+	registerTrafficMetrics(d.metrics, d.http.Traffic())
+}
+
+// registerTimelineMetrics exposes the counts of the time line.
+func registerTimelineMetrics(set *metrics.Set, events *timeline.Ring) {
+	set.NewGauge("daisyslip_timeline_recorded_events_total", func() float64 { return float64(events.Counts().Recorded) })
+	set.NewGauge("daisyslip_timeline_overwritten_events_total", func() float64 { return float64(events.Counts().Overwritten) })
+}
+
+// registerTrafficMetrics exposes the bytes on the connections to the platform.
+func registerTrafficMetrics(set *metrics.Set, t *platformhttp.Traffic) {
+	set.NewGauge("daisyslip_platform_sent_bytes_total", func() float64 { return float64(t.Sent()) })
+	set.NewGauge("daisyslip_platform_received_bytes_total", func() float64 { return float64(t.Received()) })
+}
