--- a/internal/delivery/calls_test.go
+++ b/internal/delivery/calls_test.go
@@ -413,3 +413,27 @@
 }
 
 var errLostReply = errors.New("reply lost")
+
+// TestIdempotentCallsAreRetried has one of two instances fail in each way: a
+// read is answered by the other.
+func TestIdempotentCallsAreRetried(t *testing.T) {
+	for name, faults := range map[string]standin.ServiceFaults{
+		"refused": {Refuse: true}, "dropped": {BreakAfter: true}, "silent": {SilentBefore: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 2)
+			o := quickOptions()
+			o.calls.AttemptTimeout = 100 * time.Millisecond
+			n := b.node(o)
+			b.services[0].SetFaults(faults)
+			each(8, func(i int) {
+				call := newCall(fmt.Sprint("r", i), "", "")
+				call.Method, call.Idempotent, call.Header = http.MethodGet, true, nil
+				answer, err := try(n.calls, call, 10*time.Second)
+				assert.Check(t, err)
+				assert.Check(t, err != nil || answer.Endpoint == "fans-2")
+			})
+		})
+	}
+}
