Compute the pool's median once for each pick

Cause: each candidate computed the median gap of its pool, so that a pick took time with the square of the pool's size.

Change: once for each pool and pick.

--- /dev/null
+++ b/internal/route/pick_test.go
@@ -0,0 +1,108 @@
+package route
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/engine"
+	"daisyslip.dev/daisyslip/internal/work"
+)
+
+// fixed is a configuration that does not change.
+type fixed struct{ index *catalog.Index }
+
+// Catalog implements Configuration.
+func (f fixed) Catalog() *catalog.Index { return f.index }
+
+// newTestRouter returns a router over n endpoints of one pool, whose load
+// reports are all fresh.
+func newTestRouter(t testing.TB, n int) *Router {
+	d := catalog.Document{
+		Revision:   1,
+		Workspaces: []catalog.Workspace{{Name: "coop"}},
+		Pools:      []catalog.Pool{{Name: "engines", Kind: catalog.PoolModel}},
+	}
+	for i := range n {
+		d.Endpoints = append(d.Endpoints, catalog.Endpoint{Name: fmt.Sprint("engine-", i), URL: "http://127.0.0.1:1", Models: []string{"m"}})
+	}
+	index, err := catalog.NewIndex(d)
+	assert.NilError(t, err)
+	now := clock.NewFake(time.Unix(1_800_000_000, 0))
+	r := NewRouter(DefaultSettings(), Duties{
+		Config: fixed{index}, Events: event.Discard{}, Metrics: metrics.NewSet(), Clock: now,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	for _, m := range index.Members() {
+		s := r.stateLocked(m.Name)
+		s.reportAt, s.report = now.Now(), engine.Load{Slots: 64}
+		s.gap, s.gaps = 0.01, r.settings.SlowSamples
+	}
+	return r
+}
+
+// prefixes returns the blocks of a prompt.
+func prefixes(prompt int) []uint64 {
+	blocks := make([]uint64, 64)
+	for i := range blocks {
+		blocks[i] = uint64(prompt*1000 + i)
+	}
+	return blocks
+}
+
+// TestPrefixesSpread sends many prompts: each prompt keeps to few endpoints,
+// and all endpoints get work within the bound on the load.
+func TestPrefixesSpread(t *testing.T) {
+	const endpoints, prompts, rounds = 10, 40, 10
+	r := newTestRouter(t, endpoints)
+	homes := make(map[int]map[string]bool)
+	leases := make(map[string]int)
+	for range rounds {
+		for p := range prompts {
+			lease, err := r.PickModel(t.Context(), &work.Generation{Source: work.Source{Workspace: "coop"}, Model: "m", Prefixes: prefixes(p)}, nil)
+			assert.NilError(t, err)
+			if homes[p] == nil {
+				homes[p] = make(map[string]bool)
+			}
+			homes[p][lease.Endpoint.Name] = true
+			leases[lease.Endpoint.Name]++
+		}
+	}
+	bound := int(r.settings.LoadBound*rounds*prompts/endpoints) + 2
+	assert.Equal(t, len(leases), endpoints)
+	for name, n := range leases {
+		assert.Assert(t, n <= bound, "%s has %d of at most %d", name, n, bound)
+	}
+	spread := 0
+	for _, h := range homes {
+		spread += len(h)
+	}
+	assert.Assert(t, spread <= 3*prompts, "%d homes of %d prompts", spread, prompts)
+}
+
+// BenchmarkPick picks one of the endpoints of a large pool for a long prompt.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 50, 200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newTestRouter(b, n)
+			g := &work.Generation{Source: work.Source{Workspace: "coop"}, Model: "m"}
+			for i := 0; b.Loop(); i++ {
+				g.Prefixes = prefixes(i % 100)
+				lease, err := r.PickModel(b.Context(), g, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				lease.Gap(10 * time.Millisecond)
+				lease.Done()
+			}
+		})
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -123,11 +123,15 @@
 	defer r.mu.Unlock()
 	r.indexLocked()
 	var fit, last []Candidate
+	medians := make(map[*catalog.Pool]float64, 1)
 	for _, m := range members {
 		if excluded(m.Name) || r.leavingLocked(m) {
 			continue
 		}
-		candidate := r.candidateLocked(m, prefixes)
+		if _, known := medians[m.Pool]; !known {
+			medians[m.Pool] = r.medianGapLocked(r.poolLocked(m))
+		}
+		candidate := r.candidateLocked(m, prefixes, medians[m.Pool])
 		if r.stateLocked(m.Name).health == ejected {
 			last = append(last, candidate)
 			continue
@@ -143,11 +147,12 @@
 	return fit[r.duties.Chooser.Choose(prefixes, fit)].Member
 }
 
-// candidateLocked describes an endpoint to the chooser.
-func (r *Router) candidateLocked(m *catalog.Member, prefixes []uint64) Candidate {
+// candidateLocked describes an endpoint to the chooser; median is the gap
+// between tokens of its pool.
+func (r *Router) candidateLocked(m *catalog.Member, prefixes []uint64, median float64) Candidate {
 	s := r.stateLocked(m.Name)
 	slowness := 1.0
-	if median := r.medianGapLocked(r.poolLocked(m)); median > 0 && s.gaps >= r.settings.SlowSamples {
+	if median > 0 && s.gaps >= r.settings.SlowSamples {
 		slowness = max(1, s.gap/median)
 	}
 	return Candidate{Member: m, InFlight: s.inFlight, Load: s.load() * slowness, Slots: s.slots(m), Hits: s.cached.hits(prefixes)}
