--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -27,7 +27,7 @@
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{MaxWaiting: 4096, Headroom: 0, Margin: 1.3, LookAhead: 32, MaxWait: 10 * time.Second}
+	return Settings{MaxWaiting: 4096, Headroom: 0, Margin: 1.3, LookAhead: 32, MaxWait: 5 * time.Minute}
 }
 
 // Validate adds every problem of the settings to l.
--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -50,6 +51,9 @@
 	document catalog.Document
 	index    *catalog.Index
 	store    *memory.Store
+	// client is the plain HTTP client of the naive versions. It is the
+	// bench's own, since tests that run at once would share idle connections.
+	client *http.Client
 }
 
 // Catalog implements route.Configuration.
@@ -57,7 +61,8 @@
 
 // newBench starts engines with the given settings and plain services.
 func newBench(t testing.TB, services int, engines ...standin.EngineSettings) *bench {
-	b := &bench{t: t, store: memory.NewStore(clock.Real{})}
+	b := &bench{t: t, store: memory.NewStore(clock.Real{}), client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(b.client.CloseIdleConnections)
 	b.document = catalog.Document{
 		Revision:   1,
 		Workspaces: []catalog.Workspace{{Name: benchWorkspace}},
--- a/internal/delivery/measure_test.go
+++ b/internal/delivery/measure_test.go
@@ -101,12 +101,14 @@
 type condition struct {
 	name   string
 	slow   int // engines at a tenth of their speed
+	nodes  int // routers that share the engines; 0 is one
 	events standin.EngineFaults
 }
 
 var conditions = []condition{
 	{name: "health"},
 	{name: "two of ten slow", slow: 2},
+	{name: "three routers", nodes: 3},
 	{name: "cache events lost and late", events: standin.EngineFaults{DropEvents: measureLostPart, EventDelay: measureLate}},
 }
 
@@ -259,13 +261,16 @@
 		b := newBench(t, 0, engines...)
 		b.setFaults(measureEngines, c.events)
 		b.setFaults(c.slow, standin.EngineFaults{SlowFactor: measureSlowBy})
-		n := b.node(s.options())
+		nodes := make([]*node, max(c.nodes, 1))
+		for i := range nodes {
+			nodes[i] = b.node(s.options())
+		}
 		var group sync.WaitGroup
 		start := time.Now()
 		result := newTally(start.Add(measureWarm))
 		for i, sample := range load(measureSeed, part*capacity()) {
 			time.Sleep(time.Until(start.Add(sample.at)))
-			group.Go(func() { result.run(t, n.dispatch, i, sample) })
+			group.Go(func() { result.run(t, nodes[i%len(nodes)].dispatch, i, sample) })
 		}
 		group.Wait()
 		result.print(b, c.name, part, s.name)
--- a/internal/delivery/naive_calls_test.go
+++ b/internal/delivery/naive_calls_test.go
@@ -39,7 +39,7 @@
 	}
 	req.Header = c.Header.Clone()
 	req.Header.Set(engine.RequestIDHeader, c.RequestID)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := n.bench.client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/delivery/naive_test.go
+++ b/internal/delivery/naive_test.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	req.Header.Set(engine.RequestIDHeader, g.RequestID)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := d.bench.client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/route/capacity.go
+++ b/internal/route/capacity.go
@@ -62,7 +62,7 @@
 }
 
 // slots returns the room for this router's requests in each pool, or 0 where
-// an endpoint's slots are unknown.
+// no endpoint has told its slots.
 func (r *Router) slots() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -74,20 +74,25 @@
 	return slots
 }
 
+// poolSlotsLocked sums the room at the pool's endpoints. One that has not
+// told its slots yet counts as the mean of the others.
 func (r *Router) poolSlotsLocked(p *pool) int {
-	sum := 0
+	sum, known, serving := 0, 0, 0
 	for _, name := range p.members {
 		m, s := r.index.Endpoint(name), r.stateLocked(name)
 		if r.leavingLocked(m) || s.health == ejected {
 			continue
 		}
-		room := s.room(m)
-		if room == 0 {
-			return 0
+		serving++
+		if room := s.room(m); room > 0 {
+			sum += room
+			known++
 		}
-		sum += room
 	}
-	return sum
+	if known == 0 {
+		return 0
+	}
+	return sum * serving / known
 }
 
 // room returns how many of this router's requests fit at the endpoint, or 0
--- a/internal/route/pick_test.go
+++ b/internal/route/pick_test.go
@@ -88,6 +88,28 @@
 	assert.Assert(t, spread <= 3*prompts, "%d homes of %d prompts", spread, prompts)
 }
 
+// TestSlots counts the room for this router's requests.
+func TestSlots(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(r *Router)
+		want   int
+	}{
+		"all free":         {func(*Router) {}, 4 * 64},
+		"one ejected":      {func(r *Router) { r.states["engine-0"].health = ejected }, 3 * 64},
+		"one leaving":      {func(r *Router) { r.states["engine-0"].leaving = true }, 3 * 64},
+		"one not heard of": {func(r *Router) { r.states["engine-0"].report.Slots = 0 }, 4 * 64},
+		"others' requests": {func(r *Router) { r.states["engine-0"].report.Running = 24 }, 3*64 + 40},
+		"own requests": {func(r *Router) {
+			r.states["engine-0"].report.Running, r.states["engine-0"].ownAtReport = 24, 24
+		}, 4 * 64},
+		"filled by others": {func(r *Router) { r.states["engine-0"].report.Running = 90 }, 3*64 + 1},
+	} {
+		r := newTestRouter(t, 4)
+		c.change(r)
+		assert.Check(t, r.slots()["engines"] == c.want, "%s: %d", name, r.slots()["engines"])
+	}
+}
+
 // BenchmarkPick picks one of the endpoints of a large pool for a long prompt.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{10, 50, 200} {
