--- /dev/null
+++ b/internal/capacity/roles.go
@@ -0,0 +1,268 @@
+package capacity
+
+import "fmt"
+
+// Roles of the fleet. Every daemon plays all of them; some have one active
+// holder a domain or a budget.
+const (
+	RoleEntry    Role = "entry router"
+	RoleBudget   Role = "budget holder"
+	RoleBilling  Role = "billing"
+	RoleCalls    Role = "at-most-once calls"
+	RoleConfig   Role = "configuration follower"
+	RoleOperator Role = "operator API"
+	RoleMember   Role = "member and peer link"
+	RoleEndpoint Role = "endpoint view"
+	RoleTimeline Role = "time line"
+)
+
+// Parameters of the plans, which are not built.
+const (
+	// planWriters is the number of daemons that write bills for a failure
+	// domain, and planInterval the time between two of their rows, in seconds.
+	planWriters  = 1
+	planInterval = 0.1
+	// planHorizon is the spending that a grant at a budget's home covers, in
+	// seconds.
+	planHorizon = 600
+	// planReportInterval is the time between two load reports of an endpoint
+	// to the relay of its failure domain, in seconds, and planReportBytes
+	// the size of one.
+	planReportInterval = 0.5
+	planReportBytes    = 16
+)
+
+// terms formats a product.
+func terms(format string, args ...any) string { return fmt.Sprintf(format, args...) }
+
+// requests are the lines of the data path: the callers' requests themselves.
+func (m *model) requests() {
+	r := m.target.requestsPerDaemon()
+	tokens := m.target.TokensPerSec / m.target.Daemons
+	streams := tokens * m.target.TokenGap
+	request, token, stream := m.slope(CPUPerRequest), m.slope(CPUPerToken), m.slope(MemoryPerStream)
+	m.add(
+		Line{
+			Role: RoleEntry, Item: "take, pay for and answer requests", Budget: BudgetData, Value: r * request.Slope,
+			Formula: terms("%s requests/s × %s core s", number(r), number(request.Slope)),
+			Carrier: "one goroutine a request, a bound on those in flight",
+		},
+		Line{
+			Role: RoleEntry, Item: "relay tokens", Budget: BudgetData, Value: tokens * token.Slope,
+			Formula: terms("%s tokens/s × %s core s", number(tokens), number(token.Slope)),
+			Carrier: "one event in, one event out, flushed",
+		},
+		Line{
+			Role: RoleEntry, Item: "open streams", Budget: BudgetMemory, Value: streams * stream.Slope,
+			Formula: terms("%s tokens/s × %s s × %s bytes", number(tokens), number(m.target.TokenGap), number(stream.Slope)),
+			Carrier: "bounded by caller.max_in_flight",
+		},
+	)
+}
+
+// budgets are the lines of grants and bills. The balancer sprays a budget's
+// requests over all daemons, so a grant that goes back after its idle time is
+// hardly ever there for the next request of a small budget.
+func (m *model) budgets() {
+	t := m.target
+	r := t.requestsPerDaemon()
+	idle := m.settings.Budget.Small.IdleAfter.Seconds()
+	linger := m.settings.Budget.Linger.Seconds()
+	held := min(r*idle, t.Budgets)
+	homes := t.Budgets / t.Daemons
+	memory, cpu := m.slope(MemoryPerBudget), m.slope(ReserveCPU)
+	bills := t.Daemons * r / (1 + r*linger)
+	reuse := min(1, idle*t.RequestsPerSec/t.Budgets/t.Daemons)
+	draws := t.RequestsPerSec * (1 - reuse)
+	const rowsPerChange = 2 // the grant and its source
+	m.add(
+		Line{
+			Role: RoleBudget, Item: "grants held", Budget: BudgetMemory, Value: held * memory.Slope,
+			Formula: terms("%s requests/s × %s s until idle × %s bytes", number(r), number(idle), number(memory.Slope)),
+			Carrier: "idle grants go back", Planned: homes * memory.Slope,
+			Plan: terms("a home a budget: %s budgets a daemon", number(homes)),
+		},
+		Line{
+			Role: RoleBudget, Item: "reserve and settle", Budget: BudgetCPU, Value: r * cpu.Slope,
+			Formula: terms("%s requests/s × %s core s", number(r), number(cpu.Slope)),
+			Carrier: "one goroutine a busy budget; no lock over a call",
+		},
+		Line{
+			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetWrites, Value: 2 * draws * rowsPerChange,
+			Formula: terms("%s requests/s that find no grant × (draw + return) × %d rows", number(draws), rowsPerChange),
+			Carrier: "nothing at this size: 110,000 budgets sprayed over 380 daemons find no grant",
+			Planned: t.Budgets / planHorizon,
+			Plan:    terms("a home a budget, by rendezvous over live VMs and one forwarding hop: one row each %d s of spending; the row holds budget and grant", planHorizon),
+		},
+		Line{
+			Role: RoleBudget, Item: "read for draws and returns", Budget: BudgetReads, Value: 2 * draws * 3,
+			Formula: terms("%s requests/s that find no grant × (draw + return) × 3 rows (budget, grant, fence)", number(draws)),
+			Carrier: "as above", Planned: t.Budgets / planHorizon,
+			Plan: "the home knows its row and reads it again on a conflict only; counted as one read a draw",
+		},
+		Line{
+			Role: RoleBilling, Item: "bills", Budget: BudgetWrites, Value: bills,
+			Formula: terms("%s daemons × %s requests/s / (1 + %s × %s s linger)", number(t.Daemons), number(r), number(r), number(linger)),
+			Carrier: "group commit in each daemon, which groups little at this rate",
+			Planned: t.Domains * planWriters / planInterval,
+			Plan: terms("a writer a failure domain takes the bills of its daemons over the peer link: %s domains, a row each %s s; the end of an answer waits up to %s s more",
+				number(t.Domains), number(planInterval), number(planInterval)),
+		},
+		Line{
+			Role: RoleBilling, Item: "rows of callers' keys", Budget: BudgetWrites, Value: t.RequestsPerSec * (1 - t.CallShare) * t.KeyShare,
+			Formula: terms("%s requests/s × %s with a key (assumed) × 1 row", number(t.RequestsPerSec*(1-t.CallShare)), number(t.KeyShare)),
+			Carrier: "one row a key", Planned: 0,
+			Plan: "the writer of a key, by rendezvous, keeps the keys of its last hours in memory and in its bill rows; who follows it reads those rows",
+		},
+	)
+}
+
+// calls are the lines of calls that may not be repeated.
+func (m *model) calls() {
+	calls := m.target.RequestsPerSec * m.target.CallShare
+	m.add(
+		Line{
+			Role: RoleCalls, Item: "claim and finish", Budget: BudgetWrites, Value: 2 * calls,
+			Formula: terms("%s requests/s × %s calls (assumed) × 2 rows", number(m.target.RequestsPerSec), number(m.target.CallShare)),
+			Carrier: "a row a call, inserted before it leaves", Planned: 2 * m.target.Domains / planInterval,
+			Plan: terms("claims of a domain go in one transaction a %s s, each still an insert if absent; the table must count a transaction once, or claims share rows by hash", number(planInterval)),
+		},
+	)
+}
+
+// configuration are the lines of following and changing the configuration.
+func (m *model) configuration() {
+	t := m.target
+	rate := t.changesPerSec()
+	workspace, endpoint := m.slope(MemoryPerWorkspace), m.slope(MemoryPerEndpoint)
+	cpu, bytes, reads := m.slope(CPUPerChange), m.slope(BytesPerChange), m.slope(RowsReadPerChange)
+	indexed := m.slope(IndexPerWorkspace).Slope * t.Workspaces
+	m.add(
+		Line{
+			Role: RoleConfig, Item: "workspaces in force", Budget: BudgetMemory, Value: t.Workspaces * workspace.Slope,
+			Formula: terms("%s × %s bytes", number(t.Workspaces), number(workspace.Slope)), Carrier: "one immutable index a revision",
+		},
+		Line{
+			Role: RoleConfig, Item: "endpoints in force", Budget: BudgetMemory, Value: t.Workers * endpoint.Slope,
+			Formula: terms("%s × %s bytes", number(t.Workers), number(endpoint.Slope)), Carrier: "one immutable index a revision",
+		},
+		Line{
+			Role: RoleConfig, Item: "second index while a revision is put in force", Budget: BudgetMemory,
+			Value:   t.Workspaces*workspace.Slope + t.Workers*endpoint.Slope,
+			Formula: "as the two lines above", Carrier: "the old index is collected afterwards",
+		},
+		Line{
+			Role: RoleConfig, Item: "apply changes, small configuration", Budget: BudgetCPU, Value: rate * cpu.Slope,
+			Formula: terms("%s changes/s (ten times the mean) × %s core s", number(rate), number(cpu.Slope)), Carrier: "deltas of a revisioned log",
+		},
+		Line{
+			Role: RoleConfig, Item: "index all workspaces for each change", Budget: BudgetCPU, Value: rate * indexed,
+			Formula: terms("%s changes/s × %s workspaces × %s core s", number(rate), number(t.Workspaces), number(m.slope(IndexPerWorkspace).Slope)),
+			Carrier: "changes that wait are put in force together", Planned: rate * cpu.Slope,
+			Plan: "an index that shares what a change does not touch",
+		},
+		Line{
+			Role: RoleConfig, Item: "read changes", Budget: BudgetBytes, Value: rate * bytes.Slope,
+			Formula: terms("%s changes/s × %s bytes", number(rate), number(bytes.Slope)), Carrier: "deltas of a revisioned log",
+		},
+		Line{
+			Role: RoleConfig, Item: "read changes", Budget: BudgetReads, Value: t.Daemons * rate * reads.Slope,
+			Formula: terms("%s daemons × %s changes/s × %s rows", number(t.Daemons), number(rate), number(reads.Slope)),
+			Carrier: "pushed over the peer link; the table is the fallback",
+		},
+		Line{
+			Role: RoleOperator, Item: "commit changes", Budget: BudgetWrites, Value: rate * 2,
+			Formula: terms("%s changes/s × 2 rows (head and revision)", number(rate)), Carrier: "one transaction a change",
+		},
+	)
+}
+
+// members are the lines of the peer link and of membership.
+func (m *model) members() {
+	t := m.target
+	peers := t.Daemons - 1
+	idleCPU, idleBytes, platformBytes, memory := m.slope(PeerCPUIdle), m.slope(PeerBytesIdle), m.slope(PlatformBytesIdle), m.slope(PeerMemory)
+	reads, writes := m.slope(RowsReadIdle), m.slope(RowsWriteIdle)
+	line := func(item string, b Budget, f Fit, scale float64, unit string) Line {
+		return Line{
+			Role: RoleMember, Item: item, Budget: b, Value: scale * max(0, f.Intercept+f.Slope*peers),
+			Formula: terms("%s × (%s + %s × %s peers) %s", number(scale), number(f.Intercept), number(f.Slope), number(peers), unit),
+		}
+	}
+	relayed := func(l Line, planned float64, plan string) Line {
+		l.Planned, l.Plan = planned, plan
+		return l
+	}
+	const plan = "a relay a failure domain reads the table and its 15 fellows, and passes on what changed: a daemon sees its domain only"
+	inDomain := t.Daemons / t.Domains
+	atDomain := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*inDomain) }
+	base := line("process at rest, and its peers", BudgetMemory, memory, 1, "bytes")
+	base.Carrier = "a connection a peer in use, closed when idle"
+	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atDomain(idleCPU), plan)
+	cpu.Carrier = "one goroutine a duty; pings on idle links"
+	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atDomain(idleBytes), plan)
+	link.Carrier = "pings on connections in use only"
+	table := relayed(line("platform at rest", BudgetBytes, platformBytes, 1, "bytes/s"), atDomain(platformBytes), plan)
+	table.Carrier = "polls as the fallback of pushes"
+	readLine := relayed(line("at rest", BudgetReads, reads, t.Daemons, "rows/s"), t.Domains*atDomain(reads), plan)
+	readLine.Carrier = "each daemon polls"
+	m.add(base, cpu, link, table, readLine)
+	beats := line("heartbeats", BudgetWrites, writes, t.Daemons, "rows/s")
+	beats.Value = t.Daemons * max(0, writes.Intercept)
+	beats.Formula = terms("%s × %s rows/s", number(t.Daemons), number(writes.Intercept))
+	beats.Carrier = "one row a daemon, written rarely; liveness is judged on the peer link"
+	m.add(beats)
+}
+
+// endpoints are the lines of watching the endpoints' load.
+func (m *model) endpoints() {
+	t := m.target
+	inUse := min(t.Workers, t.requestsPerDaemon()*m.settings.Route.ActiveTime.Seconds())
+	cpu := m.slope(CPUPerEndpoint)
+	reports := t.Workers / t.Domains / planReportInterval
+	m.add(
+		Line{
+			Role: RoleEndpoint, Item: "poll load reports", Budget: BudgetCPU, Value: inUse * cpu.Slope,
+			Formula: terms("%s endpoints in use × %s cores", number(inUse), number(cpu.Slope)),
+			Carrier: "only endpoints in use are polled", Planned: reports * planReportInterval * cpu.Slope / inDomainOf(t),
+			Plan: "the daemons of a failure domain share the polls of its endpoints and tell each other",
+		},
+		Line{
+			Role: RoleEndpoint, Item: "poll load reports", Budget: BudgetBytes,
+			Value:   inUse / m.settings.Route.PollInterval.Seconds() * reportBytes,
+			Formula: terms("%s endpoints in use / %s s × %s bytes", number(inUse), number(m.settings.Route.PollInterval.Seconds()), number(reportBytes)),
+			Carrier: "as above", Planned: t.Workers / planReportInterval * planReportBytes / inDomainOf(t),
+			Plan: "packed reports of changed endpoints only, shared within the domain",
+		},
+	)
+}
+
+// reportBytes is the size of a load report with its HTTP headers, both ways.
+const reportBytes = 600
+
+// inDomainOf is the number of daemons of one failure domain.
+func inDomainOf(t Target) float64 { return t.Daemons / t.Domains }
+
+// timeLine are the lines of recording and copying events.
+func (m *model) timeLine() {
+	r := m.target.requestsPerDaemon()
+	perRequest, cpu, memory := m.slope(EventsPerRequest), m.slope(CPUPerEvent), m.slope(MemoryPerEvent)
+	s := m.settings.Timeline
+	kept := float64(s.Events + s.LastingEvents + s.CopiedEvents)
+	m.add(
+		Line{
+			Role: RoleTimeline, Item: "record events", Budget: BudgetCPU, Value: r * perRequest.Slope * cpu.Slope,
+			Formula: terms("%s requests/s × %s events × %s core s", number(r), number(perRequest.Slope), number(cpu.Slope)),
+			Carrier: "one lock, held for a copy",
+		},
+		Line{
+			Role: RoleTimeline, Item: "events kept", Budget: BudgetMemory, Value: kept * memory.Slope,
+			Formula: terms("%s events × %s bytes", number(kept), number(memory.Slope)),
+			Carrier: terms("rings of fixed size; requests of the last %s s", number(float64(s.Events)/(r*perRequest.Slope))),
+		},
+		Line{
+			Role: RoleTimeline, Item: "copies to a peer", Budget: BudgetBytes, Value: s.CopyBytesPerSecond,
+			Formula: "timeline.copy_bytes_per_second", Carrier: "bounded share; what matters most goes first",
+		},
+	)
+}
--- /dev/null
+++ b/internal/e2e/measure_parts_test.go
@@ -0,0 +1,110 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/internal/capacity"
+	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/conf"
+)
+
+// startEngine starts an engine with flags and returns its URL.
+func startEngine(t *testing.T, flags ...string) string {
+	t.Helper()
+	return startStandin(t, "engine", append([]string{"--model", testModel}, flags...)...)
+}
+
+// change commits operations against the newest revision.
+func (f *fleet) change(r *router, ops ...conf.Op) {
+	f.t.Helper()
+	c := f.client(r)
+	document, err := c.Config(f.t.Context())
+	assert.NilError(f.t, err)
+	_, err = c.Commit(f.t.Context(), conf.Change{Base: document.Revision, Ops: ops})
+	assert.NilError(f.t, err)
+}
+
+// addEngine adds an engine to the configuration.
+func (f *fleet) addEngine(name, url string) {
+	f.t.Helper()
+	f.change(f.routers[0], entity(f.t, conf.KindEndpoint, name, catalog.Endpoint{
+		URL: url, Models: []string{testModel}, Labels: map[string]string{"role": "engine"},
+	}))
+}
+
+// TestMeasureStreams measures the memory of open streams.
+func TestMeasureStreams(t *testing.T) {
+	if !measuring(t) {
+		return
+	}
+	var points []capacity.Point
+	for _, n := range []int{10, 100, 200, 300, 400} {
+		f := startFleet(t, 1, 0, 1_000_000_000)
+		f.addEngine("engine-1", startEngine(t, "--token-time", "40ms", "--slots", "1000", "--batch-slowdown", "1"))
+		r := f.routers[0]
+		time.Sleep(settleTime)
+		var streams sync.WaitGroup
+		for i := range n {
+			streams.Go(func() { f.stream(r, fmt.Sprintf("Question %d.", i), 120) })
+		}
+		time.Sleep(settleTime)
+		points = append(points, capacity.Point{X: float64(n), Y: f.scrape(r)[metricMemory]})
+		streams.Wait()
+	}
+	putSlope(t, capacity.MemoryPerStream, "bytes", "open stream", points)
+}
+
+// TestMeasureEndpoints measures the watching of endpoints in use.
+func TestMeasureEndpoints(t *testing.T) {
+	if !measuring(t) {
+		return
+	}
+	const window = 8 * time.Second
+	var points []capacity.Point
+	for _, n := range []int{4, 16, 32, 48} {
+		f := startFleet(t, 1, n, 1_000_000_000)
+		r := f.routers[0]
+		f.load(r, 20*n, 8, 1)
+		before := f.scrape(r)
+		time.Sleep(window)
+		points = append(points, capacity.Point{X: float64(n), Y: f.scrape(r).since(before, metricCPU) / window.Seconds()})
+		for _, p := range f.routers {
+			assert.NilError(t, p.cmd.Process.Kill())
+		}
+	}
+	putSlope(t, capacity.CPUPerEndpoint, "cores", "endpoint in use", points)
+}
+
+// TestMeasureChanges measures what changes cost a router that follows them.
+func TestMeasureChanges(t *testing.T) {
+	if !measuring(t) {
+		return
+	}
+	f := startFleet(t, 2, 1, 1_000_000)
+	follower := f.routers[1]
+	var cpu, bytes, rows []capacity.Point
+	serial := 0
+	for _, n := range []int{20, 40, 80, 160} {
+		before := f.scrape(follower)
+		for range n {
+			serial++
+			f.change(f.routers[0], entity(t, conf.KindEndpoint, "engine-1", catalog.Endpoint{
+				URL: f.engines[0], Models: []string{testModel}, Labels: map[string]string{"role": "engine", "serial": fmt.Sprint(serial)},
+			}))
+		}
+		time.Sleep(settleTime)
+		after := f.scrape(follower)
+		x := float64(n)
+		cpu = append(cpu, capacity.Point{X: x, Y: after.since(before, metricCPU)})
+		bytes = append(bytes, capacity.Point{X: x, Y: after.since(before, metricPlatformSent, metricPlatformRecv, metricPeerSent, metricPeerReceived)})
+		rows = append(rows, capacity.Point{X: x, Y: after.since(before, metricRowsRead)})
+	}
+	putSlope(t, capacity.CPUPerChange, "core seconds", "change", cpu)
+	putSlope(t, capacity.BytesPerChange, "bytes", "change", bytes)
+	putSlope(t, capacity.RowsReadPerChange, "rows", "change", rows)
+}
--- a/internal/e2e/measure_test.go
+++ b/internal/e2e/measure_test.go
@@ -72,6 +72,7 @@
 const (
 	metricCPU          = "process_cpu_seconds_total"
 	metricMemory       = "process_resident_memory_bytes"
+	metricEvents       = "daisyslip_timeline_recorded_events_total"
 	metricRowsRead     = "daisyslip_platform_read_rows_total"
 	metricRowsWritten  = "daisyslip_platform_written_rows_total"
 	metricPlatformSent = "daisyslip_platform_sent_bytes_total"
@@ -147,7 +148,7 @@
 	r := f.routers[0]
 	f.load(r, warm, width, 1)
 	time.Sleep(settleTime)
-	var cpu, read, written, bytes, tokens []capacity.Point
+	var cpu, read, written, bytes, events, tokens []capacity.Point
 	for _, n := range []int{250, 500, 1000, 2000} {
 		before, begun := f.scrape(r), time.Now()
 		f.load(r, n, width, 1)
@@ -157,6 +158,7 @@
 		read = append(read, capacity.Point{X: x, Y: after.since(before, metricRowsRead)})
 		written = append(written, capacity.Point{X: x, Y: after.since(before, metricRowsWritten)})
 		bytes = append(bytes, capacity.Point{X: x, Y: after.since(before, metricPlatformSent, metricPlatformRecv)})
+		events = append(events, capacity.Point{X: x, Y: after.since(before, metricEvents)})
 		t.Logf("%d requests at %.0f a second", n, x/time.Since(begun).Seconds())
 	}
 	for _, length := range []int{16, 64, 128, 256, 512} {
@@ -169,6 +171,7 @@
 	putSlope(t, capacity.RowsReadPerRequest, "rows", "request", read)
 	putSlope(t, capacity.RowsWritePerRequest, "rows", "request", written)
 	putSlope(t, capacity.PlatformBytesRequest, "bytes", "request", bytes)
+	putSlope(t, capacity.EventsPerRequest, "events", "request", events)
 	putSlope(t, capacity.CPUPerToken, "core seconds", "token relayed", tokens)
 }
 
