Measure what a router adds, with the same prompts to router and engine

Cause: the load's targets met different prompts, so their whole times could not be compared. Ruled out: longer runs; the answers' lengths differ by prompt.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -23,8 +23,8 @@
 		Short: "Send chat completions and measure what callers see",
 		Long: `load sends streaming chat completions to routers and prints the time to the
 first token, the gaps between tokens and the whole time, in milliseconds.
-With --direct, each stream takes routers and engines in turn, so that the
-difference is what the routers add.`,
+With --direct, each stream sends a prompt to routers and engines in turn, so
+that the difference is what the routers add.`,
 		Example: `  daisyslip load --target http://127.0.0.1:7300 --key KEY --model grain-7b --streams 200
   daisyslip load --target http://127.0.0.1:7300 --direct http://127.0.0.1:9101 --key KEY --model grain-7b`,
 		Args: cobra.NoArgs,
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -94,8 +94,9 @@
 	starts  chan int64
 }
 
-// Run sends the load and returns one result a target. Each stream takes the
-// targets in turn, so that all meet the same conditions.
+// Run sends the load and returns one result a target. Each stream sends a
+// prompt to one target after the other, in an order that turns, so that all
+// meet the same prompts under the same conditions.
 func Run(ctx context.Context, o Options) ([]*Result, error) {
 	var problems check.List
 	o.Validate(&problems)
@@ -165,9 +166,10 @@
 func (r *runner) stream(ctx context.Context, i int) {
 	turn := i
 	for n := range r.starts {
-		result := r.results[turn%len(r.results)]
+		for j := range r.results {
+			r.send(ctx, r.results[(turn+j)%len(r.results)], n)
+		}
 		turn++
-		r.send(ctx, result, n)
 	}
 }
 
