Bound a settlement by copies; drop idle accounts; hold idle grants longer

Cause: a platform that answers nothing held each settlement for 10 s, past the caller's 5 s; a budget that changes all the time was never read; the state of every budget ever used stayed in memory; a name with a slash mixed up the keys of rows; many budgets with few requests drew and returned a grant for each request.

Change: bills that a write keeps waiting for 2 s are copied to peers and the settlement returns; a balance that does not come to rest in five reads says that it is approximate; accounts that hold nothing are dropped; names are checked; idle grants of small holdings go back after 5 min, not 30 s.

--- a/coord/budget/account.go
+++ b/coord/budget/account.go
@@ -46,6 +46,9 @@
 	request float64
 	lastUse time.Time
 
+	// forgotten is set once the holder has dropped this state.
+	forgotten bool
+
 	// pending belongs to the goroutine of the jobs.
 	pending *pendingChange
 }
@@ -67,7 +70,7 @@
 func newAccount(h *LocalHolder, name Account) *account {
 	now := h.options.Clock.Now()
 	memory := max(minRateMemory, h.lean(name.Workspace).Horizon/rateMemoryPart)
-	return &account{holder: h, name: name, lastUse: now, spending: rate{start: now, last: now, memory: memory}}
+	return &account{holder: h, name: name, folded: h.biller.durable.Load(), lastUse: now, spending: rate{start: now, last: now, memory: memory}}
 }
 
 // availableLocked is what can be reserved now.
@@ -81,6 +84,10 @@
 // reserve takes tokens, or waits for them in order of arrival.
 func (a *account) reserve(ctx context.Context, tokens int64) error {
 	a.mu.Lock()
+	if a.forgotten {
+		a.mu.Unlock()
+		return errForgotten
+	}
 	now := a.holder.options.Clock.Now()
 	a.lastUse = now
 	if a.request == 0 {
@@ -260,17 +267,26 @@
 	return max(0, a.availableLocked())
 }
 
-// checkIdle closes a grant without use.
+// errForgotten: the state of the account was dropped meanwhile; look it up
+// again.
+var errForgotten = errors.New("account state dropped")
+
+// checkIdle closes a grant without use, and later drops the account.
 func (a *account) checkIdle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.holder.options.Clock.Now()
-	if a.tokens == 0 || a.open > 0 || a.unwritten > 0 || len(a.waiters) > 0 {
+	if a.open > 0 || a.unwritten > 0 || len(a.waiters) > 0 || a.busy {
 		return
 	}
 	if now.Sub(a.lastUse) < a.holder.lean(a.name.Workspace).IdleAfter {
 		return
 	}
+	if a.tokens == 0 && a.pending == nil { // no goroutine runs that could change pending
+		a.forgotten = true
+		a.holder.forget(a)
+		return
+	}
 	a.jobs.close = true
 	a.startLocked()
 }
--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -24,6 +24,7 @@
 // one, and a row holds whole units.
 type unit struct {
 	items  []*billing
+	since  time.Time
 	told   bool
 	copied []bus.ID
 	// written is set once the unit left the backlog.
@@ -61,7 +62,8 @@
 	copyWake chan struct{}
 	missing  atomic.Bool // the platform did not take the last batch
 	waiting  atomic.Int64
-	replays  atomic.Int64 // bills under way that may turn out to be replays
+	replays  atomic.Int64  // bills under way that may turn out to be replays
+	durable  atomic.Uint64 // the last bill that is written
 
 	mu      sync.Mutex // guards backlog and the units in it
 	backlog []*unit
@@ -132,7 +134,7 @@
 
 // group numbers the first bill and those that follow within the linger.
 func (b *biller) group(first *billing) *unit {
-	u := &unit{}
+	u := &unit{since: b.holder.options.Clock.Now()}
 	add := func(item *billing) {
 		b.number++
 		item.bill.Number = b.number
@@ -273,6 +275,7 @@
 		stats.ReplayedTokens.Add(s.void)
 		b.holder.record(event.BillWritten, Request{Account: name, Key: batch.key}, s.charged, "")
 	}
+	b.durable.Store(last)
 	stats.Batches.Add(1)
 	stats.Bills.Add(int64(len(batch.decided)))
 }
--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -7,6 +7,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
+
+	"daisyslip.dev/daisyslip/coord/failure"
 )
 
 // Account names a budget of a workspace.
@@ -18,6 +22,16 @@
 // String returns workspace/budget.
 func (a Account) String() string { return a.Workspace + "/" + a.Budget }
 
+// validate refuses names that would mix up the keys of rows.
+func (a Account) validate() error {
+	for _, name := range []string{a.Workspace, a.Budget} {
+		if name == "" || strings.Contains(name, "/") {
+			return failure.New(failure.BadRequest, "check budget", "", fmt.Sprintf("name %q is empty or has a slash", name))
+		}
+	}
+	return nil
+}
+
 // Errors of budgets. They are wrapped with the account and the step.
 var (
 	// ErrExhausted: the budget has too few tokens that are not spent or
@@ -91,4 +105,7 @@
 	// Replayed is what callers were served again for keys already billed;
 	// it is part of no other value.
 	Replayed int64 `json:"replayed"`
+	// Approximate says that the budget changed during every read, so that
+	// Held is what the other values leave.
+	Approximate bool `json:"approximate,omitempty"`
 }
--- a/coord/budget/copies.go
+++ b/coord/budget/copies.go
@@ -42,28 +42,37 @@
 // done is the answer that carries nothing.
 type done struct{}
 
-// copyUnits copies the backlog to peers while the platform is away.
+// copyTimeout bounds one copy to one peer.
+const copyTimeout = time.Second
+
+// copyUnits copies the backlog to peers while the platform is away, and what
+// the platform takes long to write.
 func (b *biller) copyUnits() {
 	for {
 		select {
 		case <-b.holder.ctx.Done():
 			return
 		case <-b.copyWake:
-		case <-b.holder.options.Clock.After(platformPause):
+		case <-b.holder.options.Clock.After(platformPause / 2):
 		}
+		age := b.holder.options.Settings.CopyAfter
 		if b.away() {
-			b.copyBacklog(b.holder.ctx)
+			age = 0
 		}
+		b.copyBacklog(b.holder.ctx, age)
 	}
 }
 
-// copyBacklog copies each unit that lacks live copies.
-func (b *biller) copyBacklog(ctx context.Context) {
+// copyBacklog copies each unit of at least some age that lacks live copies.
+func (b *biller) copyBacklog(ctx context.Context, age time.Duration) {
 	b.mu.Lock()
 	backlog := slices.Clone(b.backlog)
 	b.mu.Unlock()
+	now := b.holder.options.Clock.Now()
 	for _, u := range backlog {
-		b.copyUnit(ctx, u)
+		if now.Sub(u.since) >= age {
+			b.copyUnit(ctx, u)
+		}
 	}
 }
 
@@ -108,7 +117,7 @@
 		if slices.Contains(kept, peer.ID) {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, b.holder.options.Settings.CallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 		_, err := bus.Call[copyRequest, done](ctx, b.holder.options.Bus, peer.ID, kindCopy, copyRequest{Holder: b.holder.self.ID, Bills: u.bills()})
 		cancel()
 		if err == nil {
--- a/coord/budget/fleet_test.go
+++ b/coord/budget/fleet_test.go
@@ -154,6 +154,9 @@
 	if err != nil {
 		return err
 	}
+	if b.Approximate {
+		return errors.New("the balance did not come to rest")
+	}
 	if b.Paid != b.Unspent+b.Held+b.Settled+b.InDoubt {
 		return fmt.Errorf("tokens lost or made: %+v", b)
 	}
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -134,11 +134,23 @@
 	if err := h.checkKey(ctx, req); err != nil {
 		return nil, err
 	}
-	a := h.account(req.Account)
-	if err := a.reserve(ctx, req.Tokens); err != nil {
-		return nil, err
+	for {
+		a := h.account(req.Account)
+		err := a.reserve(ctx, req.Tokens)
+		switch {
+		case err == nil:
+			return &localReservation{account: a, request: req}, nil
+		case !errors.Is(err, errForgotten):
+			return nil, err
+		}
 	}
-	return &localReservation{account: a, request: req}, nil
+}
+
+// forget drops the state of an account that holds nothing.
+func (h *LocalHolder) forget(a *account) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.accounts, a.name)
 }
 
 // checkKey refuses a caller's key that was used for other content, or served
@@ -171,7 +183,7 @@
 	handed := h.copies.handOver(ctx)
 	err := h.biller.flush(ctx)
 	if err != nil {
-		h.biller.copyBacklog(h.ctx)
+		h.biller.copyBacklog(h.ctx, 0)
 	}
 	for _, a := range h.all() {
 		if err == nil {
--- a/coord/budget/holder_test.go
+++ b/coord/budget/holder_test.go
@@ -59,11 +59,14 @@
 		defer f.stop()
 		assert.NilError(t, f.serveOne(f.nodes[0], request("one", 200), 120))
 		assert.Assert(t, f.balance(t).Held > 0)
-		pause(time.Minute)
+		pause(f.config.Small.IdleAfter + 2*f.config.IdleCheck)
 		assert.Equal(t, f.balance(t).Held, int64(0))
 		before := f.store.Counts().RowsWritten
 		pause(time.Hour)
 		assert.Equal(t, f.store.Counts().RowsWritten, before)
+		assert.Equal(t, len(f.nodes[0].all()), 0)
+		assert.NilError(t, f.serveOne(f.nodes[0], request("two", 200), 30))
+		assert.Equal(t, f.balance(t).Settled, int64(150))
 	})
 }
 
@@ -135,3 +138,21 @@
 		})
 	}
 }
+
+// TestSilentPlatform settles within a bound while the platform answers
+// nothing, and writes the bill when it is back.
+func TestSilentPlatform(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(3, 10_000)
+		defer f.stop()
+		r, err := f.nodes[0].Reserve(t.Context(), request("silent", 100))
+		assert.NilError(t, err)
+		f.nodes[0].view.SetFaults(memory.Faults{Delay: time.Hour})
+		start := time.Now()
+		assert.NilError(t, r.Settle(t.Context(), 100))
+		assert.Assert(t, time.Since(start) <= f.config.CopyAfter+platformPause, "took %s", time.Since(start))
+		f.cut(false)
+		pause(time.Minute)
+		assert.Equal(t, f.balance(t).Settled, int64(100))
+	})
+}
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -31,6 +31,9 @@
 // top-up with the same id is applied once; with another amount it is
 // ErrConflict.
 func (l *Ledger) TopUp(ctx context.Context, a Account, id string, tokens int64) (Balance, error) {
+	if err := a.validate(); err != nil {
+		return Balance{}, err
+	}
 	for {
 		rows, err := l.table.Get(ctx, budgetKey(a), topUpPrefix+a.String()+"/"+id)
 		if err != nil {
@@ -70,17 +73,25 @@
 // Balance reads an account: its row, share rows, open grants and their bills
 // since the grants were last written.
 func (l *Ledger) Balance(ctx context.Context, a Account) (Balance, error) {
-	for {
-		balance, stable, err := l.readBalance(ctx, a)
-		if err != nil {
+	var balance Balance
+	for range balanceTries {
+		var stable bool
+		var err error
+		if balance, stable, err = l.readBalance(ctx, a); err != nil {
 			return Balance{}, fmt.Errorf("read budget %s: %w", a, err)
 		}
 		if stable {
 			return balance, nil
 		}
 	}
+	balance.Approximate = true
+	balance.Held = balance.Paid - balance.Unspent - balance.Settled - balance.InDoubt
+	return balance, nil
 }
 
+// balanceTries bounds the reads of a budget that changes meanwhile.
+const balanceTries = 5
+
 // readBalance reads an account once. Every change of a grant also writes its
 // source row, so that the read is consistent if no source changed meanwhile.
 func (l *Ledger) readBalance(ctx context.Context, a Account) (b Balance, stable bool, err error) {
--- a/coord/budget/measure_test.go
+++ b/coord/budget/measure_test.go
@@ -42,6 +42,7 @@
 	workspaces      = 10
 	largeRate       = 3.0
 	smallRate       = 0.15
+	sparseRate      = 0.01
 )
 
 // tally is the truth about one workspace, which no router knows.
@@ -73,6 +74,11 @@
 	outage time.Duration // in the middle; 0 is none
 	crash  bool          // of one router, after half of the length
 	seed   uint64
+	// sparse, if not 0, is a number of workspaces of sparseRate each in place
+	// of the ten.
+	sparse int
+	// idleAfter replaces the setting if it is not 0.
+	idleAfter time.Duration
 }
 
 // result are the figures of a trial.
@@ -100,10 +106,13 @@
 func (tr trial) tallies(store *memory.Store) []*tally {
 	ledger := NewLedger(store.View())
 	mean := meanUse * float64(tr.least+tr.most) / 2
-	all := make([]*tally, workspaces)
+	all := make([]*tally, max(tr.sparse, workspaces))
 	for i := range all {
 		w := &tally{account: Account{Workspace: fmt.Sprintf("w%d", i), Budget: "default"}, perSecond: smallRate}
-		if i < largeWorkspaces {
+		switch {
+		case tr.sparse > 0:
+			w.perSecond = sparseRate
+		case i < largeWorkspaces:
 			w.perSecond = largeRate
 		}
 		w.paid = int64(w.perSecond * mean * tr.life.Seconds())
@@ -166,7 +175,10 @@
 	}
 	before := store.Counts()
 	start := time.Now()
-	total := largeWorkspaces*largeRate + (workspaces-largeWorkspaces)*smallRate
+	total := 0.0
+	for _, w := range all {
+		total += w.perSecond
+	}
 	for i := 0; time.Since(start) < tr.length; i++ {
 		time.Sleep(time.Duration(random.ExpFloat64() / total * float64(time.Second)))
 		elapsed := time.Since(start)
@@ -261,9 +273,10 @@
 			{"crash, life 4 h", trial{deployment: d, life: 4 * time.Hour, length: 24 * time.Minute, crash: true}},
 		}
 		for _, c := range trials {
+			c.trial.seed = measureSeed
 			for _, way := range ways {
 				t.Run(d.name+"/"+c.name+"/"+way.name, func(t *testing.T) {
-					c.trial.seed = measureSeed
+					t.Parallel()
 					var r result
 					synctest.Test(t, func(*testing.T) { r = c.trial.run(way.make) })
 					t.Logf("seed %d | %s", measureSeed, r)
@@ -272,3 +285,26 @@
 		}
 	}
 }
+
+// TestMeasureSparse prints what many budgets with few requests each cost,
+// when any router decides and when each budget has a home.
+func TestMeasureSparse(t *testing.T) {
+	if os.Getenv(measureEnv) == "" {
+		t.Log("set " + measureEnv + "=1 to measure")
+		return
+	}
+	for _, idle := range []time.Duration{30 * time.Second, 5 * time.Minute, 30 * time.Minute} {
+		for _, way := range ways {
+			if !strings.HasSuffix(way.name, "small") {
+				continue
+			}
+			t.Run(fmt.Sprint(way.name, " idle ", idle), func(t *testing.T) {
+				tr := trial{deployment: deployments[0], life: 2 * time.Hour, length: 130 * time.Minute, seed: measureSeed, sparse: 100, idleAfter: idle}
+				var r result
+				synctest.Test(t, func(*testing.T) { r = tr.run(way.make) })
+				requests := float64(r.served+r.refused) / tr.length.Seconds()
+				t.Logf("rows a request written %.2f read %.2f | %s", r.written/requests, r.read/requests, r)
+			})
+		}
+	}
+}
--- a/coord/budget/settings.go
+++ b/coord/budget/settings.go
@@ -46,8 +46,10 @@
 	// MaxUnwritten bounds the bills that wait for the platform; at the bound
 	// new reservations are refused.
 	MaxUnwritten int `json:"max_unwritten"`
-	// Copies is the number of peers that keep a bill during an outage.
-	Copies int `json:"copies"`
+	// Copies is the number of peers that keep a bill during an outage, and
+	// CopyAfter how long a write may take before its bills are copied.
+	Copies    int           `json:"copies"`
+	CopyAfter time.Duration `json:"copy_after"`
 	// MaxReplays bounds how often one caller's key is served again without
 	// a bill.
 	MaxReplays int `json:"max_replays"`
@@ -59,7 +61,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		Small:        Lean{Horizon: 20 * time.Second, LowWater: 0.5, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 30 * time.Second},
+		Small:        Lean{Horizon: 20 * time.Second, LowWater: 0.5, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 5 * time.Minute},
 		Serve:        Lean{Horizon: 15 * time.Minute, LowWater: 0.8, RestShare: 0.5, HeldShare: 0.0085, IdleAfter: 30 * time.Minute},
 		WaitMax:      10 * time.Second,
 		MaxWaiting:   1024,
@@ -70,6 +72,7 @@
 		MaxBatch:     500,
 		MaxUnwritten: 200_000,
 		Copies:       2,
+		CopyAfter:    2 * time.Second,
 		MaxReplays:   3,
 		ShareDrawers: 16,
 	}
@@ -101,7 +104,7 @@
 	}
 	for path, d := range map[string]time.Duration{
 		"wait_max": s.WaitMax, "call_timeout": s.CallTimeout, "retry_after": s.RetryAfter,
-		"idle_check": s.IdleCheck, "linger": s.Linger,
+		"idle_check": s.IdleCheck, "linger": s.Linger, "copy_after": s.CopyAfter,
 	} {
 		require(d > 0, path, d, "a duration above 0")
 	}
--- a/coord/budget/ways_test.go
+++ b/coord/budget/ways_test.go
@@ -40,6 +40,9 @@
 func newGrants(tr trial, store *memory.Store, serve, alone bool) *system {
 	f := newFleet(0, 0)
 	f.store, f.serve = store, serve
+	if tr.idleAfter > 0 {
+		f.config.Small.IdleAfter = tr.idleAfter
+	}
 	for range tr.routers {
 		if alone {
 			f.network = bus.NewNetwork()
