--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,6 +77,21 @@
 	if err != nil {
 		return err
 	}
+	return c.do(req, result)
+}
+
+// callAgainst is call for a change against the revision base.
+func (c *Client) callAgainst(ctx context.Context, base int64, method, path string, body, result any) error {
+	req, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("If-Match", strconv.Quote(strconv.FormatInt(base, 10)))
+	return c.do(req, result)
+}
+
+func (c *Client) do(req *http.Request, result any) error {
+	method, path := req.Method, req.URL.Path
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return fmt.Errorf("call %s %s: %w", method, path, err)
@@ -119,5 +135,9 @@
 	if err := json.Unmarshal(answer, &body); err != nil || body.Error.Code == "" {
 		return fmt.Errorf("status %d: %s", status, answer)
 	}
-	return &failure.Error{Code: body.Error.Code, Step: body.Error.Step, Peer: body.Error.Peer, Message: body.Error.Message}
+	f := &failure.Error{Code: body.Error.Code, Step: body.Error.Step, Peer: body.Error.Peer, Message: body.Error.Message}
+	if len(body.Error.Others) > 0 {
+		f.Err = &conf.ConflictError{Others: body.Error.Others}
+	}
+	return f
 }
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"daisyslip.dev/daisyslip/coord/budget"
 	"daisyslip.dev/daisyslip/coord/bus"
@@ -25,22 +27,44 @@
 	return holder
 }
 
+// kindPing asks a router whether it runs.
+const kindPing bus.Kind = "daemon.ping"
+
+// pingTimeout bounds one question whether a router runs.
+const pingTimeout = 500 * time.Millisecond
+
+// ping and pong are the question and the answer of kindPing.
+type (
+	ping struct{}
+	pong struct{}
+)
+
 // newLedger returns the ledger, which takes a holder as live while its
-// process is this one or a peer.
+// process is this one or a peer that answers. The membership alone would show
+// a killed router as live until its row is old.
 func (d *Daemon) newLedger(link bus.Bus) *budget.Ledger {
+	bus.Handle(link, kindPing, func(context.Context, bus.ID, ping) (pong, error) { return pong{}, nil })
 	return budget.NewLedger(d.platform).WithLive(func(holder string) bool {
 		if holder == link.Self().ID.String() {
 			return true
 		}
 		for _, p := range link.Peers() {
 			if p.ID.String() == holder {
-				return true
+				return answers(link, p.ID)
 			}
 		}
 		return false
 	})
 }
 
+// answers reports whether a peer answers a ping.
+func answers(link bus.Bus, id bus.ID) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	_, err := bus.Call[ping, pong](ctx, link, id, kindPing, ping{})
+	return err == nil
+}
+
 // leansToServe reports whether a workspace keeps a stock for an outage.
 func (d *Daemon) leansToServe(workspace string) bool {
 	w := d.config.Catalog().Workspace(workspace)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/go-viper/mapstructure/v2"
 
 	"daisyslip.dev/daisyslip/coord/budget"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/admission"
 	"daisyslip.dev/daisyslip/internal/caller"
 	"daisyslip.dev/daisyslip/internal/calls"
@@ -52,6 +53,7 @@
 	Caller    caller.Settings       `json:"caller"`
 	Operator  operator.Settings     `json:"operator"`
 	Peer      peer.Settings         `json:"peer"`
+	Member    member.Settings       `json:"member"`
 	Platform  platformhttp.Settings `json:"platform"`
 	Budget    budget.Settings       `json:"budget"`
 	Route     route.Settings        `json:"route"`
@@ -70,6 +72,7 @@
 		Caller:    caller.DefaultSettings(),
 		Operator:  operator.DefaultSettings(),
 		Peer:      peer.DefaultSettings(),
+		Member:    member.DefaultSettings(),
 		Platform:  platformhttp.DefaultSettings(),
 		Budget:    budget.DefaultSettings(),
 		Route:     route.DefaultSettings(),
@@ -91,6 +94,11 @@
 	s.Caller.Validate(l, "caller")
 	s.Operator.Validate(l, "operator")
 	s.Peer.Validate(l, "peer")
+	for _, p := range s.Member.Validate() {
+		l.Duration("member."+p.Name, p.Value, p.Low, p.High)
+	}
+	// A member's row must outlive the work that it may do unconfirmed.
+	l.Duration("config.unconfirmed_bound", s.Config.UnconfirmedBound, time.Second, s.Member.RemoveAfter/3)
 	s.Platform.Validate(l, "platform")
 	for _, p := range s.Budget.Validate() {
 		l.Add("budget."+p.Path, p.Value, p.Want)
