Move answers off an engine that has become too slow

Change: an answer that would be late at its engine's present gap, and on time at the pool's usual one, is resumed elsewhere within the retry budget; a gap is reported after a quarter of a second at the latest. Naive: stays and is late.

--- a/internal/delivery/balance_test.go
+++ b/internal/delivery/balance_test.go
@@ -103,6 +103,37 @@
 	}, poll.WithTimeout(30*time.Second))
 }
 
+// TestSlowAnswersMove has an engine slow down in the middle of its streams:
+// answers that would be late there go on elsewhere and are on time. The naive
+// version stays and is late.
+func TestSlowAnswersMove(t *testing.T) {
+	t.Parallel()
+	engines := fastEngines(2)
+	for i := range engines {
+		engines[i].TokenTime = 2 * time.Millisecond
+	}
+	b := newBench(t, 0, engines...)
+	n := b.node(quickOptions())
+	askMany(t, n.dispatch, 16, 4, 20*time.Second)
+	for _, g := range []work.Generator{n.dispatch, &naiveDispatcher{bench: b}} {
+		b.setFaults(1, standin.EngineFaults{})
+		go func() {
+			time.Sleep(15 * time.Millisecond)
+			b.setFaults(1, standin.EngineFaults{SlowFactor: 100})
+		}()
+		late := 0
+		for _, a := range askMany(t, g, 8, 8, 3*time.Second) {
+			if a.err != nil {
+				late++
+				continue
+			}
+			assert.Equal(t, a.text, right(newGeneration("", a.prompt, 24, 0)))
+		}
+		_, isNaive := g.(*naiveDispatcher)
+		assert.Equal(t, late > 0, isNaive, "%d answers were late", late)
+	}
+}
+
 // TestPoolIsNeverEmptied has every engine refuse: at most half are ejected,
 // and work runs as soon as they are well.
 func TestPoolIsNeverEmptied(t *testing.T) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -93,7 +93,7 @@
 		silent := failure.Wrap(failure.EndpointFailed, err.Step, err.Peer, errSilent).WithRan(err.Ran).WithRetry(time.Second)
 		return result{err: silent, retry: true, retryTaken: true, staleConn: a.reused.Load() && !a.stream.begun}
 	}
-	return result{err: err, retry: err.Code == failure.EndpointFailed, retryTaken: a.watch.taken()}
+	return result{err: err, retry: err.Code == failure.EndpointFailed, retryTaken: a.watch.taken() || a.stream.moved}
 }
 
 // send sends the request and waits for the header of the answer.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -17,9 +17,12 @@
 // finishLength is the finish reason of an answer that was cut at its bound.
 const finishLength = "length"
 
-// gapTokens is the number of tokens over which a gap is averaged before it is
-// reported.
-const gapTokens = 8
+// A gap is averaged over gapTokens tokens, or over gapTime if that is shorter,
+// before it is reported.
+const (
+	gapTokens = 8
+	gapTime   = 250 * time.Millisecond
+)
 
 // stream reads the pieces of one attempt.
 type stream struct {
@@ -27,8 +30,10 @@
 	events  *sse.Reader
 	seen    int64 // tokens that this attempt has generated
 	begun   bool  // a piece of this attempt has come
+	moved   bool  // a retry was taken to move a slow answer
 	last    time.Time
-	since   int64 // tokens since last
+	since   int64         // tokens since last
+	gap     time.Duration // the latest mean gap, or 0
 }
 
 // read passes the pieces on until the answer is whole.
@@ -151,11 +156,39 @@
 	}
 	s.attempt.watch.token()
 	s.last = s.last.Add(time.Since(now))
+	if s.late() {
+		s.moved = true
+		return s.broken(errTooSlow)
+	}
 	return nil
 }
 
-// measure reports the time to the first token, and the mean gap every few
-// tokens.
+// errTooSlow ends an attempt whose answer goes on elsewhere.
+var errTooSlow = errors.New("the endpoint is too slow for the answer to be on time")
+
+// late reports whether the answer will be late here and can be on time at an
+// endpoint of the pool's usual speed. If so, it has taken a retry.
+func (s *stream) late() bool {
+	run, gap := s.attempt.run, s.gap
+	s.gap = 0 // decided until the next measurement
+	if gap == 0 || run.attempts >= run.dispatcher.settings.MaxAttempts {
+		return false
+	}
+	g := run.answer.generation
+	times := s.attempt.lease.Times()
+	left := g.MaxTokens - run.answer.tokens
+	here := time.Duration(left) * gap
+	elsewhere := times.First + time.Duration(left)*times.Gap
+	until := time.Until(g.Deadline)
+	if here <= until || elsewhere > until || here < 2*elsewhere {
+		return false
+	}
+	return run.answer.resumable() && run.dispatcher.duties.Router.HasOther(g, run.tried, s.attempt.lease.Endpoint.Name) &&
+		s.attempt.lease.TakeRetry()
+}
+
+// measure reports the time to the first token, and the mean gap at
+// intervals.
 func (s *stream) measure(now time.Time, tokens int64) {
 	if !s.begun {
 		s.begun, s.last = true, now
@@ -163,8 +196,9 @@
 		return
 	}
 	s.since += tokens
-	if s.since >= gapTokens {
-		s.attempt.lease.Gap(now.Sub(s.last) / time.Duration(s.since))
+	if s.since >= gapTokens || s.since > 1 && now.Sub(s.last) >= gapTime {
+		s.gap = now.Sub(s.last) / time.Duration(s.since)
+		s.attempt.lease.Gap(s.gap)
 		s.last, s.since = now, 0
 	}
 }
