--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -98,21 +98,15 @@
 		a.serveLocked()
 	default:
 		a.holder.stats.DrawFailures.Add(1)
-		a.retryAt = a.holder.options.Clock.Now().Add(a.retryPause(err))
-		a.refuseLocked(err)
+		now := a.holder.options.Clock.Now()
+		a.retryAt = now.Add(a.holder.options.Settings.RetryAfter)
+		a.refuseLocked(err, now)
 		a.jobs.draw = a.jobs.draw || len(a.waiters) > 0
 	}
 }
 
-// retryPause is the time before the next draw after a failed one.
-func (a *account) retryPause(err error) time.Duration {
-	if errors.Is(err, ErrExhausted) {
-		return exhaustedPause
-	}
-	return a.holder.options.Settings.RetryAfter
-}
-
-// exhaustedPause is how long an exhausted budget is not looked at again.
+// exhaustedPause is how long an exhausted budget is not looked at again for a
+// request of the same size or more.
 const exhaustedPause = 2 * time.Second
 
 // prefetchPause is the pause after a draw ahead of need that found little.
@@ -131,12 +125,21 @@
 		short, least := a.shortLocked()
 		target := a.targetLocked(a.holder.options.Clock.Now())
 		few := int64(minDrawRequests * a.request)
-		byRest := int64(lean.RestShare * float64(source.unspent()) / float64(max(source.Open, 1)))
-		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))-a.availableLocked())
+		rest := source.unspent()
+		refill := int64(0)
+		if g.Source != budgetKey(a.name) {
+			refill = refillOf(budget)
+			rest = max(rest, refill)
+		}
+		byRest := int64(lean.RestShare * float64(rest) / float64(max(source.Open, 1)))
+		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))-(a.tokens-a.settled))
 		amount := min(target-a.availableLocked(), byRest, byHeld)
 		if least == 0 && amount < few {
 			return errNothing
 		}
+		if amount > source.unspent() && refill >= few {
+			return errShort // worth a refill of the share row
+		}
 		amount = min(max(amount, short), source.unspent())
 		if amount < least || amount <= 0 {
 			return errShort
--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -37,6 +37,9 @@
 		source := work.Source{RequestID: uuid.NewString()}
 		c.Set(sourceKey, source)
 		c.Response().Header().Set(headerRequestID, source.RequestID)
+		if err := s.fresh(c.Request().Context()); err != nil {
+			return err
+		}
 		principal, err := s.principal(c.Request())
 		if err != nil {
 			return err
@@ -80,6 +83,14 @@
 	})
 }
 
+// fresh refuses work while the revision in force may be too old.
+func (s *Server) fresh(ctx context.Context) error {
+	if s.duties.Fresh == nil {
+		return nil
+	}
+	return s.duties.Fresh(ctx)
+}
+
 // principal finds who the bearer token acts for.
 func (s *Server) principal(r *http.Request) (catalog.Principal, error) {
 	secret, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,10 +17,12 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/hlc"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/caller"
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/settings"
@@ -42,11 +44,17 @@
 	copies   *timeline.Copies
 	http     *platformhttp.Client
 	platform *platformevents.Platform
+	members  *member.Directory
+	link     *peer.Link // nil if the peer link is off
+	bus      bus.Bus
 	config   *conf.Keeper
 	holder   *budget.LocalHolder
 	delivery delivery
 	caller   *caller.Server
 	operator *operator.Server
+
+	// supersede starts the drain when a newer incarnation runs on this VM.
+	supersede context.CancelFunc
 }
 
 // New assembles a router from its settings; nothing runs yet.
@@ -59,12 +67,14 @@
 		metrics:  metrics.NewSet(),
 		http:     platformhttp.NewClient(s.Platform, s.VM),
 	}
-	d.events = timeline.NewRing(s.Timeline, d.self.ID, hlc.New(clock.Real{}))
+	stamps := hlc.New(clock.Real{})
+	d.events = timeline.NewRing(s.Timeline, d.self.ID, stamps)
 	d.watch()
+	d.newPeers(stamps)
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
-	link := bus.NewNetwork().Join(d.self)
-	ledger := d.newLedger(link)
-	d.holder = d.newHolder(link)
+	d.config.Join(d.bus, d.members)
+	ledger := d.newLedger(d.bus)
+	d.holder = d.newHolder(d.bus)
 	d.delivery = d.newDelivery(nil)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
@@ -75,6 +85,7 @@
 		Metrics:   d.metrics,
 		Log:       d.part("caller"),
 		Unready:   d.unready,
+		Fresh:     d.config.Fresh,
 	})
 	d.operator = operator.New(s.Operator, operator.Duties{
 		Config:  d.config,
@@ -85,6 +96,7 @@
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
 		Status:  d.status,
+		Members: d.members.Members,
 	})
 	return d
 }
@@ -100,7 +112,9 @@
 	if err := d.operator.Provision(); err != nil {
 		return errors.Join(err, d.caller.Cleanup())
 	}
-	d.self.Operator = d.Addresses().Operator
+	if err := d.provisionPeers(); err != nil {
+		return errors.Join(err, d.caller.Cleanup(), d.operator.Cleanup())
+	}
 	return nil
 }
 
@@ -109,23 +123,33 @@
 	// Caller and Operator are the base URLs of the two APIs.
 	Caller   string `json:"caller"`
 	Operator string `json:"operator"`
+	// Peer is the host:port for other routers; empty if the link is off.
+	Peer string `json:"peer,omitempty"`
 }
 
 // Addresses returns where the router listens, after Provision.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
 		Caller:   "http://" + d.caller.Addr().String(),
-		Operator: "http://" + d.operator.Addr().String(),
+		Operator: d.operatorURL(),
+		Peer:     d.bus.Self().Addr,
 	}
 }
 
+func (d *Daemon) operatorURL() string { return "http://" + d.operator.Addr().String() }
+
+// maxDuties bounds the duties that run at once.
+const maxDuties = 16
+
 // Run serves until ctx ends, then drains: readiness turns false, requests in
 // flight finish, and grants go back to the platform.
 func (d *Daemon) Run(ctx context.Context) error {
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
+	ctx, d.supersede = context.WithCancel(ctx)
+	defer d.supersede()
 	var running sync.WaitGroup
-	failed := make(chan error, 5)
+	failed := make(chan error, maxDuties)
 	start := func(name string, run func() error) {
 		running.Go(func() {
 			if err := run(); err != nil {
@@ -134,6 +158,9 @@
 		})
 	}
 	start("config", func() error { return d.config.Run(duties) })
+	start("peers", d.runPeers)
+	start("seeds", func() error { return d.greetSeeds(duties) })
+	start("members", func() error { return d.runMembers(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
 	start("caller", d.caller.Run)
@@ -158,7 +185,7 @@
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainStarted})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Timeout)
 	defer cancel()
-	err := errors.Join(d.caller.Drain(ctx), d.delivery.drain(ctx), d.holder.Close(ctx))
+	err := errors.Join(d.caller.Drain(ctx), d.delivery.drain(ctx), d.holder.Close(ctx), d.leavePeers(ctx))
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainEnded})
 	d.log.Info("Drain ended.", "err", err)
 	return err
@@ -166,7 +193,7 @@
 
 // cleanup closes what Provision and New opened.
 func (d *Daemon) cleanup() error {
-	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup())
+	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup(), d.cleanupPeers())
 	d.delivery.close()
 	d.platform.Close()
 	return err
@@ -174,20 +201,24 @@
 
 // unready returns why the router should get no requests.
 func (d *Daemon) unready() []string {
-	if d.config.Catalog().Revision == 0 {
-		return []string{"no configuration is in force"}
+	var reasons []string
+	if reason := d.config.Unready(); reason != "" {
+		reasons = append(reasons, reason)
 	}
-	return nil
+	if d.holder.Fenced() {
+		reasons = append(reasons, "an operator has settled this process's budgets; start it anew")
+	}
+	return reasons
 }
 
 func (d *Daemon) status() operator.Status {
 	return operator.Status{
-		Self:     d.self,
+		Self:     d.bus.Self(),
 		Version:  Version,
 		Started:  d.started,
 		Revision: d.config.Catalog().Revision,
 		InFlight: d.caller.InFlight(),
 		Unready:  d.unready(),
-		Peers:    []bus.Peer{},
+		Peers:    append([]bus.Peer{}, d.bus.Peers()...),
 	}
 }
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -27,6 +27,7 @@
 func (s *Server) configRoutes(api *echo.Group) {
 	api.GET("/config", s.getConfig)
 	api.POST("/config/changes", s.postChange)
+	s.historyRoutes(api)
 	for path, kind := range entityPaths {
 		api.PUT("/"+path+"/:name", s.putEntity(kind))
 		api.DELETE("/"+path+"/:name", s.deleteEntity(kind))
