Leases with fencing numbers, shared member listings, measurements

Cause: orders need one holder at a time; at 200 routers each read all rows of the address book, 1,018 to 1,216 rows a second in all (measured).

Change: coord/lease over the table, holder's time counted from before the write and contender's from after the read, by monotonic clocks; relays hand their listing of members to their followers, found equal by a digest that rides on the view's answer; the VM list is read on its own, each second.

Ruled out: every router reading the rows, stretched by the size of the fleet: minutes old at 380.

--- a/coord/clock/clock.go
+++ b/coord/clock/clock.go
@@ -38,3 +38,11 @@
 		return nil
 	}
 }
+
+// Elapsed is the time between two moments by the monotonic clock or by the
+// wall clock, whichever says more. A monotonic clock may stand still while a
+// VM is suspended, and a wall clock may be set back; a bound that must not be
+// overrun is measured by this.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
--- /dev/null
+++ b/coord/lease/lease_test.go
@@ -0,0 +1,260 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/platform"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+)
+
+const leaseName = "endpoint-1"
+
+// contender wants the lease. Each has a monotonic clock of its own, which
+// drifts, and a wall clock that may jump.
+type contender struct {
+	clock *clock.Fake
+	rate  float64 // of the monotonic clock
+	wall  time.Duration
+	view  *memory.View
+
+	ours  *Table
+	lease *Lease
+	held  seen
+
+	naive    *naiveLease
+	away     bool  // from the store
+	actOurs  int64 // number of a checked act that has not been sent, or 0
+	actNaive bool
+}
+
+// naiveLease ends at a wall clock time that stands in the row.
+type naiveLease struct {
+	table platform.Table
+	id    string
+	until time.Time
+}
+
+type naiveRow struct {
+	Holder string    `json:"holder"`
+	Until  time.Time `json:"until"`
+}
+
+// acquire takes the lease if it has ended by the own wall clock, or renews it.
+func (n *naiveLease) acquire(now time.Time) {
+	rows, err := n.table.Get(context.Background(), "naive")
+	if err != nil {
+		return
+	}
+	var r naiveRow
+	if rows[0].Version != 0 && json.Unmarshal(rows[0].Value, &r) != nil {
+		return
+	}
+	if r.Holder != "" && r.Holder != n.id && now.Before(r.Until) {
+		return
+	}
+	r = naiveRow{Holder: n.id, Until: now.Add(DefaultSettings().Duration)}
+	value, _ := json.Marshal(r)
+	_, err = n.table.Commit(context.Background(), platform.Txn{
+		OpID:   fmt.Sprintf("%s-%d", n.id, rows[0].Version),
+		Conds:  []platform.Cond{{Key: "naive", Version: rows[0].Version}},
+		Writes: []platform.Write{{Key: "naive", Value: value}},
+	})
+	if err == nil {
+		n.until = r.Until
+	}
+}
+
+func (c *contender) wallNow() time.Time { return c.clock.Now().Add(c.wall) }
+
+// endpoint carries out acts. One that checks refuses numbers below the
+// highest seen.
+type endpoint struct {
+	highest int64
+	stale   int // acts carried out though a newer holder had acted
+}
+
+func (e *endpoint) act(number int64, checks bool) {
+	if number < e.highest {
+		if !checks {
+			e.stale++
+		}
+		return
+	}
+	e.highest = number
+}
+
+func newContender(store *memory.Store, id string, rate float64) *contender {
+	c := &contender{clock: clock.NewFake(time.Unix(1_000_000, 0)), rate: rate, view: store.View()}
+	c.ours = NewTable(DefaultSettings(), c.view, c.clock, id, event.Discard{})
+	c.naive = &naiveLease{table: c.view, id: id}
+	return c
+}
+
+// outcome counts what went wrong in a schedule.
+type outcome struct {
+	oursDouble, naiveDouble int // moments with two holders
+	staleChecked            int // acts of an old holder before an endpoint that checks
+	stalePlain              int // and before one that does not
+	taken                   int
+}
+
+func runSchedule(t *testing.T, random *rand.Rand) (o outcome) {
+	store := memory.NewStore(clock.Real{})
+	all := []*contender{newContender(store, "one", 1), newContender(store, "two", 1.008), newContender(store, "three", 0.999)}
+	var checking, plain endpoint
+	ctx := context.Background()
+	for range 80 {
+		c := all[random.IntN(len(all))]
+		switch random.IntN(8) {
+		case 0, 1:
+			passed := time.Duration(random.IntN(6000)) * time.Millisecond
+			for _, one := range all {
+				one.clock.Advance(time.Duration(float64(passed) * one.rate))
+			}
+		case 2, 3, 4:
+			if c.away {
+				continue // every call of the store would fail
+			}
+			if c.lease != nil && c.lease.Valid() {
+				c.lease.Renew(ctx) // errors are the faults of the schedule
+			} else if l, _ := c.ours.try(ctx, leaseName, &c.held); l != nil {
+				c.lease = l
+				o.taken++
+			}
+			c.naive.acquire(c.wallNow())
+		case 5: // the check and the act of one pass, with a pause between
+			if c.actOurs > 0 {
+				checking.act(c.actOurs, true)
+				plain.act(c.actOurs, false)
+				c.actOurs = 0
+			} else if c.lease != nil && c.lease.Valid() {
+				c.actOurs = c.lease.Fencing()
+			}
+		case 6:
+			if !c.away && random.IntN(3) == 0 && c.lease != nil && c.actOurs == 0 && c.lease.Valid() {
+				c.lease.Release(ctx)
+			}
+			c.away = random.IntN(4) == 0
+		case 7:
+			c.wall += time.Duration(random.IntN(120)-60) * time.Second
+		}
+		ours, naive := 0, 0
+		for _, one := range all {
+			if one.lease != nil && one.lease.Valid() {
+				ours++
+			}
+			if one.wallNow().Before(one.naive.until) {
+				naive++
+			}
+		}
+		if ours > 1 {
+			o.oursDouble++
+		}
+		if naive > 1 {
+			o.naiveDouble++
+		}
+	}
+	o.staleChecked, o.stalePlain = checking.stale, plain.stale
+	return o
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	const seed, schedules = 6, 2000
+	var sum outcome
+	for s := range schedules {
+		o := runSchedule(t, rand.New(rand.NewPCG(seed, uint64(s))))
+		if o.oursDouble > 0 || o.staleChecked > 0 {
+			t.Fatalf("seed %d schedule %d: %+v", seed, s, o)
+		}
+		sum.naiveDouble += o.naiveDouble
+		sum.stalePlain += o.stalePlain
+		sum.taken += o.taken
+	}
+	t.Logf("seed %d, %d schedules, %d leases taken: two holders at once: ours 0, naive %d; late acts of a paused holder: refused by all endpoints that check, carried out %d times by those that do not",
+		seed, schedules, sum.taken, sum.naiveDouble, sum.stalePlain)
+	if sum.naiveDouble == 0 || sum.stalePlain == 0 || sum.taken < schedules {
+		t.Fatalf("the schedules trouble nobody: %+v", sum)
+	}
+}
+
+func must(t *testing.T, l *Lease, err error) *Lease {
+	t.Helper()
+	if err != nil || l == nil {
+		t.Fatalf("lease %v, %v", l, err)
+	}
+	return l
+}
+
+func TestRenewalAndRelease(t *testing.T) {
+	store := memory.NewStore(clock.Real{})
+	one, two := newContender(store, "one", 1), newContender(store, "two", 1)
+	ctx := context.Background()
+	l, err := one.ours.TryAcquire(ctx, leaseName)
+	first := must(t, l, err)
+	if l, err := two.ours.TryAcquire(ctx, leaseName); l != nil || err != nil {
+		t.Fatalf("a held lease was given: %v, %v", l, err)
+	}
+	// The reply of a renewal is lost and its caller gives up; the next
+	// renewal finds its own row.
+	one.view.SetFaults(memory.Faults{LoseReplies: -1})
+	short, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+	if err := first.Renew(short); err == nil {
+		t.Fatal("a renewal without a reply succeeded")
+	}
+	cancel()
+	one.view.SetFaults(memory.Faults{})
+	if err := first.Renew(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Release(ctx); err != nil || first.Valid() {
+		t.Fatalf("release: %v, valid %t", err, first.Valid())
+	}
+	l, err = two.ours.TryAcquire(ctx, leaseName)
+	if second := must(t, l, err); second.Fencing() != first.Fencing()+1 {
+		t.Fatalf("fencing numbers %d, %d", first.Fencing(), second.Fencing())
+	}
+	if err := first.Renew(ctx); !errors.Is(err, ErrLost) {
+		t.Fatalf("renewal after release: %v", err)
+	}
+}
+
+func TestKeepEndsInAnOutage(t *testing.T) {
+	store := memory.NewStore(clock.Real{})
+	view := store.View()
+	s := Settings{Duration: 300 * time.Millisecond, Margin: 50 * time.Millisecond, PollInterval: 10 * time.Millisecond}
+	l, err := NewTable(s, view, clock.Real{}, "one", event.Discard{}).Acquire(context.Background(), leaseName)
+	must(t, l, err)
+	view.SetFaults(memory.Faults{Outage: true})
+	if err := l.Keep(context.Background()); !errors.Is(err, ErrLost) || l.Valid() {
+		t.Fatalf("keep: %v, valid %t", err, l.Valid())
+	}
+	// Another waits for the whole time and takes over.
+	l, err = NewTable(s, store.View(), clock.Real{}, "two", event.Discard{}).Acquire(context.Background(), leaseName)
+	if must(t, l, err).Fencing() != 2 {
+		t.Fatalf("fencing number %d", l.Fencing())
+	}
+}
+
+func Example() {
+	ctx := context.Background()
+	store := memory.NewStore(clock.Real{})
+	lessor := NewTable(DefaultSettings(), store.View(), clock.Real{}, "entry-1", event.Discard{})
+	l, err := lessor.Acquire(ctx, "endpoint engine-3")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("order with fencing number", l.Fencing(), "valid", l.Valid())
+	fmt.Println(l.Release(ctx))
+	// Output:
+	// order with fencing number 1 valid true
+	// <nil>
+}
--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -37,6 +38,7 @@
 	beat     int64
 	lastBeat time.Time // start of the last successful write of the own row
 	present  time.Time // end of the write since which the own row was never missing
+	shared   time.Time // when another member's listing was last taken over or found equal
 	entries  map[string]*entry
 	vms      map[string]*vmEntry
 }
@@ -169,12 +171,17 @@
 	return nil
 }
 
-// Refresh reads all rows and the platform's VM list, and removes the rows of
-// members that are silent beyond RemoveAfter or whose VM is gone.
+// Refresh reads all rows and the platform's VM list.
 func (d *Directory) Refresh(ctx context.Context) error {
 	if err := d.RefreshRows(ctx); err != nil {
 		return err
 	}
+	return d.RefreshVMs(ctx)
+}
+
+// RefreshVMs reads the platform's VM list and removes the rows of members
+// that are silent beyond RemoveAfter or whose VM is gone.
+func (d *Directory) RefreshVMs(ctx context.Context) error {
 	vms, err := d.store.ListVMs(ctx)
 	if err != nil {
 		return fmt.Errorf("list VMs: %w", err)
@@ -362,22 +369,32 @@
 }
 
 // Run registers this member, keeps its heartbeat and refreshes the view until
-// ctx ends. It returns ErrSuperseded if a newer incarnation took over.
+// ctx ends. The table is read only while no other member's listing is fresh.
+// It returns ErrSuperseded if a newer incarnation took over.
 func (d *Directory) Run(ctx context.Context, failed func(error)) error {
-	nextBeat := d.clock.Now()
+	nextBeat, nextRead := d.clock.Now(), d.clock.Now()
 	for {
-		if !d.clock.Now().Before(nextBeat) {
+		now := d.clock.Now()
+		if !now.Before(nextBeat) {
 			err := d.bounded(ctx, d.Heartbeat)
-			if isSuperseded(err) {
+			if errors.Is(err, ErrSuperseded) {
 				return err
 			}
 			if err == nil {
-				nextBeat = d.clock.Now().Add(d.settings.HeartbeatInterval)
+				nextBeat = now.Add(d.settings.HeartbeatInterval)
 			}
 			report(ctx, err, failed)
 		}
-		report(ctx, d.bounded(ctx, d.Refresh), failed)
-		if err := clock.Sleep(ctx, d.clock, d.settings.RefreshInterval); err != nil {
+		pause, skip := d.refreshPause()
+		switch {
+		case skip:
+		case !now.Before(nextRead):
+			report(ctx, d.bounded(ctx, d.Refresh), failed)
+			nextRead = now.Add(pause)
+		default:
+			report(ctx, d.bounded(ctx, d.RefreshVMs), failed)
+		}
+		if err := clock.Sleep(ctx, d.clock, d.settings.ListInterval); err != nil {
 			return nil
 		}
 	}
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -25,9 +25,10 @@
 type Settings struct {
 	// HeartbeatInterval is the time between two writes of a member's row.
 	HeartbeatInterval time.Duration `json:"heartbeat_interval"`
-	// RefreshInterval is the time between two reads of all rows and of the
-	// platform's VM list.
+	// RefreshInterval is the shortest time between two reads of all rows.
 	RefreshInterval time.Duration `json:"refresh_interval"`
+	// ListInterval is the time between two reads of the platform's VM list.
+	ListInterval time.Duration `json:"list_interval"`
 	// SuspectFor is how long a member that could not be reached is left out
 	// of Live, unless it gets in touch before.
 	SuspectFor time.Duration `json:"suspect_for"`
@@ -47,6 +48,7 @@
 	return Settings{
 		HeartbeatInterval: 30 * time.Second,
 		RefreshInterval:   5 * time.Second,
+		ListInterval:      time.Second,
 		SuspectFor:        3 * time.Second,
 		SilentAfter:       100 * time.Second,
 		RemoveAfter:       30 * time.Minute,
@@ -68,6 +70,7 @@
 	all := []Problem{
 		{"heartbeat_interval", s.HeartbeatInterval, 10 * time.Millisecond, time.Hour},
 		{"refresh_interval", s.RefreshInterval, 10 * time.Millisecond, time.Hour},
+		{"list_interval", s.ListInterval, 10 * time.Millisecond, s.RefreshInterval},
 		{"suspect_for", s.SuspectFor, time.Millisecond, time.Hour},
 		{"silent_after", s.SilentAfter, 2 * s.HeartbeatInterval, 24 * time.Hour},
 		{"remove_after", s.RemoveAfter, 2 * s.SilentAfter, 30 * 24 * time.Hour},
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -163,6 +163,33 @@
 	f.want(one)
 }
 
+func TestListingStandsForTheTable(t *testing.T) {
+	f := newFleet(t)
+	relay, _ := f.join("relay", "1")
+	f.join("two", "1")
+	asker, view := f.join("asker", "1")
+	view.SetFaults(memory.Faults{Outage: true})
+	f.store.SetVMs([]platform.VM{{ID: "engine-vm", State: platform.VMLeaving}})
+	f.ok(relay.Refresh(context.Background()))
+	if asker.Listing().Digest() == relay.Listing().Digest() {
+		t.Fatal("different listings have one digest")
+	}
+	asker.Merge(relay.Listing())
+	if asker.Listing().Digest() != relay.Listing().Digest() {
+		t.Fatalf("after the merge: %+v, want %+v", asker.Listing(), relay.Listing())
+	}
+	if got := asker.Live(); len(got) != 2 || !asker.VMLeaving("engine-vm") {
+		t.Fatalf("live members are %v", got)
+	}
+	if _, skip := asker.refreshPause(); !skip {
+		t.Fatal("the table is read though the listing is fresh")
+	}
+	f.clock.Advance(DefaultSettings().RefreshInterval + 1)
+	if _, skip := asker.refreshPause(); skip {
+		t.Fatal("the table is not read though the listing is old")
+	}
+}
+
 func TestLostRepliesAreSettled(t *testing.T) {
 	f := newFleet(t)
 	one, view := f.join("one", "1")
--- a/coord/member/vms.go
+++ b/coord/member/vms.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/platform"
@@ -54,8 +53,6 @@
 	return d.leavingLocked(vm)
 }
 
-func isSuperseded(err error) bool { return errors.Is(err, ErrSuperseded) }
-
 // report hands an error to failed unless the run is ending.
 func report(ctx context.Context, err error, failed func(error)) {
 	if err != nil && ctx.Err() == nil {
--- a/internal/conf/accept_test.go
+++ b/internal/conf/accept_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/platform"
 )
@@ -157,7 +158,7 @@
 		{"suspended: the wall clock says more", start.Round(0), later.Round(0).Add(time.Hour), time.Hour + 5*time.Second},
 		{"wall clock set back: the monotonic clock says more", start, later, 5 * time.Second},
 	} {
-		assert.Equal(t, elapsed(test.from, test.to), test.want, test.name)
+		assert.Equal(t, clock.Elapsed(test.from, test.to), test.want, test.name)
 	}
 	// The naive age by wall clock is fooled by a clock set back.
 	naive := later.Round(0).Add(-time.Hour).Sub(start.Round(0))
--- a/internal/conf/exchange.go
+++ b/internal/conf/exchange.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/coord/revlog"
 	"daisyslip.dev/daisyslip/internal/catalog"
 )
@@ -17,15 +19,15 @@
 	kindPush bus.Kind = "config.push"
 	kindView bus.Kind = "config.view"
 	kindCopy bus.Kind = "config.copy"
+	// kindMembers asks for the members that the peer knows.
+	kindMembers bus.Kind = "config.members"
 )
 
 // viewRequest asks for the newest revision that a peer knows.
 type viewRequest struct {
-	// Revision is the one in force at the sender.
-	Revision int64 `cbor:"1,keyasint"`
 	// Unregistered is true if the sender's row may be missing, so that the
 	// peer has to answer for it when a change is to be accepted.
-	Unregistered bool `cbor:"2,keyasint,omitempty"`
+	Unregistered bool `cbor:"1,keyasint,omitempty"`
 }
 
 // viewAnswer says which revision is in force at a peer and how long ago it
@@ -34,8 +36,13 @@
 	Revision  int64 `cbor:"1,keyasint"`
 	AgeMS     int64 `cbor:"2,keyasint,omitempty"`
 	Confirmed bool  `cbor:"3,keyasint,omitempty"`
+	// Members is the digest of the peer's listing of members.
+	Members uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// membersRequest asks for a listing of members.
+type membersRequest struct{}
+
 // copyRequest asks for what is newer than a revision.
 type copyRequest struct {
 	After int64 `cbor:"1,keyasint"`
@@ -71,7 +78,7 @@
 	defer o.mu.Unlock()
 	var ids []bus.ID
 	for id, at := range o.given {
-		if elapsed(at, now) > bound {
+		if clock.Elapsed(at, now) > bound {
 			delete(o.given, id)
 			continue
 		}
@@ -84,7 +91,7 @@
 func (o *offers) olderThan(id bus.ID, now time.Time, d time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return elapsed(o.given[id], now) > d
+	return clock.Elapsed(o.given[id], now) > d
 }
 
 func (o *offers) forget(id bus.ID) {
@@ -105,9 +112,29 @@
 	if answer.Confirmed {
 		answer.AgeMS = age.Milliseconds() + 1 // rounded up
 	}
+	answer.Members = k.members.Listing().Digest()
 	return answer, nil
 }
 
+func (k *Keeper) handleMembers(context.Context, bus.ID, membersRequest) (member.Listing, error) {
+	return k.members.Listing(), nil
+}
+
+// shareMembers takes over a relay's listing if its digest differs from the
+// own, so that not every router reads all members' rows.
+func (k *Keeper) shareMembers(ctx context.Context, from bus.ID, digest uint64) {
+	if digest == k.members.Listing().Digest() {
+		k.members.NoteCurrent()
+		return
+	}
+	listing, err := bus.Call[membersRequest, member.Listing](ctx, k.bus, from, kindMembers, membersRequest{})
+	if err != nil {
+		k.log.Debug("Members not shared.", "from", from.String(), "err", err)
+		return
+	}
+	k.members.Merge(listing)
+}
+
 func (k *Keeper) handleCopy(_ context.Context, _ bus.ID, req copyRequest) (copyAnswer, error) {
 	if entries, whole := k.recentAfter(req.After); whole {
 		return copyAnswer{Entries: entries}, nil
--- a/internal/conf/keeper.go
+++ b/internal/conf/keeper.go
@@ -65,6 +65,7 @@
 	bus.Handle(b, kindPush, k.handlePush)
 	bus.Handle(b, kindView, k.handleView)
 	bus.Handle(b, kindCopy, k.handleCopy)
+	bus.Handle(b, kindMembers, k.handleMembers)
 }
 
 // Catalog returns the revision in force.
--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -9,9 +9,8 @@
 	"daisyslip.dev/daisyslip/coord/bus"
 )
 
-// relaysPerDomain is the number of relays that a router tries before it reads
-// the table itself.
-const relaysPerDomain = 2
+// maxFollowers bounds the routers that one relay confirms views for.
+const maxFollowers = 12
 
 // ranked orders the routers of one failure domain as its relays, the same at
 // every router that knows the same members.
@@ -28,8 +27,8 @@
 	return ids
 }
 
-// ownRelays returns the routers to ask for a view: none in a small fleet or
-// if this router is a relay itself.
+// ownRelays returns the routers to ask for a view, the first one first: none
+// in a small fleet or if this router is a relay itself.
 func (k *Keeper) ownRelays() []bus.ID {
 	if k.bus == nil {
 		return nil
@@ -40,8 +39,26 @@
 	}
 	self := k.bus.Self()
 	ids := ranked(append(slices.Clip(peers), self), self.Domain)
-	before := slices.Index(ids, self.ID)
-	return ids[:min(before, relaysPerDomain)]
+	return relaysOf(ids, slices.Index(ids, self.ID))
+}
+
+// relaysOf returns the relays of the router at a place in the order of its
+// failure domain. The first routers of the order are the relays; each other
+// one has two of them, so that the loss of one is bridged.
+func relaysOf(ids []bus.ID, place int) []bus.ID {
+	relays := (len(ids) + maxFollowers) / (maxFollowers + 1)
+	if place < relays {
+		return nil
+	}
+	first := ids[place%relays]
+	second := ids[(place+1)%relays]
+	if relays == 1 {
+		second = ids[1] // which follows the relay itself, if place is not its own
+	}
+	if second == first || second == ids[place] {
+		return []bus.ID{first}
+	}
+	return []bus.ID{first, second}
 }
 
 // planFor says how the waiting routers are reached. In a large fleet the
--- a/internal/conf/view.go
+++ b/internal/conf/view.go
@@ -25,13 +25,6 @@
 
 func newView(s Settings, c clock.Clock) *view { return &view{settings: s, clock: c} }
 
-// elapsed is the time between two moments by the monotonic clock or by the
-// wall clock, whichever says more: a monotonic clock may stand still while a
-// VM is suspended.
-func elapsed(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
-}
-
 // confirm notes that the revision in force was the newest at a moment.
 func (v *view) confirm(at time.Time) {
 	v.mu.Lock()
@@ -52,7 +45,7 @@
 	if v.confirmed.IsZero() {
 		return time.Duration(1<<63 - 1)
 	}
-	return elapsed(v.confirmed, v.clock.Now())
+	return clock.Elapsed(v.confirmed, v.clock.Now())
 }
 
 // failedWithin reports whether the last try to confirm failed and ended so
@@ -60,7 +53,7 @@
 func (v *view) failedWithin(d time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return !v.failed.IsZero() && elapsed(v.failed, v.clock.Now()) <= d
+	return !v.failed.IsZero() && clock.Elapsed(v.failed, v.clock.Now()) <= d
 }
 
 // begin joins the try in progress, or starts one; then end is not nil and
@@ -155,7 +148,8 @@
 	err := k.register(ctx)
 	if err == nil {
 		for _, relay := range k.ownRelays() {
-			if k.askView(ctx, relay, k.settings.ViewBound) == nil {
+			if digest, err := k.askView(ctx, relay, k.settings.ViewBound); err == nil {
+				k.shareMembers(ctx, relay, digest)
 				return nil
 			}
 		}
@@ -181,7 +175,7 @@
 		return nil
 	}
 	since := k.members.RegisteredSince()
-	if !since.IsZero() && elapsed(since, k.clock.Now()) <= k.settings.UnconfirmedBound {
+	if !since.IsZero() && clock.Elapsed(since, k.clock.Now()) <= k.settings.UnconfirmedBound {
 		return nil
 	}
 	call, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
@@ -198,7 +192,7 @@
 		return true
 	}
 	since := k.members.RegisteredSince()
-	return !since.IsZero() && elapsed(since, k.clock.Now()) <= k.settings.UnconfirmedBound
+	return !since.IsZero() && clock.Elapsed(since, k.clock.Now()) <= k.settings.UnconfirmedBound
 }
 
 // covered reports whether a change committed after the moment waits for this
@@ -218,7 +212,7 @@
 		if i == maxAsked || ctx.Err() != nil {
 			break
 		}
-		if last = k.askView(ctx, p.ID, k.settings.UnconfirmedBound); last == nil && k.Confirmed() {
+		if _, last = k.askView(ctx, p.ID, k.settings.UnconfirmedBound); last == nil && k.Confirmed() {
 			return nil
 		}
 	}
@@ -231,28 +225,27 @@
 var errNoPeers = errors.New("no peer to ask for its view")
 
 // askView asks a peer for the newest revision that it knows and for the age
-// of its view, and takes both over. It fails if that leaves the own view
-// older than the bound.
-func (k *Keeper) askView(ctx context.Context, to bus.ID, bound time.Duration) error {
+// of its view, takes both over and returns the digest of the peer's members.
+// It fails if that leaves the own view older than the bound.
+func (k *Keeper) askView(ctx context.Context, to bus.ID, bound time.Duration) (members uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
 	defer cancel()
 	started := k.clock.Now()
-	answer, err := bus.Call[viewRequest, viewAnswer](ctx, k.bus, to, kindView, viewRequest{Revision: k.Catalog().Revision, Unregistered: !k.registered()})
+	answer, err := bus.Call[viewRequest, viewAnswer](ctx, k.bus, to, kindView, viewRequest{Unregistered: !k.registered()})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if answer.Revision > k.Catalog().Revision {
 		if err := k.fetch(ctx, to); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	age := time.Duration(answer.AgeMS) * time.Millisecond
-	at := started.Add(-age)
+	at := started.Add(-time.Duration(answer.AgeMS) * time.Millisecond)
 	if answer.Confirmed && k.Catalog().Revision >= answer.Revision && k.covered(at) {
 		k.view.confirm(at)
 	}
 	if k.view.age() > bound {
-		return fmt.Errorf("the view of %s is too old", to)
+		return 0, fmt.Errorf("the view of %s is too old", to)
 	}
-	return nil
+	return answer.Members, nil
 }
