--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -51,11 +51,12 @@
 	}
 }
 
-// SetAddr sets where this member listens. It is called before Register.
-func (d *Directory) SetAddr(addr string) {
+// SetAddrs sets where this member listens: the host and port for other
+// members and the base URL for operators. It is called before Register.
+func (d *Directory) SetAddrs(addr, operator string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.self.Addr = addr
+	d.self.Addr, d.self.Operator = addr, operator
 }
 
 // Register writes this member's row. It replaces the row of an earlier
--- a/internal/conf/accept.go
+++ b/internal/conf/accept.go
@@ -227,7 +227,7 @@
 			return
 		}
 	}
-	k.accept.merge(k.pushAll(ctx, entries, k.planFor(waiting, attempt)))
+	k.accept.merge(k.pushAll(ctx, pushRequest{Entries: entries}, k.planFor(waiting, attempt)))
 }
 
 // settle works out the newest accepted revision: what every required router
--- a/internal/conf/push.go
+++ b/internal/conf/push.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,10 @@
 // maxPushes bounds the pushes that one router has in flight.
 const maxPushes = 32
 
+// maxVia bounds how often one push is passed on between routers that answer
+// for each other; beyond it a router answers that it is behind.
+const maxVia = 3
+
 // offerGrace is how long this router answers for one that has a row by now.
 // Whoever sees to the acceptance of a change has read that row by then.
 const offerGrace = 10 * time.Second
@@ -21,6 +26,10 @@
 	Entries []revlog.Entry `cbor:"1,keyasint"`
 	// Targets are to be pushed to by the receiver.
 	Targets []bus.ID `cbor:"2,keyasint,omitempty"`
+	// Via are the routers that passed the push on because they answer for
+	// the receiver. They have the revisions in force, or answer that they
+	// are behind, so they are not pushed to again.
+	Via []bus.ID `cbor:"3,keyasint,omitempty"`
 }
 
 // ack says which revision is in force at a router.
@@ -49,15 +58,15 @@
 			k.log.Warn("Revisions before a push not fetched.", "from", from.String(), "err", err)
 		}
 	}
-	acks := k.pushAll(ctx, req.Entries, plan{direct: req.Targets})
-	own := k.answerFor(ctx, req.Entries, k.Catalog().Revision, last)
+	acks := k.pushAll(ctx, pushRequest{Entries: req.Entries}, plan{direct: req.Targets})
+	own := k.answerFor(ctx, req, k.Catalog().Revision, last)
 	return pushAnswer{Acks: append(acks, ack{ID: k.bus.Self().ID, Revision: own})}, nil
 }
 
 // answerFor returns the revision that this router acknowledges: the one in
 // force, or one below last while a router that depends on it is behind.
-func (k *Keeper) answerFor(ctx context.Context, entries []revlog.Entry, own, last int64) int64 {
-	dependents := k.offers.open(k.clock.Now(), k.settings.UnconfirmedBound)
+func (k *Keeper) answerFor(ctx context.Context, req pushRequest, own, last int64) int64 {
+	dependents := k.offeredTo(req.Via)
 	if len(dependents) == 0 {
 		return own
 	}
@@ -65,9 +74,12 @@
 	for _, id := range dependents {
 		behind[id] = true
 	}
-	for _, a := range k.pushAll(ctx, entries, plan{direct: dependents}) {
-		if a.Revision >= last {
-			delete(behind, a.ID)
+	if len(req.Via) < maxVia {
+		via := append(slices.Clone(req.Via), k.bus.Self().ID)
+		for _, a := range k.pushAll(ctx, pushRequest{Entries: req.Entries, Via: via}, plan{direct: dependents}) {
+			if a.Revision >= last {
+				delete(behind, a.ID)
+			}
 		}
 	}
 	for id := range behind {
@@ -82,6 +94,13 @@
 	return own
 }
 
+// offeredTo returns the routers to answer for, but those that the push came
+// through: two routers may have given each other their views.
+func (k *Keeper) offeredTo(via []bus.ID) []bus.ID {
+	open := k.offers.open(k.clock.Now(), k.settings.UnconfirmedBound)
+	return slices.DeleteFunc(open, func(id bus.ID) bool { return slices.Contains(via, id) })
+}
+
 // rowOf reports whether the member has a row of its own by now.
 func (k *Keeper) rowOf(id bus.ID) bool {
 	for _, m := range k.members.Members() {
@@ -109,8 +128,9 @@
 	return timeout
 }
 
-// pushAll carries out a plan and returns the acknowledgements that came.
-func (k *Keeper) pushAll(ctx context.Context, entries []revlog.Entry, p plan) []ack {
+// pushAll sends req to the routers of a plan, each with its own targets, and
+// returns the acknowledgements that came.
+func (k *Keeper) pushAll(ctx context.Context, req pushRequest, p plan) []ack {
 	if len(p.direct)+len(p.relayed) == 0 {
 		return nil
 	}
@@ -124,7 +144,7 @@
 		slots <- struct{}{}
 		all.Go(func() {
 			defer func() { <-slots }()
-			answer, err := bus.Call[pushRequest, pushAnswer](ctx, k.bus, to, kindPush, pushRequest{Entries: entries, Targets: targets})
+			answer, err := bus.Call[pushRequest, pushAnswer](ctx, k.bus, to, kindPush, pushRequest{Entries: req.Entries, Targets: targets, Via: req.Via})
 			if err != nil {
 				k.log.Debug("Push failed.", "to", to.String(), "err", err)
 				return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,16 +18,13 @@
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/hlc"
 	"daisyslip.dev/daisyslip/coord/member"
-	"daisyslip.dev/daisyslip/coord/once"
 	"daisyslip.dev/daisyslip/internal/caller"
-	"daisyslip.dev/daisyslip/internal/calls"
 	"daisyslip.dev/daisyslip/internal/conf"
-	"daisyslip.dev/daisyslip/internal/dispatch"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
 	"daisyslip.dev/daisyslip/internal/peer"
+	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
-	"daisyslip.dev/daisyslip/internal/route"
 	"daisyslip.dev/daisyslip/internal/settings"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
@@ -44,18 +41,20 @@
 
 	metrics  *metrics.Set
 	events   *timeline.Ring
-	platform *platformhttp.Client
+	copies   *timeline.Copies
+	http     *platformhttp.Client
+	platform *platformevents.Platform
 	members  *member.Directory
 	link     *peer.Link // nil if the peer link is off
 	bus      bus.Bus
+	config   *conf.Keeper
+	holder   *budget.LocalHolder
+	delivery delivery
+	caller   *caller.Server
+	operator *operator.Server
+
 	// supersede starts the drain when a newer incarnation runs on this VM.
 	supersede context.CancelFunc
-	config    *conf.Keeper
-	holder    budget.Holder
-	dispatch  *dispatch.Dispatcher
-	calls     *calls.Runner
-	caller    *caller.Server
-	operator  *operator.Server
 }
 
 // New assembles a router from its settings; nothing runs yet.
@@ -66,23 +65,22 @@
 		self:     bus.Peer{ID: bus.ID{VM: s.VM, Incarnation: uuid.NewString()}, Domain: s.Domain, Region: s.Region, Addr: s.Peer.Listen},
 		started:  time.Now(),
 		metrics:  metrics.NewSet(),
-		platform: platformhttp.NewClient(s.Platform, s.VM),
+		http:     platformhttp.NewClient(s.Platform, s.VM),
 	}
 	stamps := hlc.New(clock.Real{})
 	d.events = timeline.NewRing(s.Timeline, d.self.ID, stamps)
+	d.watch()
 	d.newPeers(stamps)
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	d.config.Join(d.bus, d.members)
-	ledger := budget.NewLedger(d.platform)
-	d.holder = budget.NewHolder(ledger, s.Budget, d.self.ID.String())
-	router := route.NewRouter(s.Route, d.config)
-	d.dispatch = dispatch.New(s.Dispatch, router, d.events)
-	d.calls = calls.New(s.Calls, router, once.NewRecords(d.platform, d.self.ID.String()), d.events)
+	ledger := d.newLedger(d.bus)
+	d.holder = d.newHolder(d.bus)
+	d.delivery = d.newDelivery(nil)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
-		Generator: d.dispatch,
-		Calls:     d.calls,
+		Generator: d.delivery.dispatch,
+		Calls:     d.delivery.calls,
 		Events:    d.events,
 		Metrics:   d.metrics,
 		Log:       d.part("caller"),
@@ -92,7 +90,9 @@
 	d.operator = operator.New(s.Operator, operator.Duties{
 		Config:  d.config,
 		Ledger:  ledger,
+		Doubts:  operator.Doubts{Flush: d.holder.FlushCopies},
 		Events:  d.events,
+		Copies:  d.copies,
 		Metrics: d.metrics,
 		Log:     d.part("operator"),
 		Status:  d.status,
@@ -131,11 +131,16 @@
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
 		Caller:   "http://" + d.caller.Addr().String(),
-		Operator: "http://" + d.operator.Addr().String(),
+		Operator: d.operatorURL(),
 		Peer:     d.bus.Self().Addr,
 	}
 }
 
+func (d *Daemon) operatorURL() string { return "http://" + d.operator.Addr().String() }
+
+// maxDuties bounds the duties that run at once.
+const maxDuties = 16
+
 // Run serves until ctx ends, then drains: readiness turns false, requests in
 // flight finish, and grants go back to the platform.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -144,7 +149,7 @@
 	ctx, d.supersede = context.WithCancel(ctx)
 	defer d.supersede()
 	var running sync.WaitGroup
-	failed := make(chan error, 6)
+	failed := make(chan error, maxDuties)
 	start := func(name string, run func() error) {
 		running.Go(func() {
 			if err := run(); err != nil {
@@ -156,6 +161,8 @@
 	start("peers", d.runPeers)
 	start("seeds", func() error { return d.greetSeeds(duties) })
 	start("members", func() error { return d.runMembers(duties) })
+	start("route", func() error { return d.delivery.router.Run(duties) })
+	start("calls", func() error { return d.delivery.calls.Run(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
 	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
@@ -178,7 +185,7 @@
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainStarted})
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Timeout)
 	defer cancel()
-	err := errors.Join(d.caller.Drain(ctx), d.holder.Close(ctx), d.leavePeers(ctx))
+	err := errors.Join(d.caller.Drain(ctx), d.delivery.drain(ctx), d.holder.Close(ctx), d.leavePeers(ctx))
 	d.events.Record(event.Event{Duty: event.DutyDrain, Kind: event.DrainEnded})
 	d.log.Info("Drain ended.", "err", err)
 	return err
@@ -187,18 +194,21 @@
 // cleanup closes what Provision and New opened.
 func (d *Daemon) cleanup() error {
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup(), d.cleanupPeers())
-	d.dispatch.Close()
-	d.calls.Close()
+	d.delivery.close()
 	d.platform.Close()
 	return err
 }
 
 // unready returns why the router should get no requests.
 func (d *Daemon) unready() []string {
+	var reasons []string
 	if reason := d.config.Unready(); reason != "" {
-		return []string{reason}
+		reasons = append(reasons, reason)
 	}
-	return nil
+	if d.holder.Fenced() {
+		reasons = append(reasons, "an operator has settled this process's budgets; start it anew")
+	}
+	return reasons
 }
 
 func (d *Daemon) status() operator.Status {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -31,10 +31,11 @@
 	if d.link == nil {
 		return nil
 	}
+	d.link.SetOperator(d.operatorURL())
 	if err := d.link.Provision(); err != nil {
 		return err
 	}
-	d.members.SetAddr(d.link.Self().Addr)
+	d.members.SetAddrs(d.link.Self().Addr, d.operatorURL())
 	return nil
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -48,7 +48,9 @@
 type Duties struct {
 	Config  *conf.Keeper
 	Ledger  *budget.Ledger
+	Doubts  Doubts
 	Events  *timeline.Ring
+	Copies  *timeline.Copies
 	Metrics *metrics.Set
 	Log     *slog.Logger
 	Status  func() Status
@@ -63,6 +65,7 @@
 	listener net.Listener
 	echo     *echo.Echo
 	http     *http.Server
+	seen     doubtsSeen
 }
 
 // New returns a server that does not listen yet.
@@ -106,11 +109,14 @@
 
 func (s *Server) routes() {
 	s.echo.GET("/metrics", s.metrics)
+	s.healthRoutes()
 	api := s.echo.Group("/v1", s.authenticate, s.bound)
 	api.GET("/status", s.status)
 	api.GET("/events", s.events)
+	api.GET("/events/copies", s.copies)
 	s.configRoutes(api)
 	s.budgetRoutes(api)
+	s.doubtRoutes(api)
 }
 
 // authenticate requires the operators' token.
@@ -146,14 +152,6 @@
 
 func (s *Server) status(c echo.Context) error { return c.JSON(http.StatusOK, s.duties.Status()) }
 
-func (s *Server) events(c echo.Context) error {
-	since, err := numberParam(c, "since")
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, s.duties.Events.Since(uint64(since)))
-}
-
 // numberParam reads a query parameter that is a number; absent is 0.
 func numberParam(c echo.Context, name string) (int64, error) {
 	text := c.QueryParam(name)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -270,6 +270,14 @@
 		websocket.CloseStatus(why) == websocket.StatusNormalClosure
 }
 
+// SetOperator sets the base URL of this member's operator API, which other
+// members learn. It is called before Provision.
+func (l *Link) SetOperator(url string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.self.Operator = url
+}
+
 // Provision opens the listener. The address that is advertised is the
 // listener's unless the settings name another.
 func (l *Link) Provision() error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 
 	"daisyslip.dev/daisyslip/coord/budget"
 	"daisyslip.dev/daisyslip/coord/member"
+	"daisyslip.dev/daisyslip/internal/admission"
 	"daisyslip.dev/daisyslip/internal/caller"
 	"daisyslip.dev/daisyslip/internal/calls"
 	"daisyslip.dev/daisyslip/internal/check"
@@ -46,40 +47,42 @@
 // Settings are all settings of a router.
 type Settings struct {
 	// VM, Domain and Region say where the router runs.
-	VM       string                `json:"vm"`
-	Domain   string                `json:"domain"`
-	Region   string                `json:"region"`
-	Caller   caller.Settings       `json:"caller"`
-	Operator operator.Settings     `json:"operator"`
-	Peer     peer.Settings         `json:"peer"`
-	Member   member.Settings       `json:"member"`
-	Platform platformhttp.Settings `json:"platform"`
-	Budget   budget.Settings       `json:"budget"`
-	Route    route.Settings        `json:"route"`
-	Dispatch dispatch.Settings     `json:"dispatch"`
-	Calls    calls.Settings        `json:"calls"`
-	Config   conf.Settings         `json:"config"`
-	Timeline timeline.Settings     `json:"timeline"`
-	Drain    Drain                 `json:"drain"`
-	Log      Log                   `json:"log"`
+	VM        string                `json:"vm"`
+	Domain    string                `json:"domain"`
+	Region    string                `json:"region"`
+	Caller    caller.Settings       `json:"caller"`
+	Operator  operator.Settings     `json:"operator"`
+	Peer      peer.Settings         `json:"peer"`
+	Member    member.Settings       `json:"member"`
+	Platform  platformhttp.Settings `json:"platform"`
+	Budget    budget.Settings       `json:"budget"`
+	Route     route.Settings        `json:"route"`
+	Admission admission.Settings    `json:"admission"`
+	Dispatch  dispatch.Settings     `json:"dispatch"`
+	Calls     calls.Settings        `json:"calls"`
+	Config    conf.Settings         `json:"config"`
+	Timeline  timeline.Settings     `json:"timeline"`
+	Drain     Drain                 `json:"drain"`
+	Log       Log                   `json:"log"`
 }
 
 // Default returns the defaults of all settings that have one.
 func Default() Settings {
 	return Settings{
-		Caller:   caller.DefaultSettings(),
-		Operator: operator.DefaultSettings(),
-		Peer:     peer.DefaultSettings(),
-		Member:   member.DefaultSettings(),
-		Platform: platformhttp.DefaultSettings(),
-		Budget:   budget.DefaultSettings(),
-		Route:    route.DefaultSettings(),
-		Dispatch: dispatch.DefaultSettings(),
-		Calls:    calls.DefaultSettings(),
-		Config:   conf.DefaultSettings(),
-		Timeline: timeline.DefaultSettings(),
-		Drain:    Drain{Timeout: 15 * time.Minute},
-		Log:      Log{Level: "info", Format: "text"},
+		Caller:    caller.DefaultSettings(),
+		Operator:  operator.DefaultSettings(),
+		Peer:      peer.DefaultSettings(),
+		Member:    member.DefaultSettings(),
+		Platform:  platformhttp.DefaultSettings(),
+		Budget:    budget.DefaultSettings(),
+		Route:     route.DefaultSettings(),
+		Admission: admission.DefaultSettings(),
+		Dispatch:  dispatch.DefaultSettings(),
+		Calls:     calls.DefaultSettings(),
+		Config:    conf.DefaultSettings(),
+		Timeline:  timeline.DefaultSettings(),
+		Drain:     Drain{Timeout: 15 * time.Minute},
+		Log:       Log{Level: "info", Format: "text"},
 	}
 }
 
@@ -97,7 +100,11 @@
 	// A member's row must outlive the work that it may do unconfirmed.
 	l.Duration("config.unconfirmed_bound", s.Config.UnconfirmedBound, time.Second, s.Member.RemoveAfter/3)
 	s.Platform.Validate(l, "platform")
+	for _, p := range s.Budget.Validate() {
+		l.Add("budget."+p.Path, p.Value, p.Want)
+	}
 	s.Route.Validate(l, "route")
+	s.Admission.Validate(l, "admission")
 	s.Dispatch.Validate(l, "dispatch")
 	s.Calls.Validate(l, "calls")
 	s.Config.Validate(l, "config")
@@ -181,7 +188,7 @@
 	}
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		Result:     target.Addr().Interface(),
-		DecodeHook: mapstructure.ComposeDecodeHookFunc(refuseBareDuration, mapstructure.StringToTimeDurationHookFunc()),
+		DecodeHook: mapstructure.ComposeDecodeHookFunc(refuseNumber, mapstructure.StringToTimeDurationHookFunc()),
 	})
 	if err == nil {
 		err = decoder.Decode(value)
@@ -191,12 +198,16 @@
 	}
 }
 
-var durationType = reflect.TypeFor[time.Duration]()
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	numberType   = reflect.TypeFor[json.Number]()
+)
 
-// refuseBareDuration refuses a duration without its unit.
-func refuseBareDuration(from, to reflect.Type, value any) (any, error) {
-	if to == durationType && from.Kind() != reflect.String || to == durationType && from == reflect.TypeFor[json.Number]() {
-		return nil, errors.New("duration without unit")
+// refuseNumber refuses a number where a string or a duration with its unit is
+// wanted; json.Number is a string type, so the decoder would take it.
+func refuseNumber(from, to reflect.Type, value any) (any, error) {
+	if from == numberType && (to == durationType || to.Kind() == reflect.String) {
+		return nil, errors.New("number in place of a string")
 	}
 	return value, nil
 }
