--- a/internal/conf/measure_test.go
+++ b/internal/conf/measure_test.go
@@ -78,7 +78,7 @@
 		settings.Listen, settings.Secret = "127.0.0.1:0", "secret of the measured fleet"
 		nodes[i].link = peer.New(settings, self, peer.Duties{Directory: members, Clock: hlc.New(clock.Real{}), Events: event.Discard{}, Metrics: nodes[i].metrics, Log: discardLog})
 		assert.NilError(t, nodes[i].link.Provision())
-		members.SetAddr(nodes[i].link.Self().Addr)
+		members.SetAddrs(nodes[i].link.Self().Addr, "")
 		nodes[i].Keeper = NewKeeper(DefaultSettings(), view, clock.Real{}, nodes[i], discardLog)
 		var b bus.Bus = nodes[i].link
 		if slow > 0 && i == n-1 {
