Copy events as a duty of the daemon; plans of the capacity page

Cause: the copier had no link to run over. Change: wired to the daemon's link; the plans of the page reckon with draws in the bills' transaction, and with requests forwarded whole to a budget's home.

--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -18,17 +18,22 @@
 
 // Parameters of the plans, which are not built.
 const (
-	// planWriters is the number of daemons that write bills for a failure
-	// domain, and planInterval the time between two of their rows, in seconds.
-	planWriters  = 1
-	planInterval = 0.1
+	// planLinger is how long a bill waits for others that share its row, in
+	// seconds, and planBillBytes the size of a bill in a row that names each
+	// account once and holds request ids as bytes, after base64.
+	planLinger    = 1.0
+	planBillBytes = 60
+	// planDrawBytes is the size of a budget's row within such a transaction.
+	planDrawBytes = 150
+	// planCommitBytes is the size of a transaction's frame, both ways.
+	planCommitBytes = 700
 	// planHorizon is the spending that a grant at a budget's home covers, in
 	// seconds.
 	planHorizon = 600
 	// planReportInterval is the time between two load reports of an endpoint
 	// to the relay of its failure domain, in seconds, and planReportBytes
 	// the size of one.
-	planReportInterval = 0.5
+	planReportInterval = 2.0
 	planReportBytes    = 16
 )
 
@@ -50,7 +55,8 @@
 		Line{
 			Role: RoleEntry, Item: "relay tokens", Budget: BudgetData, Value: tokens * token.Slope,
 			Formula: terms("%s tokens/s × %s core s", number(tokens), number(token.Slope)),
-			Carrier: "one event in, one event out, flushed",
+			Carrier: "one event in, one event out, flushed", Planned: 2 * tokens * token.Slope,
+			Plan: "a home a budget: the router that took the request forwards it whole, so each token is relayed twice; messages about tokens alone would break the bound of control bytes",
 		},
 		Line{
 			Role: RoleEntry, Item: "open streams", Budget: BudgetMemory, Value: streams * stream.Slope,
@@ -71,16 +77,20 @@
 	held := min(r*idle, t.Budgets)
 	homes := t.Budgets / t.Daemons
 	memory, cpu := m.slope(MemoryPerBudget), m.slope(ReserveCPU)
-	bills := t.Daemons * r / (1 + r*linger)
+	grouped, drawn := m.slope(PlatformBytesRequest), m.slope(PlatformBytesDraw)
+	drawReads, drawWrites := m.slope(RowsReadPerDraw), m.slope(RowsWritePerDraw)
+	rows := func(linger float64) float64 { return r / (1 + r*linger) } // a daemon and second
 	reuse := min(1, idle*t.RequestsPerSec/t.Budgets/t.Daemons)
-	draws := t.RequestsPerSec * (1 - reuse)
-	const rowsPerChange = 2 // the grant and its source
+	draws := r * (1 - reuse) // a daemon and second
+	const drawAndReturn = 2
+	const homePlan = "a home a budget, by rendezvous over live VMs"
+	homeDraws := t.Budgets / planHorizon / t.Daemons
 	m.add(
 		Line{
 			Role: RoleBudget, Item: "grants held", Budget: BudgetMemory, Value: held * memory.Slope,
 			Formula: terms("%s requests/s × %s s until idle × %s bytes", number(r), number(idle), number(memory.Slope)),
 			Carrier: "idle grants go back", Planned: homes * memory.Slope,
-			Plan: terms("a home a budget: %s budgets a daemon", number(homes)),
+			Plan: terms("%s: %s budgets a daemon", homePlan, number(homes)),
 		},
 		Line{
 			Role: RoleBudget, Item: "reserve and settle", Budget: BudgetCPU, Value: r * cpu.Slope,
@@ -88,31 +98,43 @@
 			Carrier: "one goroutine a busy budget; no lock over a call",
 		},
 		Line{
-			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetWrites, Value: 2 * draws * rowsPerChange,
-			Formula: terms("%s requests/s that find no grant × (draw + return) × %d rows", number(draws), rowsPerChange),
-			Carrier: "nothing at this size: 110,000 budgets sprayed over 380 daemons find no grant",
-			Planned: t.Budgets / planHorizon,
-			Plan:    terms("a home a budget, by rendezvous over live VMs and one forwarding hop: one row each %d s of spending; the row holds budget and grant", planHorizon),
+			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetWrites,
+			Value:   t.Daemons * draws * drawAndReturn * (drawWrites.Slope - 1),
+			Formula: terms("%s daemons × %s requests/s that find no grant × (draw + return) × %s rows", number(t.Daemons), number(draws), number(drawWrites.Slope-1)),
+			Carrier: "nothing at this size: the balancer sprays 110,000 budgets over all daemons",
+			Planned: t.Daemons * homeDraws,
+			Plan:    terms("%s; a row that holds budget and grant, written each %d s of spending", homePlan, planHorizon),
 		},
 		Line{
-			Role: RoleBudget, Item: "read for draws and returns", Budget: BudgetReads, Value: 2 * draws * 3,
-			Formula: terms("%s requests/s that find no grant × (draw + return) × 3 rows (budget, grant, fence)", number(draws)),
-			Carrier: "as above", Planned: t.Budgets / planHorizon,
-			Plan: "the home knows its row and reads it again on a conflict only; counted as one read a draw",
+			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetReads,
+			Value:   t.Daemons * draws * drawAndReturn * drawReads.Slope,
+			Formula: terms("%s daemons × %s requests/s × (draw + return) × %s rows", number(t.Daemons), number(draws), number(drawReads.Slope)),
+			Carrier: "as above", Planned: t.Daemons * homeDraws,
+			Plan: "the home knows its row, and reads it again after a conflict; counted as one read a draw",
 		},
 		Line{
-			Role: RoleBilling, Item: "bills", Budget: BudgetWrites, Value: bills,
+			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetBytes, Value: draws * drawAndReturn * drawn.Slope,
+			Formula: terms("%s requests/s × (draw + return) × %s bytes (with the bill)", number(draws), number(drawn.Slope)),
+			Carrier: "as above", Planned: homeDraws * planDrawBytes,
+			Plan: terms("%s; draws ride in the transaction of the bills, reckoned as %d bytes each", homePlan, planDrawBytes),
+		},
+		Line{
+			Role: RoleBilling, Item: "bills", Budget: BudgetWrites, Value: t.Daemons * rows(linger),
 			Formula: terms("%s daemons × %s requests/s / (1 + %s × %s s linger)", number(t.Daemons), number(r), number(r), number(linger)),
-			Carrier: "group commit in each daemon, which groups little at this rate",
-			Planned: t.Domains * planWriters / planInterval,
-			Plan: terms("a writer a failure domain takes the bills of its daemons over the peer link: %s domains, a row each %s s; the end of an answer waits up to %s s more",
-				number(t.Domains), number(planInterval), number(planInterval)),
+			Carrier: "group commit in each daemon, which groups little at this rate", Planned: t.Daemons * rows(planLinger),
+			Plan: terms("budget.linger of %s s: only the last piece of an answer waits, one gap of several hundred", number(planLinger)),
+		},
+		Line{
+			Role: RoleBilling, Item: "bills", Budget: BudgetBytes, Value: r * grouped.Slope,
+			Formula: terms("%s requests/s × %s bytes (many to a row)", number(r), number(grouped.Slope)),
+			Carrier: "JSON rows in JSON bodies", Planned: r*planBillBytes + rows(planLinger)*planCommitBytes,
+			Plan: terms("rows that name each account once and hold ids as bytes: reckoned as %d bytes a bill and %d a transaction", planBillBytes, planCommitBytes),
 		},
 		Line{
 			Role: RoleBilling, Item: "rows of callers' keys", Budget: BudgetWrites, Value: t.RequestsPerSec * (1 - t.CallShare) * t.KeyShare,
 			Formula: terms("%s requests/s × %s with a key (assumed) × 1 row", number(t.RequestsPerSec*(1-t.CallShare)), number(t.KeyShare)),
 			Carrier: "one row a key", Planned: 0,
-			Plan: "the writer of a key, by rendezvous, keeps the keys of its last hours in memory and in its bill rows; who follows it reads those rows",
+			Plan: "the home of the budget also holds its keys: in memory, and in the bill rows, which its successor reads before it serves",
 		},
 	)
 }
@@ -124,8 +146,8 @@
 		Line{
 			Role: RoleCalls, Item: "claim and finish", Budget: BudgetWrites, Value: 2 * calls,
 			Formula: terms("%s requests/s × %s calls (assumed) × 2 rows", number(m.target.RequestsPerSec), number(m.target.CallShare)),
-			Carrier: "a row a call, inserted before it leaves", Planned: 2 * m.target.Domains / planInterval,
-			Plan: terms("claims of a domain go in one transaction a %s s, each still an insert if absent; the table must count a transaction once, or claims share rows by hash", number(planInterval)),
+			Carrier: "a row a call, inserted before it leaves", Planned: calls,
+			Plan: "finishes ride in the rows of bills; claims stay a row each, since one that waits for others makes the caller wait: this line needs a table that gives more writes",
 		},
 	)
 }
@@ -193,7 +215,7 @@
 		l.Planned, l.Plan = planned, plan
 		return l
 	}
-	const plan = "a relay a failure domain reads the table and its 15 fellows, and passes on what changed: a daemon sees its domain only"
+	const plan = "a relay a failure domain reads the table and passes on what changed; a daemon links with its own domain only"
 	inDomain := t.Daemons / t.Domains
 	atDomain := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*inDomain) }
 	base := line("process at rest, and its peers", BudgetMemory, memory, 1, "bytes")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,7 @@
 	metrics  *metrics.Set
 	events   *timeline.Ring
 	copies   *timeline.Copies
+	copier   *timeline.Copier
 	http     *platformhttp.Client
 	platform *platformevents.Platform
 	config   *conf.Keeper
@@ -63,6 +64,7 @@
 	d.watch()
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	link := bus.NewNetwork().Join(d.self)
+	d.copier = d.newCopier(link)
 	ledger := d.newLedger(link)
 	d.holder = d.newHolder(link)
 	d.delivery = d.newDelivery(nil)
@@ -134,6 +136,7 @@
 		})
 	}
 	start("config", func() error { return d.config.Run(duties) })
+	start("timeline", func() error { return d.copier.Run(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
 	start("caller", d.caller.Run)
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
@@ -18,6 +19,11 @@
 	registerTrafficMetrics(d.metrics, d.http.Traffic())
 }
 
+// newCopier returns the duty that copies events to a peer over the link.
+func (d *Daemon) newCopier(link bus.Bus) *timeline.Copier {
+	return timeline.NewCopier(d.settings.Timeline, d.events, d.copies, link, clock.Real{}, d.metrics)
+}
+
 // registerTimelineMetrics exposes the counts of the time line.
 func registerTimelineMetrics(set *metrics.Set, events *timeline.Ring) {
 	set.NewGauge("daisyslip_timeline_recorded_events_total", func() float64 { return float64(events.Counts().Recorded) })
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -161,10 +161,16 @@
 
 // post sends a caller's request.
 func (f *fleet) post(r *router, path, body, key string) reply {
+	f.t.Helper()
+	return f.postAs(r, path, body, key, testKey)
+}
+
+// postAs sends a request with the key of a workspace.
+func (f *fleet) postAs(r *router, path, body, key, workspaceKey string) reply {
 	f.t.Helper()
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, r.Caller+path, bytes.NewReader([]byte(body)))
 	assert.NilError(f.t, err)
-	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Authorization", "Bearer "+workspaceKey)
 	req.Header.Set("Idempotency-Key", key)
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(f.t, err)
