--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	metrics  *metrics.Set
 	events   *timeline.Ring
 	copies   *timeline.Copies
+	copier   *timeline.Copier
 	http     *platformhttp.Client
 	platform *platformevents.Platform
 	members  *member.Directory
@@ -73,9 +74,10 @@
 	d.newPeers(stamps)
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	d.config.Join(d.bus, d.members)
+	d.copier = d.newCopier(d.bus)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(nil)
+	d.delivery = d.newDelivery(d.members.VMLeaving)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
@@ -161,6 +163,7 @@
 	start("peers", d.runPeers)
 	start("seeds", func() error { return d.greetSeeds(duties) })
 	start("members", func() error { return d.runMembers(duties) })
+	start("timeline", func() error { return d.copier.Run(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
 	start("caller", d.caller.Run)
