--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -24,6 +24,7 @@
 JSON line that says where everything listens, and serves until interrupted.`,
 		Example: `  daisyslip dev
   daisyslip dev --once
+  daisyslip dev --port 7300
   daisyslip dev --budget 5000`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -53,6 +54,7 @@
 	cmd.Flags().Int64Var(&options.Budget, "budget", options.Budget, "tokens that the workspace has paid for")
 	cmd.Flags().IntVar(&options.Routers, "routers", options.Routers, "number of routers")
 	cmd.Flags().IntVar(&options.Engines, "engines", options.Engines, "number of model endpoints")
+	cmd.Flags().IntVar(&options.Port, "port", options.Port, "caller port of the first router, the others follow, operator ports are 100 above; 0 takes free ports")
 	cmd.Flags().BoolVar(&once, "once", false, "send a sample of requests, print answers and the time line, and exit")
 	cmd.Flags().StringVar(&level, "log-level", level, "debug, info, warn or error")
 	return cmd
--- a/internal/cli/observe.go
+++ b/internal/cli/observe.go
@@ -1,7 +1,9 @@
 package cli
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -102,7 +104,7 @@
 func (a *app) newStatus() *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
-		Short: "Show what each given router says of itself",
+		Short: "Show what each router says of itself, also those that the given ones name as peers",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if _, err := a.client(); err != nil {
@@ -110,15 +112,40 @@
 			}
 			ctx, cancel := a.context(cmd)
 			defer cancel()
-			var all []RouterStatus
-			for _, url := range a.routers {
-				all = append(all, a.statusOf(ctx, url))
-			}
+			all := a.statusOfFleet(ctx)
 			return a.print(cmd.OutOrStdout(), all, statusTable(all))
 		},
 	}
 }
 
+// statusOfFleet asks the given routers and those that they name as peers.
+func (a *app) statusOfFleet(ctx context.Context) []RouterStatus {
+	var all []RouterStatus
+	urls := slices.Clone(a.routers)
+	for i := 0; i < len(urls); i++ {
+		router := a.statusOf(ctx, urls[i])
+		all = append(all, router)
+		if router.Status == nil {
+			continue
+		}
+		for _, p := range router.Status.Peers {
+			if p.Operator != "" && !slices.Contains(urls, p.Operator) {
+				urls = append(urls, p.Operator)
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(x, y RouterStatus) int { return cmp.Compare(x.vm(), y.vm()) })
+	return all
+}
+
+// vm returns the name of the router's VM, or "" if it did not answer.
+func (r RouterStatus) vm() string {
+	if r.Status == nil {
+		return ""
+	}
+	return r.Status.Self.ID.VM
+}
+
 func (a *app) statusOf(ctx context.Context, url string) RouterStatus {
 	status, err := client.New(url, a.token, a.author).Status(ctx)
 	if err != nil {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -35,6 +35,7 @@
 	region        = "dev"
 	readyTimeout  = 20 * time.Second
 	readyPoll     = 20 * time.Millisecond
+	operatorPorts = 100
 	// readinessLag is short, since no balancer stands before the fleet.
 	readinessLag = 200 * time.Millisecond
 )
@@ -45,6 +46,9 @@
 	Engines int
 	// Budget is the tokens that the workspace has paid for.
 	Budget int64
+	// Port is the caller port of the first router; the others follow, and
+	// the operator ports stand operatorPorts above them. 0 takes free ports.
+	Port int
 }
 
 // DefaultOptions returns three routers, two engines and 1,000,000 tokens.
@@ -157,12 +161,22 @@
 	return s
 }
 
+// setPorts gives the i-th router its fixed ports, if there are any.
+func (o Options) setPorts(s *settings.Settings, i int) {
+	if o.Port == 0 {
+		return
+	}
+	s.Caller.Listen = fmt.Sprintf("127.0.0.1:%d", o.Port+i)
+	s.Operator.Listen = fmt.Sprintf("127.0.0.1:%d", o.Port+operatorPorts+i)
+}
+
 func (f *Fleet) startRouters(o Options, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	f.done = make(chan error, o.Routers)
 	for i := range o.Routers {
 		s := RouterSettings(i, f.info.Platform)
+		o.setPorts(&s, i)
 		d := daemon.New(s, log.With("vm", s.VM))
 		if err := d.Provision(); err != nil {
 			return err
