TLS for callers and operators; secrets looked for in logs and time line

Cause: keys crossed the network in the clear, and nothing proved that they are not logged. Ruled out: a TLS proxy before the router, since no other program is set apart.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -75,12 +75,16 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	s.listener = listener
+	wrapped, err := s.settings.TLS.Wrap(listener)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for callers: %w", err), listener.Close())
+	}
+	s.listener = wrapped
 	return nil
 }
 
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+// URL returns the base URL of the API, after Provision.
+func (s *Server) URL() string { return s.settings.TLS.Scheme() + "://" + s.listener.Addr().String() }
 
 // Run serves until Drain or Cleanup.
 func (s *Server) Run() error {
--- a/internal/caller/settings.go
+++ b/internal/caller/settings.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/tlsfile"
 )
 
 // Settings are the settings of the caller API.
 type Settings struct {
 	// Listen is the host:port of the API.
 	Listen string `json:"listen"`
+	// TLS is the certificate of the API; none serves plain HTTP.
+	TLS tlsfile.Settings `json:"tls"`
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 	// MaxHeaderBytes bounds a request's headers.
@@ -74,6 +77,7 @@
 // Validate adds every problem of the settings to l.
 func (s Settings) Validate(l *check.List, path string) {
 	l.Listen(path+".listen", s.Listen)
+	s.TLS.Validate(l, path+".tls")
 	l.Positive(path+".max_body_bytes", s.MaxBodyBytes)
 	l.Positive(path+".max_header_bytes", int64(s.MaxHeaderBytes))
 	l.Duration(path+".header_timeout", s.HeaderTimeout, shortest, longest)
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,8 +33,10 @@
 	routers []string
 	token   string
 	author  string
+	caFile  string
 	output  string
 	timeout time.Duration
+	roots   *x509.CertPool // of caFile, or nil
 }
 
 // usageError marks a wrong use of the command line, for ExitUsage.
@@ -52,7 +55,8 @@
 	flags := root.PersistentFlags()
 	flags.StringSliceVarP(&a.routers, "operator", "r", listOf(os.Getenv(envRouter)), "URL of a router's operator API; may be given several times ($"+envRouter+")")
 	flags.StringVar(&a.token, "token", "", "operators' token ($"+envToken+")")
-	flags.StringVar(&a.author, "author", os.Getenv(envAuthor), "name under which changes are made ($"+envAuthor+")")
+	flags.StringVar(&a.author, "author", defaultAuthor(), "name under which changes are made ($"+envAuthor+")")
+	flags.StringVar(&a.caFile, "ca-file", "", "PEM file of the certificates to trust for https URLs; empty trusts the system's")
 	flags.StringVarP(&a.output, "output", "o", "table", "table or json")
 	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound of the whole command")
 	root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"table", "json"}, cobra.ShellCompDirectiveNoFileComp))
@@ -100,15 +104,48 @@
 	if a.token == "" {
 		a.token = os.Getenv(envToken)
 	}
+	return a.loadRoots()
+}
+
+// loadRoots reads the certificates of --ca-file.
+func (a *app) loadRoots() error {
+	if a.caFile == "" {
+		return nil
+	}
+	data, err := os.ReadFile(a.caFile)
+	if err != nil {
+		return usagef("--ca-file: %w", err)
+	}
+	a.roots = x509.NewCertPool()
+	if !a.roots.AppendCertsFromPEM(data) {
+		return usagef("--ca-file %s: no certificate in it", a.caFile)
+	}
 	return nil
 }
 
+// defaultAuthor is the name of the environment, else that of the user.
+func defaultAuthor() string {
+	if author := os.Getenv(envAuthor); author != "" {
+		return author
+	}
+	return os.Getenv("USER")
+}
+
+// connect returns a client of the operator API at url.
+func (a *app) connect(url string) *client.Client {
+	c := client.New(url, a.token, a.author)
+	if a.roots != nil {
+		c.WithRoots(a.roots)
+	}
+	return c
+}
+
 // client returns a client of the first router.
 func (a *app) client() (*client.Client, error) {
 	if len(a.routers) == 0 {
 		return nil, usagef("name a router's operator API with --operator or $%s", envRouter)
 	}
-	return client.New(a.routers[0], a.token, a.author), nil
+	return a.connect(a.routers[0]), nil
 }
 
 // context bounds a command by --timeout.
--- a/internal/cli/events.go
+++ b/internal/cli/events.go
@@ -15,7 +15,6 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
-	"daisyslip.dev/daisyslip/internal/client"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
 
@@ -147,7 +146,7 @@
 	}
 	var sources []timeline.Source
 	for _, url := range urls {
-		c := client.New(url, e.app.token, e.app.author)
+		c := e.app.connect(url)
 		sources = append(sources, c)
 		if !e.follow {
 			sources = append(sources, c.Backup())
@@ -162,7 +161,7 @@
 	all := slices.Clone(urls)
 	for _, url := range urls {
 		bounded, cancel := context.WithTimeout(ctx, timeline.DefaultTimeout)
-		status, err := client.New(url, a.token, a.author).Status(bounded)
+		status, err := a.connect(url).Status(bounded)
 		cancel()
 		if err != nil {
 			continue
--- a/internal/cli/observe.go
+++ b/internal/cli/observe.go
@@ -147,7 +147,7 @@
 }
 
 func (a *app) statusOf(ctx context.Context, url string) RouterStatus {
-	status, err := client.New(url, a.token, a.author).Status(ctx)
+	status, err := a.connect(url).Status(ctx)
 	if err != nil {
 		return RouterStatus{Operator: url, Error: err.Error()}
 	}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -4,6 +4,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +39,13 @@
 	return &Client{base: strings.TrimRight(base, "/"), token: token, author: author, http: &http.Client{Timeout: callTimeout}}
 }
 
+// WithRoots makes the client trust the certificates of roots for https URLs,
+// and returns it.
+func (c *Client) WithRoots(roots *x509.CertPool) *Client {
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+	return c
+}
+
 // Config returns the configuration in force at the router.
 func (c *Client) Config(ctx context.Context) (catalog.Document, error) {
 	var d catalog.Document
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -132,14 +132,12 @@
 // Addresses returns where the router listens, after Provision.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
-		Caller:   "http://" + d.caller.Addr().String(),
-		Operator: d.operatorURL(),
+		Caller:   d.caller.URL(),
+		Operator: d.operator.URL(),
 		Peer:     d.bus.Self().Addr,
 	}
 }
 
-func (d *Daemon) operatorURL() string { return "http://" + d.operator.Addr().String() }
-
 // maxDuties bounds the duties that run at once.
 const maxDuties = 16
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -31,11 +31,11 @@
 	if d.link == nil {
 		return nil
 	}
-	d.link.SetOperator(d.operatorURL())
+	d.link.SetOperator(d.operator.URL())
 	if err := d.link.Provision(); err != nil {
 		return err
 	}
-	d.members.SetAddrs(d.link.Self().Addr, d.operatorURL())
+	d.members.SetAddrs(d.link.Self().Addr, d.operator.URL())
 	return nil
 }
 
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -92,6 +92,7 @@
 		"vm":       fmt.Sprintf("entry-%d", i+1),
 		"domain":   fmt.Sprintf("kr-central-%c", 'a'+i%3),
 		"region":   "kr-central",
+		"log":      map[string]any{"level": "debug"},
 		"platform": map[string]any{"url": f.platform},
 		"caller":   map[string]any{"listen": "127.0.0.1:0", "readiness_lag": f.readinessLag},
 		"operator": map[string]any{"listen": "127.0.0.1:0", "token_hash": catalog.HashKey(testToken)},
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +48,7 @@
 	cmd  *exec.Cmd
 	out  *bufio.Scanner
 	done chan error
+	log  *testLog
 }
 
 // start starts a program; it is killed at the end of the test if it still
@@ -53,11 +56,12 @@
 func start(t *testing.T, path string, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(path, args...)
-	cmd.Stderr = &testLog{t: t, name: filepath.Base(path) + " " + args[0]}
+	log := &testLog{t: t, name: filepath.Base(path) + " " + args[0]}
+	cmd.Stderr = log
 	stdout, err := cmd.StdoutPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, cmd.Start())
-	p := &process{t: t, cmd: cmd, out: bufio.NewScanner(stdout), done: make(chan error, 1)}
+	p := &process{t: t, cmd: cmd, out: bufio.NewScanner(stdout), done: make(chan error, 1), log: log}
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
@@ -93,16 +97,28 @@
 	}
 }
 
-// testLog passes a program's standard error to the test's log.
+// testLog passes a program's standard error to the test's log and keeps it.
 type testLog struct {
 	t    *testing.T
 	name string
+
+	mu   sync.Mutex // guards text
+	text strings.Builder
+}
+
+// String returns what the program has written so far.
+func (l *testLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // Write implements io.Writer.
 func (l *testLog) Write(data []byte) (int, error) {
 	l.t.Logf("%s: %s", l.name, data)
-	return len(data), nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(data)
 }
 
 // writeSettings writes a settings file and returns its path.
