--- a/coord/budget/account.go
+++ b/coord/budget/account.go
@@ -213,11 +213,18 @@
 // one wants, smaller ones wait on.
 func (a *account) refuseLocked(reason error, now time.Time) {
 	a.reason = reason
-	if len(a.waiters) == 0 || a.open > 0 || a.unwritten > 0 && a.holder.biller.replaysPending() {
+	short := errors.Is(reason, errShort)
+	if len(a.waiters) == 0 {
+		return
+	}
+	if a.open > 0 || a.unwritten > 0 && a.holder.biller.replaysPending() {
+		if short {
+			a.passLocked()
+		}
 		return
 	}
 	var least int64
-	if short := errors.Is(reason, errShort); short {
+	if short {
 		least = a.waiters[0].tokens
 		if errors.Is(reason, ErrExhausted) {
 			a.shortOf, a.shortUntil = least, now.Add(exhaustedPause)
@@ -235,6 +242,24 @@
 	a.serveLocked()
 }
 
+// passLocked lets waiters that fit go before the first one, for which the
+// budget has too little now, and has the next one tried first.
+func (a *account) passLocked() {
+	var rest []*waiter
+	for _, w := range a.waiters {
+		if a.availableLocked() < w.tokens {
+			rest = append(rest, w)
+			continue
+		}
+		a.open += w.tokens
+		w.result <- nil
+	}
+	if len(rest) > 1 {
+		rest = append(rest[1:], rest[0])
+	}
+	a.waiters = rest
+}
+
 // targetLocked is what the grant should have available.
 func (a *account) targetLocked(now time.Time) int64 {
 	byRate := a.spending.perSecond(now) * a.holder.lean(a.name.Workspace).Horizon.Seconds()
--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -65,9 +65,10 @@
 	replays  atomic.Int64  // bills under way that may turn out to be replays
 	durable  atomic.Uint64 // the last bill that is written
 
-	mu      sync.Mutex // guards backlog and the units in it
+	mu      sync.Mutex // guards backlog, the units in it and peers
 	backlog []*unit
-	number  uint64 // belongs to collect
+	peers   []bus.Peer // at the last look for copies to replace
+	number  uint64     // belongs to collect
 }
 
 func newBiller(h *LocalHolder) *biller {
--- a/coord/budget/copies.go
+++ b/coord/budget/copies.go
@@ -59,29 +59,43 @@
 		if b.away() {
 			age = 0
 		}
-		b.copyBacklog(b.holder.ctx, age)
+		b.copyBacklog(age)
 	}
 }
 
-// copyBacklog copies each unit of at least some age that lacks live copies.
-func (b *biller) copyBacklog(ctx context.Context, age time.Duration) {
-	b.mu.Lock()
-	backlog := slices.Clone(b.backlog)
-	b.mu.Unlock()
+// copyBacklog copies the units of at least some age that settlements wait
+// for, and replaces copies whose keeper has left.
+func (b *biller) copyBacklog(age time.Duration) {
+	peers := b.holder.copyPeers()
 	now := b.holder.options.Clock.Now()
-	for _, u := range backlog {
+	for _, u := range b.lacking(peers) {
 		if now.Sub(u.since) >= age {
-			b.copyUnit(ctx, u)
+			b.copyUnit(u, peers)
 		}
 	}
 }
 
+// lacking returns the units that need copies. Copies need replacing only when
+// the peers have changed, so that a long backlog is not looked through often.
+func (b *biller) lacking(peers []bus.Peer) []*unit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if changed := !slices.Equal(peers, b.peers); changed {
+		b.peers = peers
+		return slices.Clone(b.backlog)
+	}
+	first := len(b.backlog)
+	for first > 0 && !b.backlog[first-1].told {
+		first--
+	}
+	return slices.Clone(b.backlog[first:])
+}
+
 // copyUnit gives a unit to as many peers as the settings ask for and tells
 // its settlements; a copy whose keeper has left is replaced. With fewer peers
 // in reach the bill is in this process only, and its tokens stay in doubt if
 // the process dies.
-func (b *biller) copyUnit(ctx context.Context, u *unit) {
-	peers := b.holder.copyPeers()
+func (b *biller) copyUnit(u *unit, peers []bus.Peer) {
 	b.mu.Lock()
 	told, written := u.told, u.written
 	kept := slices.DeleteFunc(slices.Clone(u.copied), func(id bus.ID) bool {
@@ -92,7 +106,7 @@
 	if written || told && len(kept) >= want {
 		return
 	}
-	fresh := b.sendCopies(ctx, u, peers, kept, want)
+	fresh := b.sendCopies(u, peers, kept, want)
 	b.mu.Lock()
 	u.copied = append(u.copied, fresh...)
 	u.tell(nil)
@@ -108,7 +122,7 @@
 
 // sendCopies gives a unit to peers beyond those that keep it, and returns the
 // ones that took it.
-func (b *biller) sendCopies(ctx context.Context, u *unit, peers []bus.Peer, kept []bus.ID, want int) []bus.ID {
+func (b *biller) sendCopies(u *unit, peers []bus.Peer, kept []bus.ID, want int) []bus.ID {
 	var fresh []bus.ID
 	for _, peer := range peers {
 		if len(kept)+len(fresh) >= want {
@@ -117,7 +131,7 @@
 		if slices.Contains(kept, peer.ID) {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+		ctx, cancel := context.WithTimeout(b.holder.ctx, copyTimeout)
 		_, err := bus.Call[copyRequest, done](ctx, b.holder.options.Bus, peer.ID, kindCopy, copyRequest{Holder: b.holder.self.ID, Bills: u.bills()})
 		cancel()
 		if err == nil {
--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -132,7 +132,7 @@
 			rest = max(rest, refill)
 		}
 		byRest := int64(lean.RestShare * float64(rest) / float64(max(source.Open, 1)))
-		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))-(a.tokens-a.settled))
+		byHeld := max(few, int64(lean.HeldShare*float64(budget.Paid))) - (a.tokens - a.settled)
 		amount := min(target-a.availableLocked(), byRest, byHeld)
 		if least == 0 && amount < few {
 			return errNothing
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -183,7 +183,7 @@
 	handed := h.copies.handOver(ctx)
 	err := h.biller.flush(ctx)
 	if err != nil {
-		h.biller.copyBacklog(h.ctx, 0)
+		h.biller.copyBacklog(0)
 	}
 	for _, a := range h.all() {
 		if err == nil {
--- a/coord/budget/measure_test.go
+++ b/coord/budget/measure_test.go
@@ -93,9 +93,14 @@
 	conflicts           float64 // a second
 }
 
+// falseShare is the share of false refusals in what could have been served.
+func (r result) falseShare() float64 {
+	return float64(r.falseRefused) / float64(max(1, r.served+r.falseRefused))
+}
+
 func (r result) String() string {
 	return fmt.Sprintf("overspend %d | false %.3f%% (%d before 98%%) | outage served %.1f%% | in doubt mean %.3f%% max %.3f%% | rows/s written %.2f read %.2f conflicts %.3f | served %d refused %d",
-		r.overspend, 100*float64(r.falseRefused)/float64(max(1, r.served+r.falseRefused)), r.falseBefore98, 100*r.outageServed,
+		r.overspend, 100*r.falseShare(), r.falseBefore98, 100*r.outageServed,
 		100*r.doubtMean, 100*r.doubtMax, r.written, r.read, r.conflicts, r.served, r.refused)
 }
 
