Ask for a fresh configuration and the VM list before new work; no late commands

Cause: a request that had waited in a queue was routed by a configuration that nobody had confirmed since; the platform's list of leaving VMs was not read; a router paused between claim and send would have sent a fan command long after its caller gave up.

Change: routing asks the configuration's freshness and the membership's VM list; a call is sent only within its caller's time, by the clock as well as by the timer; an engine that has unloaded the model is passed over.

--- a/internal/calls/onetime.go
+++ b/internal/calls/onetime.go
@@ -92,10 +92,7 @@
 	tried := make(map[string]bool)
 	var last *failure.Error
 	for attempt := 1; ; attempt++ {
-		if caller.Err() != nil && last == nil {
-			last = failure.Wrap(failure.Deadline, "call service", "", caller.Err())
-		}
-		if caller.Err() != nil || attempt > r.settings.MaxAttempts {
+		if attempt > r.settings.MaxAttempts {
 			return nil, last
 		}
 		lease, err := r.duties.Router.PickService(ctx, c, tried)
@@ -105,6 +102,10 @@
 			}
 			return nil, last
 		}
+		if over(caller) {
+			lease.Done()
+			return nil, failure.New(failure.Deadline, "call service", "", "the time of the request has passed; the call was not sent")
+		}
 		r.record(c, event.AttemptStarted, claim.Attempt, lease.Endpoint.Name, "")
 		answer, failed := r.sender.send(ctx, c, lease.Endpoint)
 		if failed == nil {
@@ -123,6 +124,14 @@
 	}
 }
 
+// over reports whether the caller's time has passed. It reads the clock too: a
+// process that was paused finds its timers not yet fired, and a command that
+// is sent long after its caller gave up does harm.
+func over(caller context.Context) bool {
+	deadline, set := caller.Deadline()
+	return caller.Err() != nil || set && !time.Now().Before(deadline)
+}
+
 func asFailure(err error) *failure.Error {
 	if f := failure.As(err); f != nil {
 		return f
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,7 +75,7 @@
 	d.config.Join(d.bus, d.members)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(nil)
+	d.delivery = d.newDelivery()
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
--- a/internal/daemon/delivery.go
+++ b/internal/daemon/delivery.go
@@ -19,9 +19,8 @@
 	calls    *calls.Runner
 }
 
-// newDelivery assembles the path. leaving reports the VMs that the platform
-// lists as leaving; it may be nil.
-func (d *Daemon) newDelivery(leaving func(vm string) bool) delivery {
+// newDelivery assembles the path.
+func (d *Daemon) newDelivery() delivery {
 	queues := admission.NewQueues(d.settings.Admission, clock.Real{}, d.metrics)
 	router := route.NewRouter(d.settings.Route, route.Duties{
 		Config:     d.config,
@@ -29,7 +28,8 @@
 		Metrics:    d.metrics,
 		Clock:      clock.Real{},
 		Log:        d.part("route"),
-		LeavingVMs: leaving,
+		LeavingVMs: d.members.VMLeaving,
+		Fresh:      d.config.Fresh,
 		OnSlots:    queues.SetSlots,
 	})
 	return delivery{
--- a/internal/delivery/calls_test.go
+++ b/internal/delivery/calls_test.go
@@ -182,6 +182,24 @@
 	})
 }
 
+// TestPausedBeyondDeadline pauses a router between its claim and its send for
+// longer than its caller waits: the command is not sent late, and a retry runs.
+func TestPausedBeyondDeadline(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, 1)
+	n := b.node(quickOptions())
+	store := newHookedStore(n.view)
+	store.after(1, func() error { time.Sleep(150 * time.Millisecond); return nil })
+	runner := b.runnerOver(n, store)
+	_, err := try(runner, newCall("late", "fan-7", "on"), 100*time.Millisecond)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, runner.Drain(t.Context()))
+	assert.Equal(t, b.runsOf("fan-7"), 0)
+	_, err = try(n.calls, newCall("retry", "fan-7", "on"), 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, b.runsOf("fan-7"), 1)
+}
+
 // TestCallsUnderRandomFaults sends commands, each several times at two
 // routers, while the store and the service fail at random.
 func TestCallsUnderRandomFaults(t *testing.T) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -143,7 +143,8 @@
 	message := fmt.Sprintf("status %d: %s", resp.StatusCode, body.Error.Message)
 	failed := failure.New(failure.EndpointFailed, "send attempt", name, message).WithRetry(time.Second)
 	switch {
-	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable,
+		resp.StatusCode == http.StatusNotFound: // the engine has unloaded the model
 		return result{err: failed, retry: true}
 	case resp.StatusCode >= 400 && resp.StatusCode < 500:
 		return result{err: failure.New(failure.BadRequest, "send attempt", name, message)}
--- a/internal/route/pick_test.go
+++ b/internal/route/pick_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +13,7 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/engine"
 	"daisyslip.dev/daisyslip/internal/work"
@@ -32,7 +34,7 @@
 		Pools:      []catalog.Pool{{Name: "engines", Kind: catalog.PoolModel}},
 	}
 	for i := range n {
-		d.Endpoints = append(d.Endpoints, catalog.Endpoint{Name: fmt.Sprint("engine-", i), URL: "http://127.0.0.1:1", Models: []string{"m"}})
+		d.Endpoints = append(d.Endpoints, catalog.Endpoint{Name: fmt.Sprint("engine-", i), VM: fmt.Sprint("vm-", i), URL: "http://127.0.0.1:1", Models: []string{"m"}})
 	}
 	index, err := catalog.NewIndex(d)
 	assert.NilError(t, err)
@@ -88,6 +90,26 @@
 	assert.Assert(t, spread <= 3*prompts, "%d homes of %d prompts", spread, prompts)
 }
 
+// TestNoNewWork has endpoints leave by their configuration, by their report
+// and by the platform's list, and the configuration be out of date.
+func TestNoNewWork(t *testing.T) {
+	stale := failure.New(failure.StaleView, "confirm configuration", "platform", "too old")
+	for name, c := range map[string]struct {
+		change func(r *Router)
+		want   failure.Code
+	}{
+		"by configuration":  {func(r *Router) { r.duties.Config.Catalog().Endpoint("engine-0").Leaving = true }, failure.NoEndpoint},
+		"by its report":     {func(r *Router) { r.states["engine-0"].leaving = true }, failure.NoEndpoint},
+		"by the list":       {func(r *Router) { r.duties.LeavingVMs = func(vm string) bool { return vm == "vm-0" } }, failure.NoEndpoint},
+		"old configuration": {func(r *Router) { r.duties.Fresh = func(context.Context) error { return stale } }, failure.StaleView},
+	} {
+		r := newTestRouter(t, 1)
+		c.change(r)
+		_, err := r.PickModel(t.Context(), &work.Generation{Source: work.Source{Workspace: "coop"}, Model: "m"}, nil)
+		assert.Check(t, failure.CodeOf(err) == c.want, "%s: %v", name, err)
+	}
+}
+
 // TestSlots counts the room for this router's requests.
 func TestSlots(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -34,6 +34,10 @@
 	// LeavingVMs reports whether the platform's list says that a VM is
 	// leaving; nil if no list is read.
 	LeavingVMs func(vm string) bool
+	// Fresh returns why the configuration may not be served, or nil; nil if
+	// it always may. A request may have waited in a queue since its router
+	// last asked.
+	Fresh func(ctx context.Context) error
 	// OnSlots learns how many of this router's requests a pool has room for;
 	// 0 is unknown. It may be nil.
 	OnSlots func(pool string, slots int)
@@ -80,16 +84,30 @@
 
 // PickModel chooses an endpoint for a generation, avoiding those tried.
 func (r *Router) PickModel(ctx context.Context, g *work.Generation, tried map[string]bool) (*Lease, error) {
+	if err := r.confirm(ctx); err != nil {
+		return nil, err
+	}
 	members := r.duties.Config.Catalog().ForModel(g.Workspace, g.Model)
 	return r.pick(ctx, members, g.Prefixes, tried, "model "+g.Model)
 }
 
 // PickService chooses an instance for a call, avoiding those tried.
 func (r *Router) PickService(ctx context.Context, c *work.Call, tried map[string]bool) (*Lease, error) {
+	if err := r.confirm(ctx); err != nil {
+		return nil, err
+	}
 	members := r.duties.Config.Catalog().ForService(c.Workspace, c.Service)
 	return r.pick(ctx, members, nil, tried, "service "+c.Service)
 }
 
+// confirm returns why the configuration may not be served.
+func (r *Router) confirm(ctx context.Context) error {
+	if r.duties.Fresh == nil {
+		return nil
+	}
+	return r.duties.Fresh(ctx)
+}
+
 // pick chooses among the endpoints that may get new work. An endpoint whose
 // load report is too old is asked first, and is passed over if it does not
 // answer.
