--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,7 @@
 	d.copier = d.newCopier(d.bus)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(d.members.VMLeaving)
+	d.delivery = d.newDelivery()
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
