Orders to endpoints under leases, and drains of endpoints that leave

Cause: nothing gave orders; a router cut off from the configuration learns only from the endpoint itself that it is leaving.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -278,7 +278,7 @@
 		Conds:  []platform.Cond{{Key: key, Version: version}},
 		Writes: []platform.Write{{Key: key, Value: value}},
 	})
-	written := version + 1
+	var written int64
 	switch {
 	case err == nil:
 		written = receipt.Versions[0]
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -29,10 +29,9 @@
 	lease *Lease
 	held  seen
 
-	naive    *naiveLease
-	away     bool  // from the store
-	actOurs  int64 // number of a checked act that has not been sent, or 0
-	actNaive bool
+	naive   *naiveLease
+	away    bool  // from the store
+	actOurs int64 // number of a checked act that has not been sent, or 0
 }
 
 // naiveLease ends at a wall clock time that stands in the row.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/orders"
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
@@ -53,6 +54,7 @@
 	caller   *caller.Server
 	operator *operator.Server
 
+	orders *orders.Sender
 	// supersede starts the drain when a newer incarnation runs on this VM.
 	supersede context.CancelFunc
 }
@@ -75,7 +77,8 @@
 	d.config.Join(d.bus, d.members)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(nil)
+	d.delivery = d.newDelivery(d.members.VMLeaving)
+	d.orders = d.newOrders()
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
@@ -97,6 +100,7 @@
 		Log:     d.part("operator"),
 		Status:  d.status,
 		Members: d.members.Members,
+		Orders:  d.orders,
 	})
 	return d
 }
@@ -163,6 +167,7 @@
 	start("members", func() error { return d.runMembers(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
+	start("drainer", func() error { return d.runDrainer(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
 	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
@@ -195,6 +200,7 @@
 func (d *Daemon) cleanup() error {
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup(), d.cleanupPeers())
 	d.delivery.close()
+	d.orders.Close()
 	d.platform.Close()
 	return err
 }
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -153,6 +153,9 @@
 	OrderDrain       OrderKind = "drain"
 )
 
+// DrainCancel is the target of an OrderDrain that ends an earlier one.
+const DrainCancel = "cancel"
+
 // Order asks an endpoint to change.
 type Order struct {
 	ID   string    `json:"id"`
--- a/internal/operator/history.go
+++ b/internal/operator/history.go
@@ -36,6 +36,7 @@
 	api.GET("/config/diff", s.getDiff)
 	api.POST("/config/rollback", s.postRollback)
 	api.GET("/members", s.getMembers)
+	api.POST("/endpoints/:name/orders", s.postOrder)
 }
 
 // putConfig replaces the whole document of the revision of If-Match.
--- /dev/null
+++ b/internal/operator/orders.go
@@ -0,0 +1,22 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"daisyslip.dev/daisyslip/internal/orders"
+)
+
+// postOrder gives one order to an endpoint.
+func (s *Server) postOrder(c echo.Context) error {
+	var order orders.Order
+	if err := decodeBody(c, &order); err != nil {
+		return err
+	}
+	result, err := s.duties.Orders.Send(c.Request().Context(), c.Param("name"), order)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, result)
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -22,6 +22,7 @@
 	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/orders"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
 
@@ -56,6 +57,8 @@
 	Status  func() Status
 	// Members lists the routers known; nil if there is no membership.
 	Members func() []member.Status
+	// Orders gives orders to endpoints.
+	Orders *orders.Sender
 }
 
 // Server serves the operator API.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/dispatch"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/orders"
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/route"
@@ -61,6 +62,7 @@
 	Dispatch  dispatch.Settings     `json:"dispatch"`
 	Calls     calls.Settings        `json:"calls"`
 	Config    conf.Settings         `json:"config"`
+	Orders    orders.Settings       `json:"orders"`
 	Timeline  timeline.Settings     `json:"timeline"`
 	Drain     Drain                 `json:"drain"`
 	Log       Log                   `json:"log"`
@@ -80,6 +82,7 @@
 		Dispatch:  dispatch.DefaultSettings(),
 		Calls:     calls.DefaultSettings(),
 		Config:    conf.DefaultSettings(),
+		Orders:    orders.DefaultSettings(),
 		Timeline:  timeline.DefaultSettings(),
 		Drain:     Drain{Timeout: 15 * time.Minute},
 		Log:       Log{Level: "info", Format: "text"},
@@ -108,6 +111,7 @@
 	s.Dispatch.Validate(l, "dispatch")
 	s.Calls.Validate(l, "calls")
 	s.Config.Validate(l, "config")
+	s.Orders.Validate(l, "orders")
 	s.Timeline.Validate(l, "timeline")
 	l.Duration("drain.timeout", s.Drain.Timeout, time.Second, 24*time.Hour)
 	l.OneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -206,7 +206,7 @@
 		Running: e.running,
 		Waiting: e.waiting,
 		Slots:   e.settings.Slots,
-		Leaving: e.faults.Leaving,
+		Leaving: e.faults.Leaving || e.orders.isDraining(),
 		At:      time.Now(),
 	}
 	e.mu.Unlock()
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -13,6 +13,8 @@
 	mu       sync.Mutex // guards all below
 	highest  int64
 	accepted []engine.Order
+	// draining is true after an order to drain.
+	draining bool
 }
 
 // accept carries out an order. With checks, an order whose number is below
@@ -26,10 +28,20 @@
 	b.highest = max(b.highest, o.Fencing)
 	if !slices.ContainsFunc(b.accepted, func(a engine.Order) bool { return a.ID == o.ID }) {
 		b.accepted = append(b.accepted, o)
+		if o.Kind == engine.OrderDrain {
+			b.draining = o.Target != engine.DrainCancel
+		}
 	}
 	return engine.OrderResult{Accepted: true, Fencing: b.highest}
 }
 
+// isDraining reports whether the endpoint was ordered to drain.
+func (b *orderBook) isDraining() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.draining
+}
+
 // done returns the orders carried out, in order.
 func (b *orderBook) done() []engine.Order {
 	b.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -121,7 +121,7 @@
 
 func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	report := engine.Load{Running: s.running, Leaving: s.faults.Leaving, At: time.Now()}
+	report := engine.Load{Running: s.running, Leaving: s.faults.Leaving || s.orders.isDraining(), At: time.Now()}
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, report)
 }
