--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/orders"
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
@@ -54,6 +55,7 @@
 	caller   *caller.Server
 	operator *operator.Server
 
+	orders *orders.Sender
 	// supersede starts the drain when a newer incarnation runs on this VM.
 	supersede context.CancelFunc
 }
@@ -78,6 +80,7 @@
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
 	d.delivery = d.newDelivery()
+	d.orders = d.newOrders()
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
@@ -99,6 +102,7 @@
 		Log:     d.part("operator"),
 		Status:  d.status,
 		Members: d.members.Members,
+		Orders:  d.orders,
 	})
 	return d
 }
@@ -164,6 +168,7 @@
 	start("timeline", func() error { return d.copier.Run(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
+	start("drainer", func() error { return d.runDrainer(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
 	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
@@ -196,6 +201,7 @@
 func (d *Daemon) cleanup() error {
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup(), d.cleanupPeers())
 	d.delivery.close()
+	d.orders.Close()
 	d.platform.Close()
 	return err
 }
