--- /dev/null
+++ b/internal/conf/commit_test.go
@@ -0,0 +1,185 @@
+package conf
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/platform/memory"
+	"daisyslip.dev/daisyslip/internal/catalog"
+)
+
+// labelChange returns the change by which an operator puts one label on the
+// workspace, as read from the operator's router.
+func labelChange(k *Keeper, key, value string) Change {
+	index := k.Catalog()
+	w := catalog.Workspace{Labels: map[string]string{}}
+	if found := index.Workspace("coop"); found != nil {
+		for name, old := range found.Labels {
+			w.Labels[name] = old
+		}
+	}
+	w.Labels[key] = value
+	put, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	return Change{Base: index.Revision, Author: key, Ops: []Op{{Kind: KindWorkspace, Name: "coop", Put: put}}}
+}
+
+// labelOurs puts the label on the newest revision and, after a conflict,
+// starts again from the winner's.
+func labelOurs(k *Keeper, key, value string) error {
+	for {
+		_, err := k.Commit(context.Background(), labelChange(k, key, value))
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		if len(conflict.Others) == 0 || conflict.Others[0].Author == key {
+			return fmt.Errorf("the conflict does not show the other change: %w", err)
+		}
+		if err := k.Load(context.Background()); err != nil {
+			return err
+		}
+	}
+}
+
+// labelNaive sends the same change again on whatever revision is the newest.
+func labelNaive(k *Keeper, key, value string) error {
+	change := labelChange(k, key, value)
+	for {
+		_, err := k.Commit(context.Background(), change)
+		if failure.CodeOf(err) != failure.Conflict || err == nil {
+			return err
+		}
+		if err := k.Load(context.Background()); err != nil {
+			return err
+		}
+		change.Base = k.Catalog().Revision
+	}
+}
+
+// TestRacingOperatorsLoseNoChange has operators at different routers put
+// labels on one workspace at the same time.
+func TestRacingOperatorsLoseNoChange(t *testing.T) {
+	races := 1000
+	if testing.Short() {
+		races = 100
+	}
+	for _, operators := range []int{2, 5} {
+		t.Run(strconv.Itoa(operators), func(t *testing.T) {
+			ours := lostLabels(t, operators, races, labelOurs)
+			naive := lostLabels(t, operators, races, labelNaive)
+			t.Logf("%d races of %d: lost labels: ours %d, naive %d", races, operators, ours, naive)
+			assert.Equal(t, ours, 0)
+			assert.Assert(t, naive > 0, "the races do not trouble the naive version")
+		})
+	}
+}
+
+func lostLabels(t *testing.T, operators, races int, put func(k *Keeper, key, value string) error) (lost int) {
+	store := memory.NewStore(clock.Real{})
+	var keepers []*Keeper
+	for range operators {
+		keepers = append(keepers, NewKeeper(testSettings(), store.View(), clock.Real{}, event.Discard{}, discardLog))
+	}
+	for race := range races {
+		var all sync.WaitGroup
+		for i, k := range keepers {
+			assert.NilError(t, k.Load(t.Context()))
+			all.Go(func() {
+				if err := put(k, fmt.Sprintf("op%d", i), strconv.Itoa(race)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Wait()
+		assert.NilError(t, keepers[0].Load(t.Context()))
+		labels := keepers[0].Catalog().Workspace("coop").Labels
+		for i := range operators {
+			if labels[fmt.Sprintf("op%d", i)] != strconv.Itoa(race) {
+				lost++
+			}
+		}
+	}
+	return lost
+}
+
+func TestConflictNamesTheOtherChange(t *testing.T) {
+	f := newFleet(t, 2)
+	base := f.mustCommit(f.routers[0])
+	f.step()
+	_, err := f.routers[0].commit("theirs")
+	assert.NilError(t, err)
+	op := Op{Kind: KindPool, Name: "p", Put: []byte(`{"kind":"model"}`)}
+	_, err = f.routers[1].Commit(t.Context(), Change{Base: base, Author: "me", Ops: []Op{op}})
+	assert.Equal(t, failure.CodeOf(err), failure.Conflict)
+	assert.ErrorContains(t, err, `revision 2 by "entry-1" (workspace coop)`)
+}
+
+func TestNothingInvalidIsCommitted(t *testing.T) {
+	f := newFleet(t, 1)
+	f.mustCommit(f.routers[0])
+	for name, op := range map[string]Op{
+		"selector": {Kind: KindPool, Name: "p", Put: []byte(`{"kind":"model","selector":"a in"}`)},
+		"field":    {Kind: KindPool, Name: "p", Put: []byte(`{"colour":"red"}`)},
+		"absent":   {Kind: KindRule, Name: "r"},
+		"kind":     {Kind: "moon", Name: "r"},
+	} {
+		_, err := f.routers[0].Commit(t.Context(), Change{Base: 1, Ops: []Op{op}})
+		assert.Equal(t, failure.CodeOf(err), failure.BadRequest, name)
+	}
+	_, err := f.routers[0].Commit(t.Context(), Change{Base: 7})
+	assert.Equal(t, failure.CodeOf(err), failure.BadRequest)
+	assert.Equal(t, f.routers[0].Catalog().Revision, int64(1))
+}
+
+func TestRollbackIsANewRevision(t *testing.T) {
+	f := newFleet(t, 1)
+	k := f.routers[0]
+	k.settings.SnapshotEvery = 4
+	for i := range 6 {
+		_, err := k.commit(fmt.Sprintf("v%d", i+1))
+		assert.NilError(t, err)
+	}
+	for _, to := range []int64{2, 5} { // before and after the snapshot
+		result, err := k.Rollback(t.Context(), Change{Base: k.Catalog().Revision, Author: "me"}, to)
+		assert.NilError(t, err)
+		assert.Equal(t, result.Revision, k.Catalog().Revision)
+		assert.Equal(t, labelOf(k.Catalog().Document()), fmt.Sprintf("v%d", to))
+	}
+	history, err := k.History(t.Context(), 6, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 2)
+	assert.Equal(t, history[0].Note, "roll back to revision 2")
+	_, err = k.Rollback(t.Context(), Change{Base: 8}, 70)
+	assert.Equal(t, failure.CodeOf(err), failure.NotFound)
+
+	// A router that starts now reads the snapshot and what follows it.
+	fresh := NewKeeper(testSettings(), f.store.View(), f.clock, event.Discard{}, discardLog)
+	assert.NilError(t, fresh.Load(t.Context()))
+	assert.DeepEqual(t, fresh.Catalog().Document(), k.Catalog().Document())
+}
+
+func TestDiffTurnsOneDocumentIntoAnother(t *testing.T) {
+	from, to := sizedDocument(20), sizedDocument(30)
+	to.Workspaces = slices.Delete(to.Workspaces, 3, 5)
+	to.Endpoints[1].Leaving = true
+	ops, err := Diff(from, to)
+	assert.NilError(t, err)
+	got := from
+	assert.NilError(t, apply(&got, ops))
+	assert.DeepEqual(t, got, to)
+	assert.DeepEqual(t, from, sizedDocument(20)) // what was handed in stays as it is
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,6 +19,7 @@
 	"daisyslip.dev/daisyslip/coord/budget"
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/timeline"
@@ -52,6 +54,8 @@
 	Metrics *metrics.Set
 	Log     *slog.Logger
 	Status  func() Status
+	// Members lists the routers known; nil if there is no membership.
+	Members func() []member.Status
 }
 
 // Server serves the operator API.
@@ -148,6 +152,19 @@
 
 func (s *Server) status(c echo.Context) error { return c.JSON(http.StatusOK, s.duties.Status()) }
 
+// numberParam reads a query parameter that is a number; absent is 0.
+func numberParam(c echo.Context, name string) (int64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, failure.New(failure.BadRequest, "read "+name, "", fmt.Sprintf("%q is no number from 0", text))
+	}
+	return n, nil
+}
+
 // decodeBody reads the JSON body strictly.
 func decodeBody(c echo.Context, v any) error {
 	decoder := json.NewDecoder(c.Request().Body)
@@ -179,6 +196,8 @@
 	Message string       `json:"message"`
 	Step    string       `json:"step"`
 	Peer    string       `json:"peer"`
+	// Others are the changes that came before a refused one.
+	Others []conf.Revision `json:"others,omitempty"`
 }
 
 func (s *Server) handleError(err error, c echo.Context) {
@@ -187,6 +206,7 @@
 	}
 	f, status := describe(err)
 	body := ErrorBody{Error: ErrorDetail{Code: f.Code, Message: f.Message, Step: f.Step, Peer: f.Peer}}
+	body.Error.Others = othersOf(err)
 	if err := c.JSON(status, body); err != nil {
 		s.duties.Log.Debug("Answer not written.", "err", err)
 	}
