--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -30,6 +30,9 @@
 	// planHorizon is the spending that a grant at a budget's home covers, in
 	// seconds.
 	planHorizon = 600
+	// planRefresh is the time between two reads of all members by a relay, in
+	// seconds.
+	planRefresh = 60.0
 	// planReportInterval is the time between two load reports of an endpoint
 	// to the relay of its failure domain, in seconds, and planReportBytes
 	// the size of one.
@@ -215,18 +218,18 @@
 		l.Planned, l.Plan = planned, plan
 		return l
 	}
-	const plan = "a relay a failure domain reads the table and passes on what changed; a daemon links with its own domain only"
-	inDomain := t.Daemons / t.Domains
-	atDomain := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*inDomain) }
+	plan := terms("a relay a failure domain reads all members each %s s and passes on what changed", number(planRefresh))
+	slower := m.settings.Member.RefreshInterval.Seconds() / planRefresh
+	atRelay := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*peers*slower) }
 	base := line("process at rest, and its peers", BudgetMemory, memory, 1, "bytes")
 	base.Carrier = "a connection a peer in use, closed when idle"
-	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atDomain(idleCPU), plan)
+	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atRelay(idleCPU), plan)
 	cpu.Carrier = "one goroutine a duty; pings on idle links"
-	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atDomain(idleBytes), plan)
+	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atRelay(idleBytes), plan)
 	link.Carrier = "pings on connections in use only"
-	table := relayed(line("platform at rest", BudgetBytes, platformBytes, 1, "bytes/s"), atDomain(platformBytes), plan)
+	table := relayed(line("platform at rest", BudgetBytes, platformBytes, 1, "bytes/s"), atRelay(platformBytes), plan)
 	table.Carrier = "polls as the fallback of pushes"
-	readLine := relayed(line("at rest", BudgetReads, reads, t.Daemons, "rows/s"), t.Domains*atDomain(reads), plan)
+	readLine := relayed(line("at rest", BudgetReads, reads, t.Daemons, "rows/s"), t.Domains*atRelay(reads), plan)
 	readLine.Carrier = "each daemon polls"
 	m.add(base, cpu, link, table, readLine)
 	beats := line("heartbeats", BudgetWrites, writes, t.Daemons, "rows/s")
--- a/internal/daemon/timeline_test.go
+++ b/internal/daemon/timeline_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -108,3 +110,21 @@
 	assert.Equal(t, get(t, fleet.Info().Operator+"/healthz"), "ok\n")
 	assert.Equal(t, get(t, fleet.Info().Operator+"/readyz"), "{\"ready\":true}\n")
 }
+
+// TestOperatorsPageListsMetrics finds every metric of a router that has served
+// a request on the page for operators.
+func TestOperatorsPageListsMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	fleet, err := dev.Start(t.Context(), dev.DefaultOptions(), slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	defer fleet.Close()
+	assert.Equal(t, ask(t, fleet.Info().Routers[0], dev.WorkspaceKey), http.StatusOK)
+	name := regexp.MustCompile(`(?m)^daisyslip_[a-z_]+`)
+	for _, metric := range name.FindAllString(get(t, fleet.Info().Operator+"/metrics"), -1) {
+		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+			metric = strings.TrimSuffix(metric, suffix)
+		}
+		assert.Assert(t, strings.Contains(string(page), "`"+metric), "docs/OPERATIONS.md does not list %s", metric)
+	}
+}
