--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,7 @@
 	d.copier = d.newCopier(d.bus)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(nil)
+	d.delivery = d.newDelivery(d.members.VMLeaving)
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
@@ -160,10 +160,10 @@
 		})
 	}
 	start("config", func() error { return d.config.Run(duties) })
-	start("timeline", func() error { return d.copier.Run(duties) })
 	start("peers", d.runPeers)
 	start("seeds", func() error { return d.greetSeeds(duties) })
 	start("members", func() error { return d.runMembers(duties) })
+	start("timeline", func() error { return d.copier.Run(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
 	start("caller", d.caller.Run)
