--- a/coord/budget/batch.go
+++ b/coord/budget/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/google/uuid"
 
@@ -122,13 +123,16 @@
 // charged, or a replay, which is not. A bill for other content, or past the
 // bound of replays, is charged under its own number: it was served.
 func (k *keyRow) decide(incarnation string, b *bill, maxReplays int) {
+	id := billID{Incarnation: incarnation, Number: b.Number}
 	switch {
-	case k.Incarnation == "":
-		*k = keyRow{Incarnation: incarnation, Number: b.Number, Digest: b.Digest}
-	case k.Incarnation == incarnation && k.Number == b.Number:
-	case k.Digest == b.Digest && k.Replays < maxReplays:
+	case k.Bill == billID{}:
+		*k = keyRow{Bill: id, Digest: b.Digest}
+	case k.Bill == id:
+	case slices.Contains(k.Replays, id):
 		b.Replay = true
-		k.Replays++
+	case k.Digest == b.Digest && len(k.Replays) < maxReplays:
+		b.Replay = true
+		k.Replays = append(k.Replays, id)
 		k.Replayed += b.Tokens
 	}
 }
--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -18,6 +18,15 @@
 	account *account
 	bill    bill
 	done    chan error // receives once, buffered
+	told    bool
+}
+
+// tell ends the settlement that waits.
+func (i *billing) tell(err error) {
+	if !i.told {
+		i.told = true
+		i.done <- err
+	}
 }
 
 // unit is a group of bills that stay together: they are copied to peers as
@@ -39,14 +48,24 @@
 	return bills
 }
 
-// tell ends the settlements that wait for the unit.
+// tell ends all settlements that wait for the unit.
 func (u *unit) tell(err error) {
-	if u.told {
-		return
+	u.told = true
+	for _, item := range u.items {
+		item.tell(err)
 	}
+}
+
+// tellCopied ends the settlements for which the copies suffice.
+func (u *unit) tellCopied() {
 	u.told = true
 	for _, item := range u.items {
-		item.done <- err
+		lean := item.account.holder.lean(item.bill.Account.Workspace)
+		if len(u.copied) < lean.MinCopies {
+			u.told = false
+			continue
+		}
+		item.tell(nil)
 	}
 }
 
--- a/coord/budget/copies.go
+++ b/coord/budget/copies.go
@@ -92,9 +92,9 @@
 }
 
 // copyUnit gives a unit to as many peers as the settings ask for and tells
-// its settlements; a copy whose keeper has left is replaced. With fewer peers
-// in reach the bill is in this process only, and its tokens stay in doubt if
-// the process dies.
+// its settlements; a copy whose keeper has left is replaced. A bill that found
+// no peer is in this process only, and its tokens stay in doubt if the process
+// dies; the lean says whether its settlement waits.
 func (b *biller) copyUnit(u *unit, peers []bus.Peer) {
 	b.mu.Lock()
 	told, written := u.told, u.written
@@ -108,15 +108,16 @@
 	}
 	fresh := b.sendCopies(u, peers, kept, want)
 	b.mu.Lock()
-	u.copied = append(u.copied, fresh...)
-	u.tell(nil)
+	u.copied = append(kept, fresh...)
+	u.tellCopied()
+	settled, copies := u.told && !told, len(u.copied)
 	written = u.written
 	b.mu.Unlock()
 	if written {
 		b.holder.forgetCopies(idSet(fresh), u.items[len(u.items)-1].bill.Number)
 	}
-	if !told {
-		b.reportCopies(u, len(fresh), want)
+	if settled {
+		b.reportCopies(u, copies, want)
 	}
 }
 
--- a/coord/budget/fleet_test.go
+++ b/coord/budget/fleet_test.go
@@ -32,6 +32,8 @@
 	nodes   []*node
 	started int
 	domains int
+	// anySplit is set once a node has lost its peers.
+	anySplit bool
 
 	mu       sync.Mutex       // guards all below
 	served   map[string]int64 // tokens that engines made for callers, by key
--- a/coord/budget/rows.go
+++ b/coord/budget/rows.go
@@ -77,12 +77,19 @@
 	Bills  []bill `json:"bills"`
 }
 
-// keyRow says which bill a caller's key stands for.
-type keyRow struct {
+// billID names a bill.
+type billID struct {
 	Incarnation string `json:"incarnation"`
 	Number      uint64 `json:"n"`
-	Digest      string `json:"digest,omitempty"`
-	Replays     int    `json:"replays,omitempty"`
+}
+
+// keyRow says which bill a caller's key stands for.
+type keyRow struct {
+	Bill   billID `json:"bill"`
+	Digest string `json:"digest,omitempty"`
+	// Replays are the bills that were not charged since the key had one. They
+	// stand by name, so that two writers of one bill decide alike.
+	Replays []billID `json:"replays,omitempty"`
 	// Replayed counts the tokens of the replays.
 	Replayed int64 `json:"replayed,omitempty"`
 }
--- a/coord/budget/settings.go
+++ b/coord/budget/settings.go
@@ -20,6 +20,10 @@
 	HeldShare float64 `json:"held_share"`
 	// IdleAfter is the time without a request after which a grant goes back.
 	IdleAfter time.Duration `json:"idle_after"`
+	// MinCopies is the number of peers that must keep a bill before its
+	// request is settled while the platform is away. With fewer in reach, a
+	// bill is lost with the process, and reservations are refused.
+	MinCopies int `json:"min_copies"`
 }
 
 // Settings are the settings of a holder.
@@ -61,7 +65,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		Small:        Lean{Horizon: 20 * time.Second, LowWater: 0.5, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 5 * time.Minute},
+		Small:        Lean{Horizon: 20 * time.Second, LowWater: 0.5, RestShare: 0.25, HeldShare: 0.0025, IdleAfter: 5 * time.Minute, MinCopies: 1},
 		Serve:        Lean{Horizon: 15 * time.Minute, LowWater: 0.8, RestShare: 0.5, HeldShare: 0.0085, IdleAfter: 30 * time.Minute},
 		WaitMax:      10 * time.Second,
 		MaxWaiting:   1024,
@@ -98,6 +102,7 @@
 	for path, lean := range map[string]Lean{"small_holdings": s.Small, "serve": s.Serve} {
 		require(lean.Horizon > 0, path+".horizon", lean.Horizon, "a duration above 0")
 		require(lean.IdleAfter > 0, path+".idle_after", lean.IdleAfter, "a duration above 0")
+		require(lean.MinCopies >= 0 && lean.MinCopies <= s.Copies, path+".min_copies", lean.MinCopies, "a number from 0 to copies")
 		require(lean.LowWater > 0 && lean.LowWater <= 1, path+".low_water", lean.LowWater, "a share above 0, at most 1")
 		require(lean.RestShare > 0 && lean.RestShare <= 1, path+".rest_share", lean.RestShare, "a share above 0, at most 1")
 		require(lean.HeldShare > 0 && lean.HeldShare <= 1, path+".held_share", lean.HeldShare, "a share above 0, at most 1")
