--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -55,6 +55,17 @@
 	assert.ErrorContains(t, err, "c is not measured")
 }
 
+// TestUsable takes a slope that cannot be told from zero as a constant.
+func TestUsable(t *testing.T) {
+	flat, err := Slopes{}.Put(Slope{Name: "flat", Points: []Point{{1, 5}, {2, 4}, {3, 6}, {4, 5}}})
+	assert.NilError(t, err)
+	assert.Equal(t, flat[0].Usable().Slope, 0.0)
+	assert.Equal(t, flat[0].Usable().Intercept, 5.0)
+	steep, err := Slopes{}.Put(Slope{Name: "steep", Points: []Point{{1, 5}, {2, 7}, {3, 9}, {4, 11}}})
+	assert.NilError(t, err)
+	assert.Equal(t, steep[0].Usable(), steep[0].Fit)
+}
+
 // TestPage works out the page from the committed slopes: each has at least
 // four points, none is missing, and each line that does not fit has a plan.
 func TestPage(t *testing.T) {
--- a/internal/capacity/line.go
+++ b/internal/capacity/line.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		m.missing = append(m.missing, err)
 	}
-	return s.Fit
+	return s.Usable()
 }
 
 // add adds lines; one without a plan stays as it is.
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -28,6 +28,7 @@
 	ReserveCPU           Name = "reserve_cpu_per_request"
 	MemoryPerStream      Name = "memory_per_stream"
 	CPUPerEndpoint       Name = "cpu_per_second_and_endpoint_in_use"
+	BytesPerReport       Name = "bytes_per_load_report"
 	CPUPerChange         Name = "cpu_per_change"
 	BytesPerChange       Name = "platform_bytes_per_change"
 	RowsReadPerChange    Name = "rows_read_per_change"
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -223,6 +223,7 @@
 	atRelay := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*peers*slower) }
 	base := line("process at rest, and its peers", BudgetMemory, memory, 1, "bytes")
 	base.Carrier = "a connection a peer in use, closed when idle"
+	base = relayed(base, memory.Intercept+memory.Slope*t.Daemons/t.Domains, "a daemon links with its own failure domain and with the relays")
 	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atRelay(idleCPU), plan)
 	cpu.Carrier = "one goroutine a duty; pings on idle links"
 	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atRelay(idleBytes), plan)
@@ -243,7 +244,7 @@
 func (m *model) endpoints() {
 	t := m.target
 	inUse := min(t.Workers, t.requestsPerDaemon()*m.settings.Route.ActiveTime.Seconds())
-	cpu := m.slope(CPUPerEndpoint)
+	cpu, report := m.slope(CPUPerEndpoint), m.slope(BytesPerReport)
 	reports := t.Workers / t.Domains / planReportInterval
 	m.add(
 		Line{
@@ -254,17 +255,14 @@
 		},
 		Line{
 			Role: RoleEndpoint, Item: "poll load reports", Budget: BudgetBytes,
-			Value:   inUse / m.settings.Route.PollInterval.Seconds() * reportBytes,
-			Formula: terms("%s endpoints in use / %s s × %s bytes", number(inUse), number(m.settings.Route.PollInterval.Seconds()), number(reportBytes)),
+			Value:   inUse / m.settings.Route.PollInterval.Seconds() * report.Slope,
+			Formula: terms("%s endpoints in use / %s s × %s bytes", number(inUse), number(m.settings.Route.PollInterval.Seconds()), number(report.Slope)),
 			Carrier: "as above", Planned: t.Workers / planReportInterval * planReportBytes / inDomainOf(t),
 			Plan: "packed reports of changed endpoints only, shared within the domain",
 		},
 	)
 }
 
-// reportBytes is the size of a load report with its HTTP headers, both ways.
-const reportBytes = 600
-
 // inDomainOf is the number of daemons of one failure domain.
 func inDomainOf(t Target) float64 { return t.Daemons / t.Domains }
 
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -23,6 +23,23 @@
 	Fit     Fit     `json:"fit"`
 }
 
+// noiseErrors is the number of standard errors by which a slope must be above
+// zero to be told from it.
+const noiseErrors = 2
+
+// Usable returns the fit, or the mean of Y as a constant if the slope cannot
+// be told from zero.
+func (s Slope) Usable() Fit {
+	if s.Fit.Slope > noiseErrors*s.Fit.SlopeError {
+		return s.Fit
+	}
+	constant := Fit{R2: s.Fit.R2}
+	for _, p := range s.Points {
+		constant.Intercept += p.Y / float64(len(s.Points))
+	}
+	return constant
+}
+
 // Slopes is a set of slopes in order of their names.
 type Slopes []Slope
 
--- a/internal/e2e/measure_parts_test.go
+++ b/internal/e2e/measure_parts_test.go
@@ -1,7 +1,11 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +15,7 @@
 	"daisyslip.dev/daisyslip/internal/capacity"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/engine"
 )
 
 // startEngine starts an engine with flags and returns its URL.
@@ -108,3 +113,49 @@
 	putSlope(t, capacity.BytesPerChange, "bytes", "change", bytes)
 	putSlope(t, capacity.RowsReadPerChange, "rows", "change", rows)
 }
+
+// countedConn counts the bytes of a connection, both ways.
+type countedConn struct {
+	net.Conn
+	bytes *int
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	*c.bytes += n
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	*c.bytes += n
+	return n, err
+}
+
+// TestMeasureReports measures the bytes of an endpoint's load reports.
+func TestMeasureReports(t *testing.T) {
+	if !measuring(t) {
+		return
+	}
+	bytes := 0
+	client := http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countedConn{Conn: conn, bytes: &bytes}, err
+	}}}
+	url := startEngine(t) + engine.PathLoad
+	var points []capacity.Point
+	for _, n := range []int{10, 20, 40, 80} {
+		before := bytes
+		for range n {
+			resp, err := client.Get(url)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+		}
+		points = append(points, capacity.Point{X: float64(n), Y: float64(bytes - before)})
+	}
+	putSlope(t, capacity.BytesPerReport, "bytes", "load report", points)
+}
