--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -68,7 +68,7 @@
 	return func(c echo.Context) error {
 		body, err := io.ReadAll(c.Request().Body)
 		if err != nil {
-			return failure.Wrap(failure.BadRequest, "read body", "operator", err)
+			return badBody(err)
 		}
 		if !json.Valid(body) {
 			return failure.New(failure.BadRequest, "decode body", "operator", "the body is no JSON")
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -117,7 +117,10 @@
 func (s *Server) routes() {
 	s.echo.GET("/metrics", s.metrics)
 	s.healthRoutes()
-	api := s.echo.Group("/v1", s.authenticate, s.bound)
+	// The middleware stands on the whole API, since a group with middleware
+	// would answer a wrong method as an unknown path.
+	s.echo.Use(s.authenticate, s.bound)
+	api := s.echo.Group(apiPrefix)
 	api.GET("/status", s.status)
 	api.GET("/events", s.events)
 	api.GET("/events/copies", s.copies)
@@ -126,9 +129,16 @@
 	s.doubtRoutes(api)
 }
 
+// apiPrefix starts the paths that need the operators' token; probes and
+// metrics stand outside.
+const apiPrefix = "/v1"
+
 // authenticate requires the operators' token.
 func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		if !strings.HasPrefix(c.Request().URL.Path, apiPrefix+"/") {
+			return next(c)
+		}
 		token, found := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
 		hash := catalog.HashKey(token)
 		if !found || subtle.ConstantTimeCompare([]byte(hash), []byte(s.settings.TokenHash)) != 1 {
@@ -177,16 +187,27 @@
 	decoder := json.NewDecoder(c.Request().Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
-		return failure.Wrap(failure.BadRequest, "decode body", "operator", err)
+		return badBody(err)
 	}
 	return nil
 }
 
+// badBody is the failure of a body that could not be read or decoded.
+func badBody(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return failure.New(failure.TooLarge, "read body", "operator", fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
+	}
+	return failure.Wrap(failure.BadRequest, "decode body", "operator", err)
+}
+
 // statuses maps the codes that operators meet to HTTP statuses.
 var statuses = map[failure.Code]int{
 	failure.BadRequest:       http.StatusBadRequest,
 	failure.Unauthorized:     http.StatusUnauthorized,
 	failure.NotFound:         http.StatusNotFound,
+	failure.MethodNotAllowed: http.StatusMethodNotAllowed,
+	failure.TooLarge:         http.StatusRequestEntityTooLarge,
 	failure.Conflict:         http.StatusConflict,
 	failure.StoreUnavailable: http.StatusServiceUnavailable,
 	failure.PeerUnavailable:  http.StatusServiceUnavailable,
@@ -219,6 +240,17 @@
 	}
 }
 
+// codeOfStatus names the failure of a status that echo answers by itself.
+func codeOfStatus(status int) failure.Code {
+	switch status {
+	case http.StatusNotFound:
+		return failure.NotFound
+	case http.StatusMethodNotAllowed:
+		return failure.MethodNotAllowed
+	}
+	return failure.BadRequest
+}
+
 // describe turns an error into a failure and its status.
 func describe(err error) (*failure.Error, int) {
 	if f := failure.As(err); f != nil {
@@ -231,7 +263,7 @@
 	var fromEcho *echo.HTTPError
 	switch {
 	case errors.As(err, &fromEcho):
-		return failure.New(failure.BadRequest, "route request", "", fmt.Sprint(fromEcho.Message)), fromEcho.Code
+		return failure.New(codeOfStatus(fromEcho.Code), "route request", "", fmt.Sprint(fromEcho.Message)), fromEcho.Code
 	case errors.Is(err, budget.ErrNotFound):
 		return failure.Wrap(failure.NotFound, "read budget", "", err), http.StatusNotFound
 	case errors.Is(err, budget.ErrConflict):
