One life cycle for the HTTP listeners, one command for fixed changes

Cause: caller and operator servers, and the leave/join and enable/disable commands, stood twice. Ruled out: a common settings type; the bounds differ. Change: internal/httpserver; newChange. Figures: not measured. Conclusion: no change of behaviour; the tests pass.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -17,6 +16,7 @@
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/httpserver"
 	"daisyslip.dev/daisyslip/internal/work"
 )
 
@@ -42,11 +42,11 @@
 
 // Server serves the caller API.
 type Server struct {
+	*httpserver.Server
+
 	settings Settings
 	duties   Duties
 	metrics  *serverMetrics
-	listener net.Listener
-	http     *http.Server
 	inFlight chan struct{}
 	draining atomic.Bool
 }
@@ -59,42 +59,15 @@
 		metrics:  newServerMetrics(d.Metrics),
 		inFlight: make(chan struct{}, s.MaxInFlight),
 	}
-	server.http = &http.Server{
+	server.Server = httpserver.New("callers", s.Listen, s.TLS, &http.Server{
 		Handler:           server.routes(),
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(d.Log.Handler(), slog.LevelDebug),
-	}
+	}, d.Log)
 	return server
 }
 
-// Provision opens the listener.
-func (s *Server) Provision() error {
-	listener, err := net.Listen("tcp", s.settings.Listen)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	wrapped, err := s.settings.TLS.Wrap(listener)
-	if err != nil {
-		return errors.Join(fmt.Errorf("listen for callers: %w", err), listener.Close())
-	}
-	s.listener = wrapped
-	return nil
-}
-
-// URL returns the base URL of the API, after Provision.
-func (s *Server) URL() string { return s.settings.TLS.Scheme() + "://" + s.listener.Addr().String() }
-
-// Run serves until Drain or Cleanup.
-func (s *Server) Run() error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("serve callers: %w", err)
-}
-
 // Drain turns /readyz false, goes on serving until the balancer must have
 // seen it, then stops listening and waits for the requests in flight, until
 // ctx ends.
@@ -103,7 +76,7 @@
 	if err := clock.Sleep(ctx, clock.Real{}, s.settings.ReadinessLag); err != nil {
 		return fmt.Errorf("wait for the balancer: %w", err)
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.Shutdown(ctx); err != nil {
 		return fmt.Errorf("wait for %d requests in flight: %w", len(s.inFlight), err)
 	}
 	return nil
@@ -112,9 +85,6 @@
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int { return len(s.inFlight) }
 
-// Cleanup closes all connections at once.
-func (s *Server) Cleanup() error { return s.http.Close() }
-
 func (s *Server) routes() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
--- a/internal/cli/entities.go
+++ b/internal/cli/entities.go
@@ -91,7 +91,9 @@
 	create.Flags().IntVar(&e.Slots, "slots", 0, "requests it takes at once; 0 is no bound")
 	create.Flags().BoolVar(&e.ChecksFencing, "checks-fencing", false, "it refuses orders with an old fencing number")
 	create.Flags().StringToStringVar(&e.Labels, "label", nil, "labels as name=value")
-	cmd.AddCommand(create, a.newLeaving("leave", "Send no new work to an endpoint", true), a.newLeaving("join", "Send work to an endpoint again", false))
+	cmd.AddCommand(create,
+		newChange(a, endpoints, "leave", "Send no new work to an endpoint", func(e *catalog.Endpoint) { e.Leaving = true }),
+		newChange(a, endpoints, "join", "Send work to an endpoint again", func(e *catalog.Endpoint) { e.Leaving = false }))
 	return cmd
 }
 
@@ -116,19 +118,3 @@
 	edit.addFlags(cmd)
 	return cmd
 }
-
-func (a *app) newLeaving(use, short string, leaving bool) *cobra.Command {
-	edit := editor{app: a}
-	cmd := &cobra.Command{
-		Use:   use + " NAME",
-		Short: short,
-		Args:  cobra.ExactArgs(1),
-		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
-			return edit.run(ctx, cmd, c, func(d catalog.Document) ([]conf.Op, error) {
-				return update(endpoints, d, args[0], func(e *catalog.Endpoint) { e.Leaving = leaving })
-			})
-		}),
-	}
-	edit.addFlags(cmd)
-	return cmd
-}
--- a/internal/cli/entity.go
+++ b/internal/cli/entity.go
@@ -136,6 +136,23 @@
 	return []conf.Op{op}, err
 }
 
+// newChange returns a command that changes one entity in a fixed way.
+func newChange[T any](a *app, e entityType[T], use, short string, change func(*T)) *cobra.Command {
+	edit := editor{app: a}
+	cmd := &cobra.Command{
+		Use:   use + " NAME",
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
+			return edit.run(ctx, cmd, c, func(d catalog.Document) ([]conf.Op, error) {
+				return update(e, d, args[0], change)
+			})
+		}),
+	}
+	edit.addFlags(cmd)
+	return cmd
+}
+
 // formatLabels formats labels as a sorted list.
 func formatLabels(set map[string]string) string {
 	pairs := make([]string, 0, len(set))
--- a/internal/cli/workspace.go
+++ b/internal/cli/workspace.go
@@ -17,8 +17,8 @@
 	cmd := &cobra.Command{Use: "workspace", Short: "Workspaces: customers with keys and budgets"}
 	addShared(a, cmd, workspaces)
 	cmd.AddCommand(a.newWorkspaceCreate(), a.newKeyAdd(), a.newKeyRemove(),
-		a.newDisabled("disable", "Refuse all requests of a workspace", true),
-		a.newDisabled("enable", "Serve a workspace again", false))
+		newChange(a, workspaces, "disable", "Refuse all requests of a workspace", func(w *catalog.Workspace) { w.Disabled = true }),
+		newChange(a, workspaces, "enable", "Serve a workspace again", func(w *catalog.Workspace) { w.Disabled = false }))
 	return cmd
 }
 
@@ -138,22 +138,6 @@
 	return []conf.Op{op}, err
 }
 
-func (a *app) newDisabled(use, short string, disabled bool) *cobra.Command {
-	edit := editor{app: a}
-	cmd := &cobra.Command{
-		Use:   use + " NAME",
-		Short: short,
-		Args:  cobra.ExactArgs(1),
-		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
-			return edit.run(ctx, cmd, c, func(d catalog.Document) ([]conf.Op, error) {
-				return update(workspaces, d, args[0], func(w *catalog.Workspace) { w.Disabled = disabled })
-			})
-		}),
-	}
-	edit.addFlags(cmd)
-	return cmd
-}
-
 func newToken() *cobra.Command {
 	cmd := &cobra.Command{Use: "token", Short: "Operators' tokens and their hashes for the settings"}
 	cmd.AddCommand(&cobra.Command{
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,6 +21,7 @@
 	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/conf"
+	"daisyslip.dev/daisyslip/internal/httpserver"
 	"daisyslip.dev/daisyslip/internal/orders"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
@@ -63,11 +63,11 @@
 
 // Server serves the operator API.
 type Server struct {
+	*httpserver.Server
+
 	settings Settings
 	duties   Duties
-	listener net.Listener
 	echo     *echo.Echo
-	http     *http.Server
 	seen     doubtsSeen
 }
 
@@ -77,43 +77,13 @@
 	server.echo.HideBanner = true
 	server.echo.HTTPErrorHandler = server.handleError
 	server.routes()
-	server.http = &http.Server{
+	server.Server = httpserver.New("operators", s.Listen, s.TLS, &http.Server{
 		Handler:           server.echo,
 		ReadHeaderTimeout: headerTimeout,
-		ErrorLog:          slog.NewLogLogger(d.Log.Handler(), slog.LevelDebug),
-	}
+	}, d.Log)
 	return server
 }
 
-// Provision opens the listener.
-func (s *Server) Provision() error {
-	listener, err := net.Listen("tcp", s.settings.Listen)
-	if err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
-	}
-	wrapped, err := s.settings.TLS.Wrap(listener)
-	if err != nil {
-		return errors.Join(fmt.Errorf("listen for operators: %w", err), listener.Close())
-	}
-	s.listener = wrapped
-	return nil
-}
-
-// URL returns the base URL of the API, after Provision.
-func (s *Server) URL() string { return s.settings.TLS.Scheme() + "://" + s.listener.Addr().String() }
-
-// Run serves until Cleanup.
-func (s *Server) Run() error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("serve operators: %w", err)
-}
-
-// Cleanup closes all connections at once.
-func (s *Server) Cleanup() error { return s.http.Close() }
-
 func (s *Server) routes() {
 	s.echo.GET("/metrics", s.metrics)
 	s.healthRoutes()
