--- a/coord/budget/account.go
+++ b/coord/budget/account.go
@@ -49,16 +49,18 @@
 	// forgotten is set once the holder has dropped this state.
 	forgotten bool
 
-	// pending belongs to the goroutine of the jobs.
+	// changing holds a token while the grant is changed in the table. No peer
+	// is asked meanwhile, so that two holders that ask each other can answer.
+	changing chan struct{}
+	// pending belongs to the holder of the token.
 	pending *pendingChange
 }
 
 // jobs are the changes of a grant that are asked for.
 type jobs struct {
-	draw   bool
-	recall int64 // tokens to return at most
-	close  bool
-	done   []chan error // told when the recall or close is over
+	draw  bool
+	close bool
+	done  []chan error // told when the close is over
 }
 
 // waiter is a reservation that waits for tokens.
@@ -70,7 +72,7 @@
 func newAccount(h *LocalHolder, name Account) *account {
 	now := h.options.Clock.Now()
 	memory := max(minRateMemory, h.lean(name.Workspace).Horizon/rateMemoryPart)
-	return &account{holder: h, name: name, folded: h.biller.durable.Load(), lastUse: now, spending: rate{start: now, last: now, memory: memory}}
+	return &account{holder: h, name: name, changing: make(chan struct{}, 1), folded: h.biller.durable.Load(), lastUse: now, spending: rate{start: now, last: now, memory: memory}}
 }
 
 // availableLocked is what can be reserved now.
@@ -283,11 +285,14 @@
 }
 
 // spareLocked is what the grant can give away: all that is not in use. Of two
-// holders that both wait for more, the one with the greater id gives, so that
-// one of them is served.
-func (a *account) spareLocked(to bus.ID) int64 {
-	if len(a.waiters) > 0 && a.holder.self.ID.String() < to.String() {
-		return 0
+// holders that both wait for more, the one that lacks more gives, and of equal
+// ones the one with the greater id, so that one of them is served.
+func (a *account) spareLocked(to bus.ID, lacks int64) int64 {
+	if len(a.waiters) > 0 {
+		_, own := a.shortLocked()
+		if own < lacks || own == lacks && a.holder.self.ID.String() < to.String() {
+			return 0
+		}
 	}
 	return max(0, a.availableLocked())
 }
@@ -307,42 +312,27 @@
 	if now.Sub(a.lastUse) < a.holder.lean(a.name.Workspace).IdleAfter {
 		return
 	}
-	if a.tokens == 0 && a.pending == nil { // no goroutine runs that could change pending
-		a.forgotten = true
-		a.holder.forget(a)
+	if a.tokens == 0 {
+		a.forgetLocked()
 		return
 	}
 	a.jobs.close = true
 	a.startLocked()
 }
 
-// rate is an average of spending whose weight fades to 1/e in its memory.
-type rate struct {
-	memory time.Duration
-	start  time.Time
-	tokens float64 // faded sum
-	last   time.Time
-}
-
-// The memory of a rate is a part of the horizon that it serves, but not so
-// short that single requests sway it.
-const (
-	rateMemoryPart = 3
-	minRateMemory  = 30 * time.Second
-)
-
-func (r *rate) add(now time.Time, tokens int64) {
-	r.tokens = r.faded(now) + float64(tokens)
-	r.last = now
-}
-
-// perSecond corrects for the time before start, which the sum lacks.
-func (r *rate) perSecond(now time.Time) float64 {
-	age := max(now.Sub(r.start), minRateMemory).Seconds()
-	memory := r.memory.Seconds()
-	return r.faded(now) / (memory * -math.Expm1(-age/memory))
-}
-
-func (r *rate) faded(now time.Time) float64 {
-	return r.tokens * math.Exp(-now.Sub(r.last).Seconds()/r.memory.Seconds())
+// forgetLocked drops the account unless a change is under way.
+func (a *account) forgetLocked() {
+	select {
+	case a.changing <- struct{}{}:
+		defer func() { <-a.changing }()
+	default:
+		return
+	}
+	if a.pending != nil {
+		a.jobs.close = true // settles it
+		a.startLocked()
+		return
+	}
+	a.forgotten = true
+	a.holder.forget(a)
 }
--- a/coord/budget/recall.go
+++ b/coord/budget/recall.go
@@ -66,26 +66,13 @@
 
 // spare returns up to want tokens to the platform.
 func (a *account) spare(ctx context.Context, to bus.ID, want int64) (int64, error) {
-	over := make(chan error, 1)
 	a.mu.Lock()
-	amount := min(want, a.spareLocked(to))
+	amount := min(want, a.spareLocked(to, want))
+	a.mu.Unlock()
 	if amount <= 0 {
-		a.mu.Unlock()
 		return 0, nil
 	}
-	a.jobs.recall = max(a.jobs.recall, amount)
-	a.jobs.done = append(a.jobs.done, over)
-	a.startLocked()
-	a.mu.Unlock()
-	select {
-	case err := <-over:
-		if err != nil {
-			return 0, err
-		}
-		return amount, nil
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	}
+	return a.giveBack(ctx, amount)
 }
 
 // recall finds tokens for those who wait when the source is short: first in
