--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"daisyslip.dev/daisyslip/internal/conf"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/operator"
+	"daisyslip.dev/daisyslip/internal/orders"
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformevents"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
@@ -42,6 +43,7 @@
 	metrics  *metrics.Set
 	events   *timeline.Ring
 	copies   *timeline.Copies
+	copier   *timeline.Copier
 	http     *platformhttp.Client
 	platform *platformevents.Platform
 	members  *member.Directory
@@ -53,6 +55,7 @@
 	caller   *caller.Server
 	operator *operator.Server
 
+	orders *orders.Sender
 	// supersede starts the drain when a newer incarnation runs on this VM.
 	supersede context.CancelFunc
 }
@@ -73,9 +76,11 @@
 	d.newPeers(stamps)
 	d.config = conf.NewKeeper(s.Config, d.platform, clock.Real{}, d.events, d.part("config"))
 	d.config.Join(d.bus, d.members)
+	d.copier = d.newCopier(d.bus)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(nil)
+	d.delivery = d.newDelivery()
+	d.orders = d.newOrders()
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
 		Budgets:   d.holder,
@@ -97,6 +102,7 @@
 		Log:     d.part("operator"),
 		Status:  d.status,
 		Members: d.members.Members,
+		Orders:  d.orders,
 	})
 	return d
 }
@@ -130,14 +136,12 @@
 // Addresses returns where the router listens, after Provision.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
-		Caller:   "http://" + d.caller.Addr().String(),
-		Operator: d.operatorURL(),
+		Caller:   d.caller.URL(),
+		Operator: d.operator.URL(),
 		Peer:     d.bus.Self().Addr,
 	}
 }
 
-func (d *Daemon) operatorURL() string { return "http://" + d.operator.Addr().String() }
-
 // maxDuties bounds the duties that run at once.
 const maxDuties = 16
 
@@ -161,8 +165,10 @@
 	start("peers", d.runPeers)
 	start("seeds", func() error { return d.greetSeeds(duties) })
 	start("members", func() error { return d.runMembers(duties) })
+	start("timeline", func() error { return d.copier.Run(duties) })
 	start("route", func() error { return d.delivery.router.Run(duties) })
 	start("calls", func() error { return d.delivery.calls.Run(duties) })
+	start("drainer", func() error { return d.runDrainer(duties) })
 	start("caller", d.caller.Run)
 	start("operator", d.operator.Run)
 	d.log.Info("Router runs.", "vm", d.self.ID.VM, "incarnation", d.self.ID.Incarnation,
@@ -195,6 +201,7 @@
 func (d *Daemon) cleanup() error {
 	err := errors.Join(d.caller.Cleanup(), d.operator.Cleanup(), d.cleanupPeers())
 	d.delivery.close()
+	d.orders.Close()
 	d.platform.Close()
 	return err
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -93,7 +93,7 @@
 		silent := failure.Wrap(failure.EndpointFailed, err.Step, err.Peer, errSilent).WithRan(err.Ran).WithRetry(time.Second)
 		return result{err: silent, retry: true, retryTaken: true, staleConn: a.reused.Load() && !a.stream.begun}
 	}
-	return result{err: err, retry: err.Code == failure.EndpointFailed, retryTaken: a.watch.taken()}
+	return result{err: err, retry: err.Code == failure.EndpointFailed, retryTaken: a.watch.taken() || a.stream.moved}
 }
 
 // send sends the request and waits for the header of the answer.
@@ -143,7 +143,8 @@
 	message := fmt.Sprintf("status %d: %s", resp.StatusCode, body.Error.Message)
 	failed := failure.New(failure.EndpointFailed, "send attempt", name, message).WithRetry(time.Second)
 	switch {
-	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable,
+		resp.StatusCode == http.StatusNotFound: // the engine has unloaded the model
 		return result{err: failed, retry: true}
 	case resp.StatusCode >= 400 && resp.StatusCode < 500:
 		return result{err: failure.New(failure.BadRequest, "send attempt", name, message)}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 )
 
@@ -135,7 +136,7 @@
 	if e.TimeoutMS > 0 {
 		timeout = time.Duration(e.TimeoutMS) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	ctx, cancel := context.WithTimeout(event.WithRequest(c.ctx, e.Request), timeout)
 	defer cancel()
 	handler := c.link.handler(e.Kind)
 	if handler == nil {
@@ -242,7 +243,7 @@
 		return nil, err
 	}
 	defer c.forget(id)
-	e := &envelope{ID: id, Kind: kind, Body: body}
+	e := &envelope{ID: id, Kind: kind, Body: body, Request: event.RequestOf(ctx)}
 	if deadline, set := ctx.Deadline(); set {
 		e.TimeoutMS = max(1, time.Until(deadline).Milliseconds())
 	}
