--- a/coord/event/event.go
+++ b/coord/event/event.go
@@ -77,6 +77,7 @@
 	MemberLeft      Kind = "member_left"
 	PeerConnected   Kind = "peer_connected"
 	PeerLost        Kind = "peer_lost"
+	PeerHandled     Kind = "peer_handled"
 
 	DrainStarted Kind = "drain_started"
 	DrainEnded   Kind = "drain_ended"
--- a/internal/e2e/story_test.go
+++ b/internal/e2e/story_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"os/exec"
 	"strings"
@@ -17,6 +19,7 @@
 
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/internal/cli"
+	"daisyslip.dev/daisyslip/internal/engine"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
 
@@ -116,3 +119,64 @@
 	}
 	assert.Assert(t, has(events, "entry-1", event.RequestAnswered), "copies of the dead router's events")
 }
+
+// startEngineProcess starts a slow engine that can be killed, and configures
+// it as an endpoint.
+func (f *fleet) startEngineProcess(name string) *process {
+	f.t.Helper()
+	p := start(f.t, binaries.cli, "standin", "engine", "--model", testModel, "--token-time", "30ms")
+	var info cli.StandinInfo
+	p.line(&info)
+	f.addEngine(name, info.URL)
+	return p
+}
+
+// TestStoryThroughEngineKill kills the engine that serves a stream. The caller
+// gets its whole answer, and one story tells of both engines.
+func TestStoryThroughEngineKill(t *testing.T) {
+	const tokens = 100
+	f := startFleet(t, 1, 0, 1_000_000)
+	engines := map[string]*process{}
+	for _, name := range []string{"engine-a", "engine-b"} {
+		engines[name] = f.startEngineProcess(name)
+	}
+	r := f.routers[0]
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"Draft a rota."}]}`, testModel, tokens)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.Caller+engine.PathChat, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	answer := bufio.NewReader(resp.Body)
+	_, err = answer.ReadString('\n')
+	assert.NilError(t, err)
+	request := resp.Header.Get("Daisyslip-Request-Id")
+	begun, _, _ := f.story(request, r)
+	killed := endpointsOf(begun, event.AttemptStarted)
+	assert.Equal(t, len(killed), 1)
+	engines[killed[0]].signal(syscall.SIGKILL)
+	rest, err := io.ReadAll(answer)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(rest), "data: "+engine.EndOfStream))
+	whole, problems, code := f.story(request, r)
+	assert.Equal(t, code, 0, problems)
+	assert.Equal(t, len(endpointsOf(whole, event.AttemptStarted)), 2)
+	assert.DeepEqual(t, endpointsOf(whole, event.AttemptFailed), killed)
+	ended := endpointsOf(whole, event.AttemptEnded)
+	assert.Equal(t, len(ended), 1)
+	assert.Assert(t, ended[0] != killed[0])
+	assert.Assert(t, has(whole, "entry-1", event.RequestAnswered))
+}
+
+// endpointsOf returns the endpoints of the events of a kind, in order.
+func endpointsOf(events []event.Event, kind event.Kind) []string {
+	var names []string
+	for _, e := range events {
+		if e.Kind == kind {
+			names = append(names, e.Endpoint)
+		}
+	}
+	return names
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -143,10 +143,28 @@
 		c.answer(e, nil, failure.New(failure.NotFound, string(e.Kind), "", "the peer does not handle this kind"))
 		return
 	}
+	begun := time.Now()
 	body, err := handler(ctx, c.peer.ID, e.Body)
+	c.record(e, time.Since(begun), err)
 	c.answer(e, body, err)
 }
 
+// record puts what was done for a caller's request at another router on the
+// time line.
+func (c *conn) record(e *envelope, took time.Duration, err error) {
+	if e.Request == "" {
+		return
+	}
+	detail := string(e.Kind)
+	if err != nil {
+		detail += ": " + err.Error()
+	}
+	c.link.events.Record(event.Event{
+		Duty: event.DutyPeer, Kind: event.PeerHandled, Request: e.Request, Peer: c.peer.ID.String(),
+		Micros: took.Microseconds(), Detail: detail,
+	})
+}
+
 // answer queues the answer; if the queue is full the sender runs into its
 // time-out, as with a lost answer.
 func (c *conn) answer(request *envelope, body []byte, err error) {
