--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -21,6 +21,7 @@
 	PeerMemory           Name = "memory_per_peer"
 	PlatformBytesIdle    Name = "platform_bytes_per_idle_second"
 	PlatformBytesDraw    Name = "platform_bytes_per_draw"
+	CPUPerDraw           Name = "cpu_per_draw"
 	RowsReadPerDraw      Name = "rows_read_per_draw"
 	RowsWritePerDraw     Name = "rows_written_per_draw"
 	PlatformBytesRequest Name = "platform_bytes_per_request"
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -85,6 +85,7 @@
 	rows := func(linger float64) float64 { return r / (1 + r*linger) } // a daemon and second
 	reuse := min(1, idle*t.RequestsPerSec/t.Budgets/t.Daemons)
 	draws := r * (1 - reuse) // a daemon and second
+	drawCPU := max(0, m.slope(CPUPerDraw).Slope-m.slope(CPUPerRequest).Slope)
 	const drawAndReturn = 2
 	const homePlan = "a home a budget, by rendezvous over live VMs"
 	homeDraws := t.Budgets / planHorizon / t.Daemons
@@ -100,6 +101,11 @@
 			Formula: terms("%s requests/s × %s core s", number(r), number(cpu.Slope)),
 			Carrier: "one goroutine a busy budget; no lock over a call",
 		},
+		Line{
+			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetCPU, Value: draws * drawAndReturn * drawCPU,
+			Formula: terms("%s requests/s that find no grant × (draw + return) × %s core s (beyond the request itself)", number(draws), number(drawCPU)),
+			Carrier: "one transaction a draw", Planned: homeDraws * drawCPU, Plan: homePlan,
+		},
 		Line{
 			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetWrites,
 			Value:   t.Daemons * draws * drawAndReturn * (drawWrites.Slope - 1),
--- a/internal/e2e/measure_draws_test.go
+++ b/internal/e2e/measure_draws_test.go
@@ -21,7 +21,7 @@
 	if !measuring(t) {
 		return
 	}
-	counts := []int{20, 40, 80, 160}
+	counts := []int{40, 80, 160, 320}
 	f := startFleet(t, 1, 1, 1_000_000)
 	r := f.routers[0]
 	name := func(n, i int) string { return fmt.Sprintf("tenant-%d-%d", n, i) }
@@ -34,7 +34,7 @@
 	}
 	f.change(r, ops...)
 	time.Sleep(settleTime)
-	var bytes, read, written []capacity.Point
+	var cpu, bytes, read, written []capacity.Point
 	for _, n := range counts {
 		for i := range n {
 			_, err := f.client(r).TopUp(t.Context(), budget.Account{Workspace: name(n, i), Budget: catalog.DefaultBudget}, "first", 1_000_000)
@@ -46,10 +46,12 @@
 		}
 		after := f.scrape(r)
 		x := float64(n)
+		cpu = append(cpu, capacity.Point{X: x, Y: after.since(before, metricCPU)})
 		bytes = append(bytes, capacity.Point{X: x, Y: after.since(before, metricPlatformSent, metricPlatformRecv)})
 		read = append(read, capacity.Point{X: x, Y: after.since(before, metricRowsRead)})
 		written = append(written, capacity.Point{X: x, Y: after.since(before, metricRowsWritten)})
 	}
+	putSlope(t, capacity.CPUPerDraw, "core seconds", "request that draws and is billed alone", cpu)
 	putSlope(t, capacity.PlatformBytesDraw, "bytes", "request that draws and is billed alone", bytes)
 	putSlope(t, capacity.RowsReadPerDraw, "rows", "request that draws and is billed alone", read)
 	putSlope(t, capacity.RowsWritePerDraw, "rows", "request that draws and is billed alone", written)
