Budget events name the request, never the caller's key

Cause: a caller's idempotency key stood in the clear on the time line, and the events of the budget were not found by the request's id. Ruled out: hashing in the holder; the caller API knows the request. Change: budget.Request carries the id for the time line.

--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -293,7 +293,7 @@
 		b.holder.account(name).durable(s.charged, s.void, last)
 		stats.BilledTokens.Add(s.charged)
 		stats.ReplayedTokens.Add(s.void)
-		b.holder.record(event.BillWritten, Request{Account: name, Key: batch.key}, s.charged, "")
+		b.holder.record(event.BillWritten, Request{Account: name, ID: batch.key}, s.charged, "")
 	}
 	b.durable.Store(last)
 	stats.Batches.Add(1)
--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -58,6 +58,9 @@
 	// Key identifies the request for billing: the caller's idempotency key,
 	// or an id unique to this request.
 	Key string
+	// ID names the request on the time line. Keys of callers are not shown
+	// there.
+	ID string
 	// Digest identifies the request's content.
 	Digest string
 	// Unique says that no other request can carry Key, because it was made
--- a/coord/budget/copies.go
+++ b/coord/budget/copies.go
@@ -145,7 +145,7 @@
 		b.holder.stats.BillsCopied.Add(int64(len(u.items)))
 	}
 	first := u.items[0].bill
-	b.holder.record(event.BillCopied, Request{Account: first.Account, Key: first.Key}, 0,
+	b.holder.record(event.BillCopied, Request{Account: first.Account}, 0,
 		fmt.Sprintf("%d bills at %d peers", len(u.items), copies))
 }
 
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -244,7 +244,7 @@
 
 func (h *LocalHolder) record(kind event.Kind, req Request, tokens int64, detail string) {
 	h.options.Events.Record(event.Event{
-		Duty: event.DutyBudget, Kind: kind, Request: req.Key, Workspace: req.Account.Workspace,
+		Duty: event.DutyBudget, Kind: kind, Request: req.ID, Workspace: req.Account.Workspace,
 		Tokens: tokens, Detail: detail,
 	})
 }
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -58,6 +58,7 @@
 	return budget.Request{
 		Account: budget.Account{Workspace: g.Workspace, Budget: g.Budget},
 		Key:     key,
+		ID:      g.RequestID,
 		Digest:  g.Digest,
 		Unique:  g.Key == "",
 		Tokens:  g.PromptBound + g.MaxTokens,
