A request's story names the transaction that wrote its bill

Cause: the story of a request lacked its bill, which is written with others. Change: the settlement's event carries the operation id of the batch.

--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -19,6 +19,7 @@
 	bill    bill
 	done    chan error // receives once, buffered
 	told    bool
+	op      string // transaction that wrote the bill; set before done receives
 }
 
 // tell ends the settlement that waits.
@@ -56,6 +57,16 @@
 	}
 }
 
+// noteOp notes the transaction that wrote the bills for the settlements that
+// still wait.
+func (u *unit) noteOp(op string) {
+	for _, item := range u.items {
+		if !item.told {
+			item.op = op
+		}
+	}
+}
+
 // tellCopied ends the settlements for which the copies suffice.
 func (u *unit) tellCopied() {
 	u.told = true
@@ -131,7 +142,7 @@
 		if err != nil {
 			return fmt.Errorf("bill %s: %w", req.Account, err)
 		}
-		b.holder.record(event.TokensSettled, req, used, "")
+		b.holder.recordOp(event.TokensSettled, req, used, item.op)
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("bill %s: %w: %w", req.Account, ErrUnavailable, ctx.Err())
@@ -253,7 +264,7 @@
 	if errors.Is(err, ErrFenced) {
 		b.holder.fenced.Store(true)
 		if late := batch.writeLate(ctx); late == nil {
-			b.finish(units, ErrFenced)
+			b.finish(units, batch.txn.OpID, ErrFenced)
 			return true
 		}
 	}
@@ -267,7 +278,7 @@
 	}
 	b.missing.Store(false)
 	b.settle(batch, units)
-	b.finish(units, nil)
+	b.finish(units, batch.txn.OpID, nil)
 	return true
 }
 
@@ -300,13 +311,15 @@
 	stats.Bills.Add(int64(len(batch.decided)))
 }
 
-// finish takes units out of the backlog and tells their settlements.
-func (b *biller) finish(units []*unit, err error) {
+// finish takes units out of the backlog and tells their settlements. The
+// operation id names the transaction that wrote them.
+func (b *biller) finish(units []*unit, op string, err error) {
 	b.mu.Lock()
 	b.backlog = b.backlog[len(units):]
 	holders := make(map[bus.ID]bool)
 	var last uint64
 	for _, u := range units {
+		u.noteOp(op)
 		u.tell(err)
 		u.written = true
 		for _, item := range u.items {
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -242,6 +242,13 @@
 	return h.options.Settings.Small
 }
 
+// recordOp records an event that a transaction of the platform brought about.
+func (h *LocalHolder) recordOp(kind event.Kind, req Request, tokens int64, op string) {
+	h.options.Events.Record(event.Event{
+		Duty: event.DutyBudget, Kind: kind, Request: req.ID, Workspace: req.Account.Workspace, Tokens: tokens, Op: op,
+	})
+}
+
 func (h *LocalHolder) record(kind event.Kind, req Request, tokens int64, detail string) {
 	h.options.Events.Record(event.Event{
 		Duty: event.DutyBudget, Kind: kind, Request: req.ID, Workspace: req.Account.Workspace,
