Heartbeats of one member follow each other

Cause: the configuration duty and the membership both write the member's row; at the start they met and one logged a conflict. Ruled out: another incarnation on the VM; the row was the process's own. Change: writes of the own row are serialized; one that began after the asking answers for it.

--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -31,6 +31,10 @@
 	clock    clock.Clock
 	events   event.Recorder
 
+	// beating has the writes of the own row follow each other. It is held
+	// over calls of the store; only the duties that keep the row wait for it.
+	beating sync.Mutex
+
 	mu       sync.Mutex // guards all below; never held over a call of the store
 	self     bus.Peer
 	left     bool  // no more heartbeats
@@ -101,7 +105,10 @@
 // Heartbeat writes the own row again. It returns ErrSuperseded if another
 // incarnation has the row; a row that was removed is written anew.
 func (d *Directory) Heartbeat(ctx context.Context) error {
-	if d.hasLeft() {
+	asked := d.clock.Now()
+	d.beating.Lock()
+	defer d.beating.Unlock()
+	if d.hasLeft() || d.beatSince(asked) {
 		return nil
 	}
 	rows, err := d.store.Get(ctx, rowPrefix+d.self.ID.VM)
@@ -120,6 +127,13 @@
 	return d.write(ctx, rows[0].Version)
 }
 
+// beatSince reports whether a heartbeat that began at t or later was written.
+func (d *Directory) beatSince(t time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version != 0 && d.lastBeat.After(t)
+}
+
 func (d *Directory) hasLeft() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
