--- a/coord/budget/holder_test.go
+++ b/coord/budget/holder_test.go
@@ -156,3 +156,41 @@
 		assert.Equal(t, f.balance(t).Settled, int64(100))
 	})
 }
+
+// TestSettings accepts the defaults and names every wrong value.
+func TestSettings(t *testing.T) {
+	assert.Equal(t, len(DefaultSettings().Validate()), 0)
+	s := DefaultSettings()
+	s.WaitMax, s.MaxBatch, s.Small.RestShare, s.Serve.MinCopies = 0, 0, 2, s.Copies+1
+	wrong := map[string]bool{}
+	for _, p := range s.Validate() {
+		wrong[p.Path] = true
+	}
+	assert.DeepEqual(t, wrong, map[string]bool{
+		"wait_max": true, "max_batch": true, "small_holdings.rest_share": true, "serve.min_copies": true,
+	})
+}
+
+// TestAloneInAnOutage refuses, with small holdings, what no peer could keep the
+// bill of, and serves it with the serve lean.
+func TestAloneInAnOutage(t *testing.T) {
+	for _, serve := range []bool{false, true} {
+		inBubble(t, func(t *testing.T) {
+			f := newFleet(1, 100_000)
+			f.serve = serve
+			defer f.stop()
+			n := f.nodes[0]
+			assert.NilError(t, f.serveOne(n, request("warm", 100), 50))
+			f.cut(true)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			err := f.serveFor(ctx, n, request("open", 100), 50, 0)
+			assert.Equal(t, err == nil, serve, "%v", err)
+			_, err = n.Reserve(t.Context(), request("next", 100))
+			assert.Equal(t, err == nil, serve, "%v", err)
+			f.cut(false)
+			pause(time.Minute)
+			assert.Equal(t, f.balance(t).Settled, f.servedTotal())
+		})
+	}
+}
