--- a/coord/budget/drawers_test.go
+++ b/coord/budget/drawers_test.go
@@ -114,7 +114,7 @@
 	}
 	for _, perSecond := range []float64{1.7, 15.5, 370} {
 		for _, linger := range []time.Duration{5, 25, 50, 100} {
-			t.Run(fmt.Sprint(perSecond, " a second, linger ", linger), func(t *testing.T) {
+			t.Run(fmt.Sprint(perSecond, " a second, linger ", linger*time.Millisecond), func(t *testing.T) {
 				synctest.Test(t, func(*testing.T) {
 					f := newFleet(0, 50_000_000)
 					f.config.Linger = linger * time.Millisecond
