A peer answers briefly for a router without a row, through its own stop

Ruled out: keeping the peer's row (a new incarnation writes over it).

Change: a router without a row serves a peer's view for 5 s beyond its last question (config.offer_bound); a peer that stops gives no more views and waits until the last one is over; an incarnation that took the place of an earlier one withholds its acknowledgements for as long (10 s); a VM counts as gone after 15 s, not 10. The case of a router that starts after a crash now expects the change to wait, which is stricter; the planned start is its own case.

--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -37,6 +37,7 @@
 	version  int64 // of the own row, 0 before Register
 	beat     int64
 	lastBeat time.Time // start of the last successful write of the own row
+	replaced time.Time // when an earlier incarnation's row was written over, or zero
 	present  time.Time // end of the write since which the own row was never missing
 	shared   time.Time // when another member's listing was last taken over or found equal
 	entries  map[string]*entry
@@ -94,6 +95,9 @@
 	if d.version == 0 || d.version != version {
 		d.present = d.clock.Now()
 	}
+	if d.version == 0 && version != 0 && d.replaced.IsZero() {
+		d.replaced = d.clock.Now()
+	}
 	d.version, d.lastBeat = receipt.Versions[0], started
 	return nil
 }
@@ -148,6 +152,15 @@
 	return d.present
 }
 
+// ReplacedAt returns when this member wrote over the row of an earlier
+// incarnation on its VM, or the zero time. Whatever that one had promised to
+// others may still hold.
+func (d *Directory) ReplacedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.replaced
+}
+
 // Deregister removes the own row. The member takes no more work.
 func (d *Directory) Deregister(ctx context.Context) error {
 	d.mu.Lock()
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -52,7 +52,7 @@
 		SuspectFor:        3 * time.Second,
 		SilentAfter:       100 * time.Second,
 		RemoveAfter:       30 * time.Minute,
-		GoneAfter:         10 * time.Second,
+		GoneAfter:         15 * time.Second,
 	}
 }
 
--- a/coord/member/share.go
+++ b/coord/member/share.go
@@ -13,7 +13,7 @@
 
 // refreshPerMember stretches the time between two reads of all rows, so that
 // the rows read in a second stay bounded as the fleet grows.
-const refreshPerMember = 100 * time.Millisecond
+const refreshPerMember = 200 * time.Millisecond
 
 // Listing is a directory's content, as one member hands it to another that
 // then need not read the table.
--- a/internal/conf/accept.go
+++ b/internal/conf/accept.go
@@ -197,7 +197,7 @@
 // that are not among peers.
 func (k *Keeper) dependents(peers []bus.Peer) []bus.Peer {
 	var more []bus.Peer
-	for _, id := range k.offers.open(k.clock.Now(), k.settings.UnconfirmedBound) {
+	for _, id := range k.offers.open(k.clock.Now(), k.holdTime()) {
 		if !slices.ContainsFunc(peers, func(p bus.Peer) bool { return p.ID == id }) {
 			more = append(more, bus.Peer{ID: id})
 		}
@@ -236,6 +236,10 @@
 	own := k.Catalog().Revision
 	accepted := min(own, target)
 	var waiting []string
+	if k.withheld() {
+		accepted = min(accepted, target-1)
+		waiting = append(waiting, k.selfName())
+	}
 	for _, m := range members {
 		acked := k.accept.acked(m.ID)
 		if acked < target {
--- a/internal/conf/accept_test.go
+++ b/internal/conf/accept_test.go
@@ -11,6 +11,7 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/coord/platform"
 )
 
@@ -62,7 +63,8 @@
 		{"cut from the store", func(f *fleet) { f.routers[2].setAway(true) }, false},
 		{"cut from everything", func(f *fleet) { f.routers[2].setCut(true); f.routers[2].setAway(true) }, true},
 		{"frozen", func(f *fleet) { f.routers[2].setFrozen(true) }, true},
-		{"starting", func(f *fleet) { f.restart(2, false); f.routers[2].loop() }, false},
+		{"started anew after a crash", func(f *fleet) { f.restart(2, false); f.routers[2].loop() }, true},
+		{"started anew as planned", func(f *fleet) { startReplaced(f, false).loop() }, false},
 		{"starting without the store", func(f *fleet) { f.restart(2, true); f.routers[2].loop() }, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -92,6 +94,8 @@
 			assert.Assert(t, serves && revision == 2, "serves %t revision %d", serves, revision)
 			f.routers[2].setAway(false)
 			f.step()
+			f.clock.Advance(f.routers[2].holdTime())
+			f.step()
 			f.step()
 			assert.Equal(t, f.said(), int64(2))
 		})
@@ -138,7 +142,7 @@
 	f.mustCommit(f.routers[0])
 	f.step()
 	assert.Equal(t, f.said(), int64(1))
-	f.clock.Advance(10 * time.Second)
+	f.clock.Advance(member.DefaultSettings().GoneAfter)
 	f.step()
 	f.step()
 	assert.Equal(t, f.said(), int64(2))
@@ -186,12 +190,14 @@
 
 func runSchedule(t *testing.T, random *rand.Rand, name string) (naive, accepted int) {
 	f := newFleet(t, 5)
+	f.relayAbove = []int{16, 2}[random.IntN(2)] // with and without relays
+	f.applyRelays()
 	committed := f.mustCommit(f.routers[0])
 	f.step()
 	var steps []string
 	for range 40 {
 		r := f.routers[random.IntN(len(f.routers))]
-		action := random.IntN(9)
+		action := random.IntN(10)
 		steps = append(steps, fmt.Sprintf("%d:%s", action, r.id))
 		switch action {
 		case 0:
@@ -214,6 +220,11 @@
 			f.clock.Advance(time.Duration(random.IntN(400)) * time.Second)
 		case 8:
 			f.step()
+		case 9: // a planned stop and a new start
+			if !r.frozen && !r.away && len(r.offers.open(f.clock.Now(), r.holdTime())) == 0 {
+				r.members.Deregister(t.Context())
+				f.restart(int(r.id.VM[len(r.id.VM)-1]-'1'), random.IntN(2) == 0)
+			}
 		}
 		if random.IntN(2) == 0 {
 			f.step()
--- a/internal/conf/exchange.go
+++ b/internal/conf/exchange.go
@@ -9,6 +9,7 @@
 
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/coord/revlog"
 	"daisyslip.dev/daisyslip/internal/catalog"
@@ -56,29 +57,41 @@
 }
 
 // offers remembers to which routers without a row this one has given its
-// view. Until they have a row or the view has lapsed, this router answers
-// for them.
+// view. For holdTime after, this router answers for them.
 type offers struct {
-	mu    sync.Mutex // guards given
-	given map[bus.ID]time.Time
+	mu     sync.Mutex // guards all below
+	given  map[bus.ID]time.Time
+	closed bool // no more offers: the router stops
 }
 
 func newOffers() *offers { return &offers{given: make(map[bus.ID]time.Time)} }
 
-func (o *offers) note(id bus.ID, at time.Time) {
+// note records an offer, unless there are to be no more.
+func (o *offers) note(id bus.ID, at time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.closed {
+		return false
+	}
 	o.given[id] = at
+	return true
+}
+
+// close ends the making of offers.
+func (o *offers) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
 }
 
-// open returns the routers to answer for and forgets those of which the view
-// has lapsed.
-func (o *offers) open(now time.Time, bound time.Duration) []bus.ID {
+// open returns the routers to answer for and forgets those whose time has
+// passed. Only the monotonic clock counts, so that a jump ends nothing early.
+func (o *offers) open(now time.Time, hold time.Duration) []bus.ID {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var ids []bus.ID
 	for id, at := range o.given {
-		if clock.Elapsed(at, now) > bound {
+		if now.Sub(at) > hold {
 			delete(o.given, id)
 			continue
 		}
@@ -87,25 +100,45 @@
 	return ids
 }
 
-// olderThan reports whether the last offer to a router is older than d.
-func (o *offers) olderThan(id bus.ID, now time.Time, d time.Duration) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return clock.Elapsed(o.given[id], now) > d
+// offerGrace is added to OfferBound until a router that was offered a view is
+// no longer answered for. A router that has written its row meanwhile is by
+// then known to whoever sees to the acceptance of a change.
+const offerGrace = 5 * time.Second
+
+// holdTime is how long this router answers for one that it gave its view.
+func (k *Keeper) holdTime() time.Duration {
+	bound := k.settings.OfferBound
+	return bound + time.Duration(driftShare*float64(bound)) + offerGrace
 }
 
-func (o *offers) forget(id bus.ID) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.given, id)
+// withheld reports whether this router must not acknowledge yet: it took the
+// place of an incarnation which may have given its view to others.
+func (k *Keeper) withheld() bool {
+	if k.members == nil {
+		return false
+	}
+	replaced := k.members.ReplacedAt()
+	return !replaced.IsZero() && k.clock.Now().Sub(replaced) <= k.holdTime()
+}
+
+// Leave gives no more views to routers without a row and waits until those
+// that have one need it no longer. It is called before the own row is removed.
+func (k *Keeper) Leave(ctx context.Context) error {
+	k.offers.close()
+	for len(k.offers.open(k.clock.Now(), k.holdTime())) > 0 {
+		if err := clock.Sleep(ctx, k.clock, k.settings.PushInterval); err != nil {
+			return fmt.Errorf("wait for routers without a row: %w", err)
+		}
+	}
+	return nil
 }
 
 // handleView answers a peer. The age is read before the revision: the one in
 // force only grows, so what was the newest at the earlier moment is not above
 // what is in force at the later.
 func (k *Keeper) handleView(_ context.Context, from bus.ID, req viewRequest) (viewAnswer, error) {
-	if req.Unregistered {
-		k.offers.note(from, k.clock.Now())
+	if req.Unregistered && !k.offers.note(from, k.clock.Now()) {
+		return viewAnswer{}, failure.New(failure.Draining, string(kindView), "", "the router stops")
 	}
 	age := k.view.age()
 	answer := viewAnswer{Revision: k.Catalog().Revision, Confirmed: age <= k.settings.UnconfirmedBound}
--- a/internal/conf/fleet_test.go
+++ b/internal/conf/fleet_test.go
@@ -26,6 +26,8 @@
 	network *bus.Network
 	routers []*router
 	starts  int
+	// relayAbove replaces the setting, if it is not 0.
+	relayAbove int
 }
 
 // router is one router's configuration duty.
@@ -83,10 +85,20 @@
 	return r
 }
 
+// applyRelays puts relayAbove into the settings of all routers.
+func (f *fleet) applyRelays() {
+	for _, r := range f.routers {
+		if f.relayAbove > 0 {
+			r.settings.RelayAbove = f.relayAbove
+		}
+	}
+}
+
 // restart replaces the i-th router by a new incarnation.
 func (f *fleet) restart(i int, away bool) {
 	f.network.Leave(f.routers[i].id)
 	f.routers[i] = f.start(i, away)
+	f.applyRelays()
 }
 
 func (r *router) setAway(away bool) {
--- a/internal/conf/push.go
+++ b/internal/conf/push.go
@@ -17,10 +17,6 @@
 // for each other; beyond it a router answers that it is behind.
 const maxVia = 3
 
-// offerGrace is how long this router answers for one that has a row by now.
-// Whoever sees to the acceptance of a change has read that row by then.
-const offerGrace = 10 * time.Second
-
 // pushRequest brings new revisions to a router, and through it to targets.
 type pushRequest struct {
 	Entries []revlog.Entry `cbor:"1,keyasint"`
@@ -66,6 +62,9 @@
 // answerFor returns the revision that this router acknowledges: the one in
 // force, or one below last while a router that depends on it is behind.
 func (k *Keeper) answerFor(ctx context.Context, req pushRequest, own, last int64) int64 {
+	if k.withheld() {
+		return min(own, last-1)
+	}
 	dependents := k.offeredTo(req.Via)
 	if len(dependents) == 0 {
 		return own
@@ -82,12 +81,6 @@
 			}
 		}
 	}
-	for id := range behind {
-		if k.rowOf(id) && k.offers.olderThan(id, k.clock.Now(), offerGrace) {
-			k.offers.forget(id)
-			delete(behind, id)
-		}
-	}
 	if len(behind) > 0 {
 		return min(own, last-1)
 	}
@@ -97,20 +90,10 @@
 // offeredTo returns the routers to answer for, but those that the push came
 // through: two routers may have given each other their views.
 func (k *Keeper) offeredTo(via []bus.ID) []bus.ID {
-	open := k.offers.open(k.clock.Now(), k.settings.UnconfirmedBound)
+	open := k.offers.open(k.clock.Now(), k.holdTime())
 	return slices.DeleteFunc(open, func(id bus.ID) bool { return slices.Contains(via, id) })
 }
 
-// rowOf reports whether the member has a row of its own by now.
-func (k *Keeper) rowOf(id bus.ID) bool {
-	for _, m := range k.members.Members() {
-		if m.Peer.ID == id {
-			return !m.Unregistered
-		}
-	}
-	return false
-}
-
 // plan says which routers are pushed to, and by whom.
 type plan struct {
 	direct []bus.ID
--- a/internal/conf/relay.go
+++ b/internal/conf/relay.go
@@ -10,7 +10,7 @@
 )
 
 // maxFollowers bounds the routers that one relay confirms views for.
-const maxFollowers = 12
+const maxFollowers = 10
 
 // ranked orders the routers of one failure domain as its relays, the same at
 // every router that knows the same members.
--- a/internal/conf/settings.go
+++ b/internal/conf/settings.go
@@ -29,6 +29,9 @@
 	// serves, and the longest wait until a change is accepted past a router
 	// that is cut off from everything.
 	UnconfirmedBound time.Duration `json:"unconfirmed_bound"`
+	// OfferBound is how long a router without a row serves under a view that a
+	// peer gave it, without asking again.
+	OfferBound time.Duration `json:"offer_bound"`
 	// CallTimeout bounds one call of the platform or of a peer.
 	CallTimeout time.Duration `json:"call_timeout"`
 	// AcceptWait is how long a commit waits to be accepted before it is
@@ -50,6 +53,7 @@
 		PollInterval:     time.Second,
 		ViewBound:        3 * time.Second,
 		UnconfirmedBound: 10 * time.Minute,
+		OfferBound:       5 * time.Second,
 		CallTimeout:      time.Second,
 		AcceptWait:       2 * time.Second,
 		PushInterval:     250 * time.Millisecond,
@@ -63,6 +67,7 @@
 	l.Duration(path+".poll_interval", s.PollInterval, 10*time.Millisecond, time.Minute)
 	l.Duration(path+".view_bound", s.ViewBound, 2*s.PollInterval, time.Minute)
 	l.Duration(path+".unconfirmed_bound", s.UnconfirmedBound, 2*s.ViewBound, 24*time.Hour)
+	l.Duration(path+".offer_bound", s.OfferBound, s.ViewBound, s.UnconfirmedBound)
 	l.Duration(path+".call_timeout", s.CallTimeout, time.Millisecond, time.Minute)
 	l.Duration(path+".accept_wait", s.AcceptWait, 0, time.Minute)
 	l.Duration(path+".push_interval", s.PushInterval, time.Millisecond, time.Minute)
--- a/internal/conf/view.go
+++ b/internal/conf/view.go
@@ -20,6 +20,7 @@
 	mu        sync.Mutex // guards all below
 	confirmed time.Time  // a moment at which the revision was the newest
 	failed    time.Time  // when the last try ended, if it was of no use
+	offered   time.Time  // when a peer was last asked for its view without a row
 	trying    chan struct{}
 }
 
@@ -48,6 +49,23 @@
 	return clock.Elapsed(v.confirmed, v.clock.Now())
 }
 
+// offer notes that a peer answers for this router, from a moment on.
+func (v *view) offer(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.offered = at
+}
+
+// offerAge is the time since the last offer; without one it is very long.
+func (v *view) offerAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.offered.IsZero() {
+		return time.Duration(1<<63 - 1)
+	}
+	return clock.Elapsed(v.offered, v.clock.Now())
+}
+
 // failedWithin reports whether the last try to confirm failed and ended so
 // lately.
 func (v *view) failedWithin(d time.Duration) bool {
@@ -87,7 +105,7 @@
 // was tried just now in vain, as in an outage of the platform. Beyond
 // UnconfirmedBound the failure is StaleView.
 func (k *Keeper) Fresh(ctx context.Context) error {
-	if k.Confirmed() {
+	if k.Confirmed() && !k.lapsed() {
 		return nil
 	}
 	// While Run goes on in an outage, a try fails at least this often; a
@@ -97,19 +115,25 @@
 			return failure.Wrap(failure.StaleView, "confirm configuration", "platform", err).WithRetry(k.settings.PollInterval)
 		}
 	}
-	if age := k.view.age(); age > k.settings.UnconfirmedBound {
-		message := fmt.Sprintf("revision %d could not be confirmed for longer than %s", k.Catalog().Revision, k.settings.UnconfirmedBound)
+	if k.lapsed() {
+		message := fmt.Sprintf("revision %d could not be confirmed for %s", k.Catalog().Revision, k.view.age().Round(time.Second))
 		return failure.New(failure.StaleView, "confirm configuration", "platform", message).WithRetry(k.settings.PollInterval)
 	}
 	return nil
 }
 
+// lapsed reports whether the view may no longer be served: it is too old, or
+// this router has no row and no peer that answers for it.
+func (k *Keeper) lapsed() bool {
+	return k.view.age() > k.settings.UnconfirmedBound || !k.registered() && k.view.offerAge() > k.settings.OfferBound
+}
+
 // Unready returns why this router should get no requests, or "".
 func (k *Keeper) Unready() string {
-	switch age := k.view.age(); {
+	switch {
 	case k.Catalog().Revision == 0:
 		return "no configuration is in force"
-	case age > k.settings.UnconfirmedBound:
+	case k.lapsed():
 		return "the configuration could not be confirmed for too long"
 	}
 	return ""
@@ -231,10 +255,14 @@
 	ctx, cancel := context.WithTimeout(ctx, k.settings.CallTimeout)
 	defer cancel()
 	started := k.clock.Now()
-	answer, err := bus.Call[viewRequest, viewAnswer](ctx, k.bus, to, kindView, viewRequest{Unregistered: !k.registered()})
+	unregistered := !k.registered()
+	answer, err := bus.Call[viewRequest, viewAnswer](ctx, k.bus, to, kindView, viewRequest{Unregistered: unregistered})
 	if err != nil {
 		return 0, err
 	}
+	if unregistered {
+		k.view.offer(started)
+	}
 	if answer.Revision > k.Catalog().Revision {
 		if err := k.fetch(ctx, to); err != nil {
 			return 0, err
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -40,6 +40,8 @@
 	engines  []string
 	service  string
 	routers  []*router
+	// seeds are the peers that further routers ask while the platform is away.
+	seeds []string
 	// readinessLag is the routers' setting of that name.
 	readinessLag string
 }
@@ -95,7 +97,7 @@
 		"platform": map[string]any{"url": f.platform},
 		"caller":   map[string]any{"listen": "127.0.0.1:0", "readiness_lag": f.readinessLag},
 		"operator": map[string]any{"listen": "127.0.0.1:0", "token_hash": catalog.HashKey(testToken)},
-		"peer":     map[string]any{"listen": "127.0.0.1:0", "secret": testSecret},
+		"peer":     map[string]any{"listen": "127.0.0.1:0", "secret": testSecret, "seeds": append([]string{}, f.seeds...)},
 	})
 	r := &router{process: start(f.t, binaries.daemon, "run", "--config", path)}
 	r.line(&r.Addresses)
