--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -30,6 +30,9 @@
 	// planHorizon is the spending that a grant at a budget's home covers, in
 	// seconds.
 	planHorizon = 600
+	// planRefresh is the time between two reads of all members by a relay, in
+	// seconds.
+	planRefresh = 60.0
 	// planReportInterval is the time between two load reports of an endpoint
 	// to the relay of its failure domain, in seconds, and planReportBytes
 	// the size of one.
@@ -82,6 +85,7 @@
 	rows := func(linger float64) float64 { return r / (1 + r*linger) } // a daemon and second
 	reuse := min(1, idle*t.RequestsPerSec/t.Budgets/t.Daemons)
 	draws := r * (1 - reuse) // a daemon and second
+	drawCPU := max(0, m.slope(CPUPerDraw).Slope-m.slope(CPUPerRequest).Slope)
 	const drawAndReturn = 2
 	const homePlan = "a home a budget, by rendezvous over live VMs"
 	homeDraws := t.Budgets / planHorizon / t.Daemons
@@ -97,6 +101,11 @@
 			Formula: terms("%s requests/s × %s core s", number(r), number(cpu.Slope)),
 			Carrier: "one goroutine a busy budget; no lock over a call",
 		},
+		Line{
+			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetCPU, Value: draws * drawAndReturn * drawCPU,
+			Formula: terms("%s requests/s that find no grant × (draw + return) × %s core s (beyond the request itself)", number(draws), number(drawCPU)),
+			Carrier: "one transaction a draw", Planned: homeDraws * drawCPU, Plan: homePlan,
+		},
 		Line{
 			Role: RoleBudget, Item: "draw and return grants", Budget: BudgetWrites,
 			Value:   t.Daemons * draws * drawAndReturn * (drawWrites.Slope - 1),
@@ -215,18 +224,19 @@
 		l.Planned, l.Plan = planned, plan
 		return l
 	}
-	const plan = "a relay a failure domain reads the table and passes on what changed; a daemon links with its own domain only"
-	inDomain := t.Daemons / t.Domains
-	atDomain := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*inDomain) }
+	plan := terms("a relay a failure domain reads all members each %s s and passes on what changed", number(planRefresh))
+	slower := m.settings.Member.RefreshInterval.Seconds() / planRefresh
+	atRelay := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*peers*slower) }
 	base := line("process at rest, and its peers", BudgetMemory, memory, 1, "bytes")
 	base.Carrier = "a connection a peer in use, closed when idle"
-	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atDomain(idleCPU), plan)
+	base = relayed(base, memory.Intercept+memory.Slope*t.Daemons/t.Domains, "a daemon links with its own failure domain and with the relays")
+	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atRelay(idleCPU), plan)
 	cpu.Carrier = "one goroutine a duty; pings on idle links"
-	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atDomain(idleBytes), plan)
+	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atRelay(idleBytes), plan)
 	link.Carrier = "pings on connections in use only"
-	table := relayed(line("platform at rest", BudgetBytes, platformBytes, 1, "bytes/s"), atDomain(platformBytes), plan)
+	table := relayed(line("platform at rest", BudgetBytes, platformBytes, 1, "bytes/s"), atRelay(platformBytes), plan)
 	table.Carrier = "polls as the fallback of pushes"
-	readLine := relayed(line("at rest", BudgetReads, reads, t.Daemons, "rows/s"), t.Domains*atDomain(reads), plan)
+	readLine := relayed(line("at rest", BudgetReads, reads, t.Daemons, "rows/s"), t.Domains*atRelay(reads), plan)
 	readLine.Carrier = "each daemon polls"
 	m.add(base, cpu, link, table, readLine)
 	beats := line("heartbeats", BudgetWrites, writes, t.Daemons, "rows/s")
@@ -240,7 +250,7 @@
 func (m *model) endpoints() {
 	t := m.target
 	inUse := min(t.Workers, t.requestsPerDaemon()*m.settings.Route.ActiveTime.Seconds())
-	cpu := m.slope(CPUPerEndpoint)
+	cpu, report := m.slope(CPUPerEndpoint), m.slope(BytesPerReport)
 	reports := t.Workers / t.Domains / planReportInterval
 	m.add(
 		Line{
@@ -251,17 +261,14 @@
 		},
 		Line{
 			Role: RoleEndpoint, Item: "poll load reports", Budget: BudgetBytes,
-			Value:   inUse / m.settings.Route.PollInterval.Seconds() * reportBytes,
-			Formula: terms("%s endpoints in use / %s s × %s bytes", number(inUse), number(m.settings.Route.PollInterval.Seconds()), number(reportBytes)),
+			Value:   inUse / m.settings.Route.PollInterval.Seconds() * report.Slope,
+			Formula: terms("%s endpoints in use / %s s × %s bytes", number(inUse), number(m.settings.Route.PollInterval.Seconds()), number(report.Slope)),
 			Carrier: "as above", Planned: t.Workers / planReportInterval * planReportBytes / inDomainOf(t),
 			Plan: "packed reports of changed endpoints only, shared within the domain",
 		},
 	)
 }
 
-// reportBytes is the size of a load report with its HTTP headers, both ways.
-const reportBytes = 600
-
 // inDomainOf is the number of daemons of one failure domain.
 func inDomainOf(t Target) float64 { return t.Daemons / t.Domains }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 	d.copier = d.newCopier(d.bus)
 	ledger := d.newLedger(d.bus)
 	d.holder = d.newHolder(d.bus)
-	d.delivery = d.newDelivery(d.members.VMLeaving)
+	d.delivery = d.newDelivery()
 	d.orders = d.newOrders()
 	d.caller = caller.New(s.Caller, caller.Duties{
 		Config:    d.config,
@@ -136,14 +136,12 @@
 // Addresses returns where the router listens, after Provision.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
-		Caller:   "http://" + d.caller.Addr().String(),
-		Operator: d.operatorURL(),
+		Caller:   d.caller.URL(),
+		Operator: d.operator.URL(),
 		Peer:     d.bus.Self().Addr,
 	}
 }
 
-func (d *Daemon) operatorURL() string { return "http://" + d.operator.Addr().String() }
-
 // maxDuties bounds the duties that run at once.
 const maxDuties = 16
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 )
 
@@ -135,17 +136,35 @@
 	if e.TimeoutMS > 0 {
 		timeout = time.Duration(e.TimeoutMS) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	ctx, cancel := context.WithTimeout(event.WithRequest(c.ctx, e.Request), timeout)
 	defer cancel()
 	handler := c.link.handler(e.Kind)
 	if handler == nil {
 		c.answer(e, nil, failure.New(failure.NotFound, string(e.Kind), "", "the peer does not handle this kind"))
 		return
 	}
+	begun := time.Now()
 	body, err := handler(ctx, c.peer.ID, e.Body)
+	c.record(e, time.Since(begun), err)
 	c.answer(e, body, err)
 }
 
+// record puts what was done for a caller's request at another router on the
+// time line.
+func (c *conn) record(e *envelope, took time.Duration, err error) {
+	if e.Request == "" {
+		return
+	}
+	detail := string(e.Kind)
+	if err != nil {
+		detail += ": " + err.Error()
+	}
+	c.link.events.Record(event.Event{
+		Duty: event.DutyPeer, Kind: event.PeerHandled, Request: e.Request, Peer: c.peer.ID.String(),
+		Micros: took.Microseconds(), Detail: detail,
+	})
+}
+
 // answer queues the answer; if the queue is full the sender runs into its
 // time-out, as with a lost answer.
 func (c *conn) answer(request *envelope, body []byte, err error) {
@@ -242,7 +261,7 @@
 		return nil, err
 	}
 	defer c.forget(id)
-	e := &envelope{ID: id, Kind: kind, Body: body}
+	e := &envelope{ID: id, Kind: kind, Body: body, Request: event.RequestOf(ctx)}
 	if deadline, set := ctx.Deadline(); set {
 		e.TimeoutMS = max(1, time.Until(deadline).Milliseconds())
 	}
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -31,6 +31,9 @@
 	Body      []byte `cbor:"6,keyasint,omitempty"`
 	// Fault is set on the answer of a request that failed.
 	Fault *fault `cbor:"7,keyasint,omitempty"`
+	// Request is the caller's request on whose behalf a request is sent, for
+	// the time line.
+	Request string `cbor:"8,keyasint,omitempty"`
 }
 
 // fault carries a failure.Error over the link.
