A router that answers for one behind acknowledges nothing

Change: nobody knows how far behind such a router is, so its peer acknowledges nothing until it has caught up or its time is over; the same for an incarnation that withholds. Directed test for a peer restarted in place.

--- a/internal/conf/accept.go
+++ b/internal/conf/accept.go
@@ -237,7 +237,7 @@
 	accepted := min(own, target)
 	var waiting []string
 	if k.withheld() {
-		accepted = min(accepted, target-1)
+		accepted = 0
 		waiting = append(waiting, k.selfName())
 	}
 	for _, m := range members {
--- a/internal/conf/accept_test.go
+++ b/internal/conf/accept_test.go
@@ -231,7 +231,7 @@
 		}
 		naive += ruleNaive.violations(f, committed)
 		if v := ruleOurs.violations(f, committed); v > 0 {
-			t.Fatalf("%s: %d routers serve below accepted revision %d after %v", name, v, f.said(), steps)
+			t.Fatalf("%s: %d routers serve below accepted revision %d after %v%s", name, v, f.said(), steps, f.describe())
 		}
 		checkNoneGoesBack(t, f, name)
 	}
--- a/internal/conf/fleet_test.go
+++ b/internal/conf/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	starts  int
 	// relayAbove replaces the setting, if it is not 0.
 	relayAbove int
+	// unknown keeps routers that start from being known to the others before
+	// they have a row.
+	unknown bool
 }
 
 // router is one router's configuration duty.
@@ -77,7 +81,7 @@
 	for _, other := range f.routers {
 		if other != nil && other.id.VM != r.id.VM {
 			r.members.Trust(other.bus.Self())
-			if other.reachable() {
+			if other.reachable() && !f.unknown {
 				other.members.Trust(self)
 			}
 		}
@@ -98,6 +102,7 @@
 func (f *fleet) restart(i int, away bool) {
 	f.network.Leave(f.routers[i].id)
 	f.routers[i] = f.start(i, away)
+	f.routers[i].relink() // the cuts of the others hold for it too
 	f.applyRelays()
 }
 
@@ -155,6 +160,17 @@
 	return r.Catalog().Revision, true
 }
 
+// describe lists the state of the routers, for failed tests.
+func (f *fleet) describe() string {
+	var b strings.Builder
+	for _, r := range f.routers {
+		fmt.Fprintf(&b, "\n%s: revision %d, view %s, offer %s, registered %t, frozen %t, cut %t, away %t, accepted %d, acks %v, offers %v",
+			r.id, r.Catalog().Revision, r.Keeper.view.age(), r.Keeper.view.offerAge(), r.registered(), r.frozen, r.cut, r.away,
+			r.accept.accepted, r.accept.acks, r.offers.given)
+	}
+	return b.String()
+}
+
 // said is the newest revision that any router has called accepted.
 func (f *fleet) said() (newest int64) {
 	for _, r := range f.routers {
--- a/internal/conf/push.go
+++ b/internal/conf/push.go
@@ -60,10 +60,11 @@
 }
 
 // answerFor returns the revision that this router acknowledges: the one in
-// force, or one below last while a router that depends on it is behind.
+// force, or none while a router that depends on it is behind, since nobody
+// knows how far.
 func (k *Keeper) answerFor(ctx context.Context, req pushRequest, own, last int64) int64 {
 	if k.withheld() {
-		return min(own, last-1)
+		return 0
 	}
 	dependents := k.offeredTo(req.Via)
 	if len(dependents) == 0 {
@@ -82,7 +83,7 @@
 		}
 	}
 	if len(behind) > 0 {
-		return min(own, last-1)
+		return 0
 	}
 	return own
 }
--- a/internal/conf/starting_test.go
+++ b/internal/conf/starting_test.go
@@ -12,7 +12,9 @@
 	f.t.Helper()
 	assert.NilError(f.t, f.routers[2].members.Deregister(f.t.Context()))
 	f.step()
+	f.unknown = true
 	f.restart(2, away)
+	f.unknown = false
 	for _, r := range f.routers[:2] {
 		assert.NilError(f.t, r.members.Refresh(f.t.Context()))
 	}
@@ -72,3 +74,28 @@
 	result, _ = committer.accept.result(2)
 	assert.Assert(t, result.Accepted, "%v", result)
 }
+
+// TestPeerRestartedInPlaceAnswersOn: the peer that gave its view crashes and
+// starts anew on its VM, so that nobody remembers the router without a row.
+func TestPeerRestartedInPlaceAnswersOn(t *testing.T) {
+	f := newFleet(t, 3)
+	f.mustCommit(f.routers[0])
+	f.step()
+	late := startReplaced(f, true)
+	_, err := late.askView(t.Context(), f.routers[1].id, testSettings().ViewBound)
+	assert.NilError(t, err)
+	late.setCut(true)
+	f.restart(1, false)
+	f.routers[1].loop()
+	f.mustCommit(f.routers[0])
+	f.routers[0].pushOnce(t.Context(), 0)
+	_, serves := late.serves()
+	assert.Assert(t, serves)
+	assert.Equal(t, ruleOurs.violations(f, 2), 0)
+
+	f.clock.Advance(f.routers[1].holdTime() + 1)
+	f.routers[0].pushOnce(t.Context(), 0)
+	assert.Equal(t, f.said(), int64(2))
+	_, serves = late.serves()
+	assert.Assert(t, !serves)
+}
