--- a/internal/conf/fleet_test.go
+++ b/internal/conf/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,6 +27,11 @@
 	network *bus.Network
 	routers []*router
 	starts  int
+	// relayAbove replaces the setting, if it is not 0.
+	relayAbove int
+	// unknown keeps routers that start from being known to the others before
+	// they have a row.
+	unknown bool
 }
 
 // router is one router's configuration duty.
@@ -75,7 +81,7 @@
 	for _, other := range f.routers {
 		if other != nil && other.id.VM != r.id.VM {
 			r.members.Trust(other.bus.Self())
-			if other.reachable() {
+			if other.reachable() && !f.unknown {
 				other.members.Trust(self)
 			}
 		}
@@ -83,10 +89,21 @@
 	return r
 }
 
+// applyRelays puts relayAbove into the settings of all routers.
+func (f *fleet) applyRelays() {
+	for _, r := range f.routers {
+		if f.relayAbove > 0 {
+			r.settings.RelayAbove = f.relayAbove
+		}
+	}
+}
+
 // restart replaces the i-th router by a new incarnation.
 func (f *fleet) restart(i int, away bool) {
 	f.network.Leave(f.routers[i].id)
 	f.routers[i] = f.start(i, away)
+	f.routers[i].relink() // the cuts of the others hold for it too
+	f.applyRelays()
 }
 
 func (r *router) setAway(away bool) {
@@ -143,6 +160,17 @@
 	return r.Catalog().Revision, true
 }
 
+// describe lists the state of the routers, for failed tests.
+func (f *fleet) describe() string {
+	var b strings.Builder
+	for _, r := range f.routers {
+		fmt.Fprintf(&b, "\n%s: revision %d, view %s, offer %s, registered %t, frozen %t, cut %t, away %t, accepted %d, acks %v, offers %v",
+			r.id, r.Catalog().Revision, r.Keeper.view.age(), r.Keeper.view.offerAge(), r.registered(), r.frozen, r.cut, r.away,
+			r.accept.accepted, r.accept.acks, r.offers.given)
+	}
+	return b.String()
+}
+
 // said is the newest revision that any router has called accepted.
 func (f *fleet) said() (newest int64) {
 	for _, r := range f.routers {
