--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -138,12 +138,13 @@
 	record(t, DocumentPerWorkspace, "bytes", "workspace", sweep(workspaces, func(x int) float64 {
 		return float64(len(encoded(t, document(x, 39))))
 	}))
-	record(t, IndexPerWorkspace, "core seconds", "workspace and whole revision", sweep(workspaces, func(x int) float64 {
-		data := encoded(t, document(x, 39))
-		const rounds = 5
+	record(t, IndexPerWorkspace, "core seconds", "workspace of a revision that is indexed", sweep(workspaces, func(x int) float64 {
+		d := document(x, 39)
+		const rounds = 10
 		before := cpu(t)
 		for range rounds {
-			index(t, data)
+			_, err := catalog.NewIndex(d)
+			assert.NilError(t, err)
 		}
 		return (cpu(t) - before) / rounds
 	}))
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -18,6 +18,7 @@
 	RowsWriteIdle        Name = "rows_written_per_idle_second"
 	PeerBytesIdle        Name = "peer_bytes_per_idle_second_and_peer"
 	PeerCPUIdle          Name = "peer_cpu_per_idle_second_and_peer"
+	RelayBytes           Name = "relay_bytes_per_follower"
 	PeerMemory           Name = "memory_per_peer"
 	PlatformBytesIdle    Name = "platform_bytes_per_idle_second"
 	PlatformBytesDraw    Name = "platform_bytes_per_draw"
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Roles of the fleet. Every daemon plays all of them; some have one active
 // holder a domain or a budget.
@@ -30,9 +33,8 @@
 	// planHorizon is the spending that a grant at a budget's home covers, in
 	// seconds.
 	planHorizon = 600
-	// planRefresh is the time between two reads of all members by a relay, in
-	// seconds.
-	planRefresh = 60.0
+	// planRowSeconds is the time for which a relay spends one member's row.
+	planRowSeconds = 0.3
 	// planReportInterval is the time between two load reports of an endpoint
 	// to the relay of its failure domain, in seconds, and planReportBytes
 	// the size of one.
@@ -190,7 +192,7 @@
 			Role: RoleConfig, Item: "index all workspaces for each change", Budget: BudgetCPU, Value: rate * indexed,
 			Formula: terms("%s changes/s × %s workspaces × %s core s", number(rate), number(t.Workspaces), number(m.slope(IndexPerWorkspace).Slope)),
 			Carrier: "changes that wait are put in force together", Planned: rate * cpu.Slope,
-			Plan: "an index that shares what a change does not touch",
+			Plan: "an index that shares what a change does not touch, for the sake of the sum",
 		},
 		Line{
 			Role: RoleConfig, Item: "read changes", Budget: BudgetBytes, Value: rate * bytes.Slope,
@@ -208,42 +210,83 @@
 	)
 }
 
-// members are the lines of the peer link and of membership.
-func (m *model) members() {
+// relayFollowers is the most routers that one relay serves, and
+// relayRowSeconds the time for which a relay that reads all members spends one
+// row: the constants of internal/conf and coord/member.
+const (
+	relayFollowers  = 12
+	relayRowSeconds = 0.1
+)
+
+// relaying is how the daemons of a fleet follow the table.
+type relaying struct {
+	// readers is the number of daemons that read the table, and rows what
+	// each reads a second.
+	readers float64
+	rows    float64
+	// followers is the number of daemons that ask one reader.
+	followers float64
+	carrier   string
+}
+
+// relaying returns how a fleet of the target's size follows the table: each
+// daemon by itself, or by relays.
+func (m *model) relaying() relaying {
 	t := m.target
 	peers := t.Daemons - 1
-	idleCPU, idleBytes, platformBytes, memory := m.slope(PeerCPUIdle), m.slope(PeerBytesIdle), m.slope(PlatformBytesIdle), m.slope(PeerMemory)
-	reads, writes := m.slope(RowsReadIdle), m.slope(RowsWriteIdle)
-	line := func(item string, b Budget, f Fit, scale float64, unit string) Line {
-		return Line{
-			Role: RoleMember, Item: item, Budget: b, Value: scale * max(0, f.Intercept+f.Slope*peers),
-			Formula: terms("%s × (%s + %s × %s peers) %s", number(scale), number(f.Intercept), number(f.Slope), number(peers), unit),
-		}
+	refresh, polls := m.settings.Member.RefreshInterval.Seconds(), 1/m.settings.Config.PollInterval.Seconds()
+	if t.Daemons <= float64(m.settings.Config.RelayAbove) {
+		return relaying{readers: t.Daemons, rows: peers/refresh + polls, carrier: "each daemon reads"}
 	}
-	relayed := func(l Line, planned float64, plan string) Line {
-		l.Planned, l.Plan = planned, plan
-		return l
+	inDomain := math.Ceil(t.Daemons / t.Domains)
+	relays := math.Floor((inDomain + relayFollowers) / (relayFollowers + 1))
+	return relaying{
+		readers: t.Domains * relays, rows: min(peers/refresh, 1/relayRowSeconds) + polls, followers: inDomain/relays - 1,
+		carrier: terms("%s relays a failure domain read the table, the others ask them", number(relays)),
 	}
-	plan := terms("a relay a failure domain reads all members each %s s and passes on what changed", number(planRefresh))
-	slower := m.settings.Member.RefreshInterval.Seconds() / planRefresh
-	atRelay := func(f Fit) float64 { return max(0, f.Intercept+f.Slope*peers*slower) }
-	base := line("process at rest, and its peers", BudgetMemory, memory, 1, "bytes")
-	base.Carrier = "a connection a peer in use, closed when idle"
-	base = relayed(base, memory.Intercept+memory.Slope*t.Daemons/t.Domains, "a daemon links with its own failure domain and with the relays")
-	cpu := relayed(line("at rest", BudgetCPU, idleCPU, 1, "cores"), atRelay(idleCPU), plan)
-	cpu.Carrier = "one goroutine a duty; pings on idle links"
-	link := relayed(line("peer link at rest", BudgetBytes, idleBytes, 1, "bytes/s"), atRelay(idleBytes), plan)
-	link.Carrier = "pings on connections in use only"
-	table := relayed(line("platform at rest", BudgetBytes, platformBytes, 1, "bytes/s"), atRelay(platformBytes), plan)
-	table.Carrier = "polls as the fallback of pushes"
-	readLine := relayed(line("at rest", BudgetReads, reads, t.Daemons, "rows/s"), t.Domains*atRelay(reads), plan)
-	readLine.Carrier = "each daemon polls"
-	m.add(base, cpu, link, table, readLine)
-	beats := line("heartbeats", BudgetWrites, writes, t.Daemons, "rows/s")
-	beats.Value = t.Daemons * max(0, writes.Intercept)
-	beats.Formula = terms("%s × %s rows/s", number(t.Daemons), number(writes.Intercept))
-	beats.Carrier = "one row a daemon, written rarely; liveness is judged on the peer link"
-	m.add(beats)
+}
+
+// members are the lines of the peer link and of membership, for a daemon that
+// reads the table.
+func (m *model) members() {
+	t := m.target
+	peers := t.Daemons - 1
+	by := m.relaying()
+	cpu, memory, writes, relay := m.slope(PeerCPUIdle), m.slope(PeerMemory), m.slope(RowsWriteIdle), m.slope(RelayBytes)
+	perRow := m.slope(PlatformBytesIdle).Slope * m.settings.Member.RefreshInterval.Seconds()
+	m.add(
+		Line{
+			Role: RoleMember, Item: "process at rest, and connections to all peers", Budget: BudgetMemory,
+			Value:   memory.Intercept + memory.Slope*peers,
+			Formula: terms("%s + %s × %s peers bytes", number(memory.Intercept), number(memory.Slope), number(peers)),
+			Carrier: "a connection a peer in use, closed when idle", Planned: memory.Intercept + memory.Slope*t.Daemons/t.Domains,
+			Plan: "requests to peers outside the own failure domain go by its relays",
+		},
+		Line{
+			Role: RoleMember, Item: "at rest", Budget: BudgetCPU, Value: cpu.Intercept + cpu.Slope*peers,
+			Formula: terms("%s + %s × %s peers cores", number(cpu.Intercept), number(cpu.Slope), number(peers)),
+			Carrier: "one goroutine a duty; pings on idle links",
+		},
+		Line{
+			Role: RoleMember, Item: "relay views to followers", Budget: BudgetBytes, Value: by.followers * relay.Slope,
+			Formula: terms("%s followers × %s bytes/s, at a relay", number(by.followers), number(relay.Slope)), Carrier: by.carrier,
+		},
+		Line{
+			Role: RoleMember, Item: "read members and the head", Budget: BudgetBytes, Value: by.rows * perRow,
+			Formula: terms("%s rows/s × %s bytes, at a relay", number(by.rows), number(perRow)), Carrier: by.carrier,
+			Planned: (1/planRowSeconds + 1/m.settings.Config.PollInterval.Seconds()) * perRow,
+			Plan:    terms("a relay spends %s s on each member's row", number(planRowSeconds)),
+		},
+		Line{
+			Role: RoleMember, Item: "read members and the head", Budget: BudgetReads, Value: by.readers * by.rows,
+			Formula: terms("%s readers × %s rows/s (settings and constants)", number(by.readers), number(by.rows)), Carrier: by.carrier,
+		},
+		Line{
+			Role: RoleMember, Item: "heartbeats", Budget: BudgetWrites, Value: t.Daemons * writes.Intercept,
+			Formula: terms("%s × %s rows/s", number(t.Daemons), number(writes.Intercept)),
+			Carrier: "one row a daemon, written rarely; liveness is judged on the peer link",
+		},
+	)
 }
 
 // endpoints are the lines of watching the endpoints' load.
