--- a/internal/platformevents/platformevents.go
+++ b/internal/platformevents/platformevents.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -60,7 +62,7 @@
 	}
 	switch {
 	case err != nil:
-		e.Kind, e.Detail = event.PlatformFailed, err.Error()
+		e.Kind, e.Detail = event.PlatformFailed, describe(err)
 	case c.step == stepCommit:
 		e.Kind = event.PlatformCommitted
 	case request == "":
@@ -69,6 +71,17 @@
 	p.events.Record(e)
 }
 
+// describe says what failed. The keys of rows can hold callers' idempotency
+// keys, so a conflict names the first part of its row's key only.
+func describe(err error) string {
+	var e *platform.Error
+	if errors.As(err, &e) && e.Kind == platform.KindConflict {
+		part, _, _ := strings.Cut(e.Key, "/")
+		return "conflict on a row of " + part
+	}
+	return err.Error()
+}
+
 // Get implements platform.Table.
 func (p *Platform) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	c := p.begin(stepGet)
--- a/internal/platformevents/platformevents_test.go
+++ b/internal/platformevents/platformevents_test.go
@@ -60,6 +60,7 @@
 	assert.Assert(t, platform.IsConflict(err))
 	assert.Equal(t, events.kinds(), "platform_read r1,platform_failed r1,platform_committed r1,platform_failed ")
 	assert.Equal(t, events[2].Op, "op1")
+	assert.Equal(t, events[3].Detail, "conflict on a row of call")
 	var text bytes.Buffer
 	set.WritePrometheus(&text)
 	for _, line := range []string{
