--- a/internal/cli/events_test.go
+++ b/internal/cli/events_test.go
@@ -1,7 +1,9 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"strings"
 	"testing"
 
@@ -57,3 +59,35 @@
 	_, code := s.run("capacity --slopes absent.json")
 	assert.Equal(t, code, ExitFailure)
 }
+
+// TestEventsFollow prints an event that is recorded after the command began.
+func TestEventsFollow(t *testing.T) {
+	s := newShell(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	out, in := io.Pipe()
+	root := NewCommand()
+	root.SetOut(in)
+	root.SetErr(io.Discard)
+	root.SetArgs(append(strings.Fields("events --follow --kind revision_committed -o json --interval 20ms"), s.flags...))
+	ended := make(chan error, 1)
+	go func() {
+		err := root.ExecuteContext(ctx)
+		in.Close()
+		ended <- err
+	}()
+	decoder := json.NewDecoder(out)
+	next := func() int64 {
+		var e event.Event
+		assert.NilError(t, decoder.Decode(&e))
+		return e.Revision
+	}
+	last := next()
+	s.ok("workspace create coop-8")
+	for revision := next(); revision <= last; revision = next() {
+	}
+	cancel()
+	_, err := io.Copy(io.Discard, out)
+	assert.NilError(t, err)
+	assert.NilError(t, <-ended)
+}
