A change indexes only what it touches

Ruled out: validating less; the whole document is valid by induction, since the revision before was. Change: catalog.Index.Next shares all that a change does not touch; workspaces are copied out of the document's list, so that no old list stays in memory.

--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -52,26 +52,33 @@
 		document:   d,
 		workspaces: make(map[string]*Workspace, len(d.Workspaces)),
 		keys:       make(map[string]Principal),
-		endpoints:  make(map[string]*Member, len(d.Endpoints)),
-		models:     make(map[string][]*Member),
-		services:   make(map[string][]*Member),
 	}
-	x.addWorkspaces()
-	x.addRules()
-	x.addEndpoints()
+	for _, w := range d.Workspaces {
+		x.addWorkspace(w)
+	}
+	x.addRest()
 	return x, nil
 }
 
-func (x *Index) addWorkspaces() {
-	for i := range x.document.Workspaces {
-		w := &x.document.Workspaces[i]
-		x.workspaces[w.Name] = w
-		for _, key := range w.Keys {
-			x.keys[key.Hash] = Principal{Workspace: w, Budget: key.Budget}
-		}
+// addWorkspace indexes a copy of a workspace: a pointer into the document's
+// list would keep the whole list of an old revision in memory.
+func (x *Index) addWorkspace(w Workspace) {
+	x.workspaces[w.Name] = &w
+	for _, key := range w.Keys {
+		x.keys[key.Hash] = Principal{Workspace: &w, Budget: key.Budget}
 	}
 }
 
+// addRest indexes the pools, endpoints and rules anew.
+func (x *Index) addRest() {
+	x.rules = nil
+	x.endpoints = make(map[string]*Member, len(x.document.Endpoints))
+	x.models = make(map[string][]*Member)
+	x.services = make(map[string][]*Member)
+	x.addRules()
+	x.addEndpoints()
+}
+
 // addRules compiles the selectors, which Validate has parsed before.
 func (x *Index) addRules() {
 	for _, r := range x.document.Rules {
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -17,10 +17,21 @@
 // Validate checks the whole document and adds every problem to l.
 func (d *Document) Validate(l *check.List) {
 	validateEach(l, "workspaces", d.Workspaces, func(w Workspace) string { return w.Name }, validateWorkspace)
+	d.validateRest(l)
+	d.validateKeys(l)
+}
+
+// validateRest checks all but the workspaces.
+func (d *Document) validateRest(l *check.List) {
 	validateEach(l, "pools", d.Pools, func(p Pool) string { return p.Name }, validatePool)
 	validateEach(l, "endpoints", d.Endpoints, func(e Endpoint) string { return e.Name }, validateEndpoint)
 	validateEach(l, "rules", d.Rules, func(r Rule) string { return r.Name }, validateRule)
-	d.validateKeys(l)
+}
+
+func validateName(l *check.List, path, name string) {
+	if !namePattern.MatchString(name) {
+		l.Add(path+".name", name, nameWant)
+	}
 }
 
 // validateEach checks the names of a list and each of its items.
@@ -29,9 +40,7 @@
 	for i, item := range items {
 		at := fmt.Sprintf("%s[%d]", path, i)
 		n := name(item)
-		if !namePattern.MatchString(n) {
-			l.Add(at+".name", n, nameWant)
-		}
+		validateName(l, at, n)
 		if seen[n] {
 			l.Add(at+".name", n, "a name that no other of the "+path+" has")
 		}
@@ -91,13 +100,16 @@
 	}
 }
 
+// takenKeyWant describes what a key should be that the owner has already.
+func takenKeyWant(owner string) string { return "a key that workspace " + owner + " does not have" }
+
 // validateKeys requires that one key acts for one workspace.
 func (d *Document) validateKeys(l *check.List) {
 	owner := make(map[string]string)
 	for i, w := range d.Workspaces {
 		for j, key := range w.Keys {
 			if first, taken := owner[key.Hash]; taken {
-				l.Add(fmt.Sprintf("workspaces[%d].keys[%d].hash", i, j), key.Hash, "a key that workspace "+first+" does not have")
+				l.Add(fmt.Sprintf("workspaces[%d].keys[%d].hash", i, j), key.Hash, takenKeyWant(first))
 			}
 			owner[key.Hash] = w.Name
 		}
--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -32,6 +32,19 @@
 	return nil
 }
 
+// touchedBy says what operations may change.
+func touchedBy(ops []Op) catalog.Touched {
+	var t catalog.Touched
+	for _, op := range ops {
+		if op.Kind == KindWorkspace {
+			t.Workspaces = append(t.Workspaces, op.Name)
+			continue
+		}
+		t.Rest = true
+	}
+	return t
+}
+
 // editor changes the lists of a document.
 type editor struct {
 	workspaces list[catalog.Workspace]
--- a/internal/conf/commit.go
+++ b/internal/conf/commit.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	document.Revision = change.Base + 1
-	if _, err := catalog.NewIndex(document); err != nil {
+	if _, err := index.Next(document, touchedBy(change.Ops)); err != nil {
 		return failure.Wrap(failure.BadRequest, "check configuration", "", err)
 	}
 	return nil
--- a/internal/conf/keeper.go
+++ b/internal/conf/keeper.go
@@ -123,6 +123,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	document := k.Catalog().Document()
+	var ops []Op
 	applied := entries[:0:0]
 	for _, e := range entries {
 		if e.Revision != document.Revision+1 {
@@ -136,14 +137,17 @@
 			return fmt.Errorf("apply revision %d: %w", e.Revision, err)
 		}
 		document.Revision = e.Revision
+		ops = append(ops, revision.Ops...)
 		applied = append(applied, e)
 	}
 	if len(applied) == 0 {
 		return nil
 	}
-	if err := k.putLocked(document); err != nil {
+	index, err := k.Catalog().Next(document, touchedBy(ops))
+	if err != nil {
 		return err
 	}
+	k.putLocked(index)
 	k.recent = append(k.recent, applied...)
 	if extra := len(k.recent) - recentEntries; extra > 0 {
 		k.recent = append([]revlog.Entry(nil), k.recent[extra:]...)
@@ -158,18 +162,18 @@
 	if document.Revision <= k.Catalog().Revision {
 		return nil
 	}
-	k.recent = nil
-	return k.putLocked(document)
-}
-
-func (k *Keeper) putLocked(document catalog.Document) error {
 	index, err := catalog.NewIndex(document)
 	if err != nil {
 		return err
 	}
+	k.recent = nil
+	k.putLocked(index)
+	return nil
+}
+
+func (k *Keeper) putLocked(index *catalog.Index) {
 	k.current.Store(index)
 	k.events.Record(event.Event{Duty: event.DutyConfig, Kind: event.RevisionApplied, Revision: index.Revision})
-	return nil
 }
 
 // recentAfter returns the kept revisions after the one given, and whether
