A router's equal share of an endpoint always fits

Ruled out: more room for all (hits fall, see the queue's look-ahead). Change: a router's room at an endpoint is at least its share among the live routers.

--- a/internal/daemon/delivery.go
+++ b/internal/daemon/delivery.go
@@ -30,6 +30,7 @@
 		Log:        d.part("route"),
 		LeavingVMs: d.members.VMLeaving,
 		Fresh:      d.config.Fresh,
+		Routers:    func() int { return len(d.bus.Peers()) + 1 },
 		OnSlots:    queues.SetSlots,
 	})
 	return delivery{
--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -122,6 +122,8 @@
 	chooser   route.Chooser
 	// unbounded leaves the admission queues without bounds.
 	unbounded bool
+	// routers share the bench.
+	routers int
 }
 
 // quickOptions have short time-outs and room for retries.
@@ -167,6 +169,7 @@
 	}
 	router := route.NewRouter(o.route, route.Duties{
 		Config: b, Events: events, Metrics: set, Clock: clock.Real{}, Log: log, OnSlots: onSlots, Chooser: o.chooser,
+		Routers: func() int { return o.routers },
 	})
 	n := &node{router: router, events: events, view: b.store.View()}
 	n.records = once.NewRecords(o.calls.Once, n.view, clock.Real{}, fmt.Sprintf("node-%d", nodeCount.Add(1)))
--- a/internal/delivery/measure_test.go
+++ b/internal/delivery/measure_test.go
@@ -266,7 +266,9 @@
 		b.setFaults(c.slow, standin.EngineFaults{SlowFactor: measureSlowBy})
 		nodes := make([]*node, max(c.nodes, 1))
 		for i := range nodes {
-			nodes[i] = b.node(s.options())
+			o := s.options()
+			o.routers = len(nodes)
+			nodes[i] = b.node(o)
 		}
 		var group sync.WaitGroup
 		start := time.Now()
--- a/internal/route/capacity.go
+++ b/internal/route/capacity.go
@@ -77,14 +77,17 @@
 // poolSlotsLocked sums the room at the pool's endpoints. One that has not
 // told its slots yet counts as the mean of the others.
 func (r *Router) poolSlotsLocked(p *pool) int {
-	sum, known, serving := 0, 0, 0
+	sum, known, serving, routers := 0, 0, 0, 1
+	if r.duties.Routers != nil {
+		routers = max(r.duties.Routers(), 1)
+	}
 	for _, name := range p.members {
 		m, s := r.index.Endpoint(name), r.stateLocked(name)
 		if r.leavingLocked(m) || s.health == ejected {
 			continue
 		}
 		serving++
-		if room := s.room(m); room > 0 {
+		if room := s.room(m, routers); room > 0 {
 			sum += room
 			known++
 		}
@@ -96,13 +99,13 @@
 }
 
 // room returns how many of this router's requests fit at the endpoint, or 0
-// if its slots are unknown. One always fits, so that a router which is late
-// gets a share at a pool that others fill.
-func (s *state) room(m *catalog.Member) int {
+// if its slots are unknown. A router's equal share always fits: one that was
+// idle finds the others at the full endpoint, and would get no place.
+func (s *state) room(m *catalog.Member, routers int) int {
 	slots := s.slots(m)
 	if slots == 0 {
 		return 0
 	}
 	others := max(s.report.Running+s.report.Waiting-s.ownAtReport, 0)
-	return max(slots-others, 1)
+	return max(slots-others, (slots+routers-1)/routers)
 }
--- a/internal/route/pick_test.go
+++ b/internal/route/pick_test.go
@@ -120,11 +120,14 @@
 		"one ejected":      {func(r *Router) { r.states["engine-0"].health = ejected }, 3 * 64},
 		"one leaving":      {func(r *Router) { r.states["engine-0"].leaving = true }, 3 * 64},
 		"one not heard of": {func(r *Router) { r.states["engine-0"].report.Slots = 0 }, 4 * 64},
-		"others' requests": {func(r *Router) { r.states["engine-0"].report.Running = 24 }, 3*64 + 40},
+		"others' requests": {func(r *Router) { r.states["engine-0"].report.Running = 24; r.duties.Routers = func() int { return 2 } }, 3*64 + 40},
 		"own requests": {func(r *Router) {
 			r.states["engine-0"].report.Running, r.states["engine-0"].ownAtReport = 24, 24
 		}, 4 * 64},
-		"filled by others": {func(r *Router) { r.states["engine-0"].report.Running = 90 }, 3*64 + 1},
+		"filled by others": {func(r *Router) {
+			r.states["engine-0"].report.Running = 90
+			r.duties.Routers = func() int { return 10 }
+		}, 3*64 + 7},
 	} {
 		r := newTestRouter(t, 4)
 		c.change(r)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -38,6 +38,9 @@
 	// it always may. A request may have waited in a queue since its router
 	// last asked.
 	Fresh func(ctx context.Context) error
+	// Routers counts the routers that share the endpoints, this one included;
+	// nil is one.
+	Routers func() int
 	// OnSlots learns how many of this router's requests a pool has room for;
 	// 0 is unknown. It may be nil.
 	OnSlots func(pool string, slots int)
