--- a/internal/conf/exchange.go
+++ b/internal/conf/exchange.go
@@ -121,11 +121,17 @@
 	return !replaced.IsZero() && k.clock.Now().Sub(replaced) <= k.holdTime()
 }
 
+// answersForOthers reports whether a router without a row may depend on this
+// one, or on the incarnation whose place it took.
+func (k *Keeper) answersForOthers() bool {
+	return k.withheld() || len(k.offers.open(k.clock.Now(), k.holdTime())) > 0
+}
+
 // Leave gives no more views to routers without a row and waits until those
 // that have one need it no longer. It is called before the own row is removed.
 func (k *Keeper) Leave(ctx context.Context) error {
 	k.offers.close()
-	for len(k.offers.open(k.clock.Now(), k.holdTime())) > 0 {
+	for k.answersForOthers() {
 		if err := clock.Sleep(ctx, k.clock, k.settings.PushInterval); err != nil {
 			return fmt.Errorf("wait for routers without a row: %w", err)
 		}
