Only another incarnation's row counts as taken over

Cause: under load TestFrozenRouterServesNoOldRevision found a router that had just started withholding its acknowledgements: two of its duties wrote its row at the start, and the second took the first one's for an earlier incarnation's.

Change: the row's incarnation is compared. Not measured.

--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -71,11 +71,16 @@
 	if err != nil {
 		return fmt.Errorf("register member: %w", err)
 	}
-	return d.write(ctx, rows[0].Version)
+	return d.write(ctx, rows[0])
 }
 
-// write puts the own row over the version given.
-func (d *Directory) write(ctx context.Context, version int64) error {
+// write puts the own row over the one that was read.
+func (d *Directory) write(ctx context.Context, old platform.Row) error {
+	foreign, err := d.isForeign(old)
+	if err != nil {
+		return err
+	}
+	version := old.Version
 	d.mu.Lock()
 	d.beat++
 	r := record{Peer: d.self, Beat: d.beat}
@@ -99,13 +104,22 @@
 	if d.version == 0 || d.version != version {
 		d.present = d.clock.Now()
 	}
-	if d.version == 0 && version != 0 && d.replaced.IsZero() {
+	if foreign {
 		d.replaced = d.clock.Now()
 	}
 	d.version, d.lastBeat = receipt.Versions[0], started
 	return nil
 }
 
+// isForeign reports whether a row of this VM is another incarnation's.
+func (d *Directory) isForeign(row platform.Row) (bool, error) {
+	if row.Version == 0 {
+		return false, nil
+	}
+	r, err := decode(row)
+	return r.Peer.ID != d.self.ID, err
+}
+
 // Heartbeat writes the own row again. It returns ErrSuperseded if another
 // incarnation has the row; a row that was removed is written anew.
 func (d *Directory) Heartbeat(ctx context.Context) error {
@@ -128,7 +142,7 @@
 			return fmt.Errorf("heartbeat: %w: %s", ErrSuperseded, r.Peer.ID)
 		}
 	}
-	return d.write(ctx, rows[0].Version)
+	return d.write(ctx, rows[0])
 }
 
 // beatSince reports whether a heartbeat that began at t or later was written.
