Polls read their answers to the end

Cause: an answer that is not read to its end costs its connection, and a list of cache events is longer than one read. Ruled out: a pool of our own. Change: the rest of the body is read and dropped. Conclusion: route and delivery tests pass.

--- a/internal/route/poll.go
+++ b/internal/route/poll.go
@@ -181,9 +181,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("poll: status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(v); err != nil {
+	body := io.LimitReader(resp.Body, maxReportBytes)
+	if err := json.NewDecoder(body).Decode(v); err != nil {
 		return fmt.Errorf("decode poll: %w", err)
 	}
+	// A body that is not read to its end costs the connection.
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return fmt.Errorf("end poll: %w", err)
+	}
 	return nil
 }
 
