TLS on the peer link, and certificates from the command line

Cause: routers spoke to each other in the clear; only their handshake was protected. Ruled out: a certificate for each VM, since all VMs are replaced at any time; one name stands in the fleet's certificate. Change: peer.tls and peer.ca_file; daisyslip certificate new.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"crypto/x509"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,6 +16,7 @@
 
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/internal/client"
+	"daisyslip.dev/daisyslip/internal/tlsfile"
 )
 
 // Names of the environment variables that stand for global flags.
@@ -36,7 +37,7 @@
 	caFile  string
 	output  string
 	timeout time.Duration
-	roots   *x509.CertPool // of caFile, or nil
+	tls     *tls.Config // that trusts caFile, or nil
 }
 
 // usageError marks a wrong use of the command line, for ExitUsage.
@@ -104,22 +105,19 @@
 	if a.token == "" {
 		a.token = os.Getenv(envToken)
 	}
-	return a.loadRoots()
+	return a.loadTrusted()
 }
 
-// loadRoots reads the certificates of --ca-file.
-func (a *app) loadRoots() error {
+// loadTrusted reads the certificates of --ca-file.
+func (a *app) loadTrusted() error {
 	if a.caFile == "" {
 		return nil
 	}
-	data, err := os.ReadFile(a.caFile)
+	config, err := tlsfile.ClientConfig(a.caFile, "")
 	if err != nil {
 		return usagef("--ca-file: %w", err)
 	}
-	a.roots = x509.NewCertPool()
-	if !a.roots.AppendCertsFromPEM(data) {
-		return usagef("--ca-file %s: no certificate in it", a.caFile)
-	}
+	a.tls = config
 	return nil
 }
 
@@ -134,8 +132,8 @@
 // connect returns a client of the operator API at url.
 func (a *app) connect(url string) *client.Client {
 	c := client.New(url, a.token, a.author)
-	if a.roots != nil {
-		c.WithRoots(a.roots)
+	if a.tls != nil {
+		c.WithTLS(a.tls)
 	}
 	return c
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -57,7 +57,7 @@
 		&cobra.Group{ID: groupObserve, Title: "See what it does:"},
 		&cobra.Group{ID: groupTry, Title: "Try it out:"},
 	)
-	add(root, groupOperate, a.newWorkspace(), a.newPool(), a.newEndpoint(), a.newRule(), a.newLabel(), a.newBudget(), a.newApply(), a.newOrder(), newToken())
+	add(root, groupOperate, a.newWorkspace(), a.newPool(), a.newEndpoint(), a.newRule(), a.newLabel(), a.newBudget(), a.newApply(), a.newOrder(), newToken(), a.newCertificate())
 	add(root, groupObserve, a.newConfig(), a.newStatus(), a.newMembers(), a.newEvents())
 	add(root, groupTry, newDev(), newStandin(), a.newLoad(), a.newCapacity())
 	root.AddCommand(newVersion())
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -39,10 +38,9 @@
 	return &Client{base: strings.TrimRight(base, "/"), token: token, author: author, http: &http.Client{Timeout: callTimeout}}
 }
 
-// WithRoots makes the client trust the certificates of roots for https URLs,
-// and returns it.
-func (c *Client) WithRoots(roots *x509.CertPool) *Client {
-	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+// WithTLS makes the client use config for https URLs, and returns it.
+func (c *Client) WithTLS(config *tls.Config) *Client {
+	c.http.Transport = &http.Transport{TLSClientConfig: config}
 	return c
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -18,11 +19,18 @@
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/hlc"
+	"daisyslip.dev/daisyslip/internal/tlsfile"
 )
 
 // path is the path of the peer listener that is upgraded to WebSocket.
 const path = "/peer/v1"
 
+// The schemes of the URLs that are dialled.
+const (
+	schemePlain = "ws://"
+	schemeTLS   = "wss://"
+)
+
 // Directory knows the members of the fleet.
 type Directory interface {
 	// Live lists the members believed alive, without this one.
@@ -55,6 +63,8 @@
 	log       *slog.Logger
 	server    server
 	started   time.Time
+	scheme    string       // of the URLs dialled, set by Provision
+	client    *http.Client // nil is the default one
 	handlers  sync.WaitGroup
 
 	ctx  context.Context // ends with the link
@@ -82,7 +92,7 @@
 	ctx, stop := context.WithCancelCause(context.Background())
 	l := &Link{
 		settings: s, self: self, directory: d.Directory, hlc: d.Clock, events: d.Events, log: d.Log,
-		metrics: newLinkMetrics(d.Metrics), started: time.Now(), ctx: ctx, stop: stop,
+		metrics: newLinkMetrics(d.Metrics), started: time.Now(), ctx: ctx, stop: stop, scheme: schemePlain,
 		kinds: make(map[bus.Kind]bus.Handler), conns: make(map[bus.ID]*conn), dialing: make(map[bus.ID]*dialing),
 	}
 	d.Metrics.NewGauge("daisyslip_peer_connections", func() float64 { return float64(l.connections()) })
@@ -210,7 +220,7 @@
 
 func (l *Link) dialAddr(ctx context.Context, addr string) (*conn, error) {
 	l.metrics.dials.Inc()
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr+path, nil)
+	ws, _, err := websocket.Dial(ctx, l.scheme+addr+path, &websocket.DialOptions{HTTPClient: l.client})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
@@ -284,11 +294,18 @@
 	if l.settings.Listen == "" {
 		return nil
 	}
+	if err := l.provisionTLS(); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", l.settings.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	l.server.provision(l, listener)
+	wrapped, err := l.settings.TLS.Wrap(listener)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for peers: %w", err), listener.Close())
+	}
+	l.server.provision(l, wrapped)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.self.Addr = listener.Addr().String()
@@ -298,6 +315,20 @@
 	return nil
 }
 
+// provisionTLS makes dials speak TLS if the settings ask for it.
+func (l *Link) provisionTLS() error {
+	if !l.settings.TLS.Enabled() {
+		return nil
+	}
+	config, err := tlsfile.ClientConfig(l.settings.CAFile, CertName)
+	if err != nil {
+		return fmt.Errorf("dial peers: %w", err)
+	}
+	l.scheme = schemeTLS
+	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	return nil
+}
+
 // Run serves until Cleanup.
 func (l *Link) Run() error { return l.server.run() }
 
--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/tlsfile"
 )
 
 // Settings are the settings of the peer link.
@@ -17,6 +18,11 @@
 	Advertise string `json:"advertise"`
 	// Secret authenticates the routers of one fleet to each other.
 	Secret string `json:"secret"`
+	// TLS is the certificate of the link, for the name CertName, and CAFile
+	// the PEM file of the certificates that are trusted. Both or none: none
+	// sends in the clear.
+	TLS    tlsfile.Settings `json:"tls"`
+	CAFile string           `json:"ca_file"`
 	// Seeds are the host:port of routers that are asked for their
 	// configuration if the platform is away when this router starts.
 	Seeds []string `json:"seeds"`
@@ -53,6 +59,10 @@
 	}
 }
 
+// CertName is the name in the certificate of the peer link. It is the same on
+// all routers, since they reach each other by IP numbers that change.
+const CertName = "daisyslip-peer"
+
 // minSecretBytes is the shortest secret that is taken.
 const minSecretBytes = 16
 
@@ -71,6 +81,8 @@
 	for i, seed := range s.Seeds {
 		l.Listen(fmt.Sprintf("%s.seeds[%d]", path, i), seed)
 	}
+	s.TLS.Validate(l, path+".tls")
+	s.validateCA(l, path+".ca_file")
 	l.Duration(path+".call_timeout", s.CallTimeout, time.Millisecond, time.Minute)
 	l.Duration(path+".dial_timeout", s.DialTimeout, time.Millisecond, time.Minute)
 	l.Duration(path+".ping_interval", s.PingInterval, time.Millisecond, time.Minute)
@@ -80,3 +92,17 @@
 	l.Positive(path+".send_queue", int64(s.SendQueue))
 	l.Positive(path+".max_in_flight", int64(s.MaxInFlight))
 }
+
+// validateCA wants trusted certificates exactly if TLS is on.
+func (s Settings) validateCA(l *check.List, path string) {
+	if s.TLS.Enabled() != (s.CAFile != "") {
+		l.Add(path, s.CAFile, "the trusted certificates if tls is set, and nothing if not")
+		return
+	}
+	if s.CAFile == "" {
+		return
+	}
+	if _, err := tlsfile.ClientConfig(s.CAFile, CertName); err != nil {
+		l.Add(path, s.CAFile, "a PEM file with certificates: "+err.Error())
+	}
+}
--- /dev/null
+++ b/internal/peer/tls_test.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/failure"
+	"daisyslip.dev/daisyslip/internal/tlsfile"
+)
+
+// tlsSettings returns settings with a fresh certificate for name.
+func tlsSettings(t *testing.T, name string) Settings {
+	t.Helper()
+	s := testSettings()
+	files, err := tlsfile.Generate(t.TempDir(), []string{name}, time.Hour)
+	assert.NilError(t, err)
+	s.TLS, s.CAFile = files, files.CertFile
+	return s
+}
+
+// TestLinkOverTLS sends a request over TLS; routers with another certificate,
+// with one for another name, or without TLS, are not talked to.
+func TestLinkOverTLS(t *testing.T) {
+	b := newBook()
+	fleet := tlsSettings(t, CertName)
+	one, two := startLink(t, "one", fleet, b), startLink(t, "two", fleet, b)
+	answer, err := one.Request(t.Context(), two.Self().ID, "echo", []byte("hi"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer), "one:hi")
+
+	misnamed := tlsSettings(t, "elsewhere.example")
+	misnamed.CAFile = fleet.CAFile
+	trusting := fleet
+	trusting.CAFile = misnamed.TLS.CertFile
+	for name, s := range map[string]Settings{"foreign": tlsSettings(t, CertName), "misnamed": misnamed, "plain": testSettings()} {
+		other := startLink(t, name, s, b)
+		from := one
+		if name == "misnamed" {
+			from = startLink(t, "trusting", trusting, b)
+		}
+		_, err := from.Request(t.Context(), other.Self().ID, "echo", nil)
+		assert.Equal(t, failure.CodeOf(err), failure.PeerUnavailable, "%s: %v", name, err)
+	}
+}
--- a/internal/tlsfile/tlsfile_test.go
+++ b/internal/tlsfile/tlsfile_test.go
@@ -1,13 +1,6 @@
 package tlsfile
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
@@ -20,30 +13,20 @@
 	"daisyslip.dev/daisyslip/internal/check"
 )
 
-// writePair writes a self-signed certificate of the serial number for
-// 127.0.0.1 and returns its files.
-func writePair(t *testing.T, dir string, serial int64) Settings {
+// writePair writes a certificate for 127.0.0.1 into dir, over an earlier one.
+func writePair(t *testing.T, dir string) Settings {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial),
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	for _, name := range []string{CertFileName, KeyFileName} {
+		err := os.Remove(filepath.Join(dir, name))
+		assert.Assert(t, err == nil || os.IsNotExist(err), "%v", err)
 	}
-	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	assert.NilError(t, err)
-	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	s, err := Generate(dir, []string{"127.0.0.1", "peer.example"}, time.Hour)
 	assert.NilError(t, err)
-	s := Settings{CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem")}
-	assert.NilError(t, os.WriteFile(s.CertFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert}), 0o600))
-	assert.NilError(t, os.WriteFile(s.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}), 0o600))
 	return s
 }
 
 func TestWrapServesTLS(t *testing.T) {
-	s := writePair(t, t.TempDir(), 1)
+	s := writePair(t, t.TempDir())
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	listener, err := s.Wrap(inner)
@@ -51,11 +34,9 @@
 	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Second}
 	defer server.Close()
 	go server.Serve(listener)
-	pool := x509.NewCertPool()
-	data, err := os.ReadFile(s.CertFile)
+	config, err := ClientConfig(s.CertFile, "")
 	assert.NilError(t, err)
-	assert.Assert(t, pool.AppendCertsFromPEM(data))
-	client := http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	client := http.Client{Transport: &http.Transport{TLSClientConfig: config}}
 	defer client.CloseIdleConnections()
 	resp, err := client.Get("https://" + inner.Addr().String())
 	assert.NilError(t, err)
@@ -63,34 +44,42 @@
 	assert.Equal(t, resp.StatusCode, http.StatusNotFound)
 }
 
-// serialOf returns the serial number of the certificate in use.
-func serialOf(t *testing.T, s *store) int64 {
+// inUse returns the certificate in use.
+func inUse(t *testing.T, s *store) string {
 	t.Helper()
 	pair, err := s.certificate(nil)
 	assert.NilError(t, err)
-	cert, err := x509.ParseCertificate(pair.Certificate[0])
-	assert.NilError(t, err)
-	return cert.SerialNumber.Int64()
+	return string(pair.Certificate[0])
 }
 
 // TestNewFilesAreTakenUp replaces the files; a half-written one changes
 // nothing.
 func TestNewFilesAreTakenUp(t *testing.T) {
 	dir := t.TempDir()
-	s := &store{settings: writePair(t, dir, 1)}
+	s := &store{settings: writePair(t, dir)}
 	assert.NilError(t, s.load())
-	writePair(t, dir, 2)
-	assert.Equal(t, serialOf(t, s), int64(1), "looked again before the interval")
+	first := inUse(t, s)
+	writePair(t, dir)
+	assert.Assert(t, inUse(t, s) == first, "looked again before the interval")
 	s.checked, s.modified = time.Time{}, time.Time{}
-	assert.Equal(t, serialOf(t, s), int64(2))
+	second := inUse(t, s)
+	assert.Assert(t, second != first)
 	assert.NilError(t, os.WriteFile(s.settings.CertFile, []byte("half"), 0o600))
 	s.checked, s.modified = time.Time{}, time.Time{}
-	assert.Equal(t, serialOf(t, s), int64(2))
+	assert.Assert(t, inUse(t, s) == second)
+}
+
+// TestGenerateKeepsFiles does not write over a key that exists.
+func TestGenerateKeepsFiles(t *testing.T) {
+	dir := t.TempDir()
+	writePair(t, dir)
+	_, err := Generate(dir, []string{"127.0.0.1"}, time.Hour)
+	assert.ErrorContains(t, err, "exists")
 }
 
 func TestValidate(t *testing.T) {
 	dir := t.TempDir()
-	good := writePair(t, dir, 1)
+	good := writePair(t, dir)
 	cases := map[string]struct {
 		settings Settings
 		problems int
