--- a/coord/member/directory.go
+++ b/coord/member/directory.go
@@ -31,12 +31,17 @@
 	clock    clock.Clock
 	events   event.Recorder
 
+	// beating has the writes of the own row follow each other. It is held
+	// over calls of the store; only the duties that keep the row wait for it.
+	beating sync.Mutex
+
 	mu       sync.Mutex // guards all below; never held over a call of the store
 	self     bus.Peer
 	left     bool  // no more heartbeats
 	version  int64 // of the own row, 0 before Register
 	beat     int64
 	lastBeat time.Time // start of the last successful write of the own row
+	replaced time.Time // when an earlier incarnation's row was written over, or zero
 	present  time.Time // end of the write since which the own row was never missing
 	shared   time.Time // when another member's listing was last taken over or found equal
 	entries  map[string]*entry
@@ -66,11 +71,16 @@
 	if err != nil {
 		return fmt.Errorf("register member: %w", err)
 	}
-	return d.write(ctx, rows[0].Version)
+	return d.write(ctx, rows[0])
 }
 
-// write puts the own row over the version given.
-func (d *Directory) write(ctx context.Context, version int64) error {
+// write puts the own row over the one that was read.
+func (d *Directory) write(ctx context.Context, old platform.Row) error {
+	foreign, err := d.isForeign(old)
+	if err != nil {
+		return err
+	}
+	version := old.Version
 	d.mu.Lock()
 	d.beat++
 	r := record{Peer: d.self, Beat: d.beat}
@@ -94,14 +104,29 @@
 	if d.version == 0 || d.version != version {
 		d.present = d.clock.Now()
 	}
+	if foreign {
+		d.replaced = d.clock.Now()
+	}
 	d.version, d.lastBeat = receipt.Versions[0], started
 	return nil
 }
 
+// isForeign reports whether a row of this VM is another incarnation's.
+func (d *Directory) isForeign(row platform.Row) (bool, error) {
+	if row.Version == 0 {
+		return false, nil
+	}
+	r, err := decode(row)
+	return r.Peer.ID != d.self.ID, err
+}
+
 // Heartbeat writes the own row again. It returns ErrSuperseded if another
 // incarnation has the row; a row that was removed is written anew.
 func (d *Directory) Heartbeat(ctx context.Context) error {
-	if d.hasLeft() {
+	asked := d.clock.Now()
+	d.beating.Lock()
+	defer d.beating.Unlock()
+	if d.hasLeft() || d.beatSince(asked) {
 		return nil
 	}
 	rows, err := d.store.Get(ctx, rowPrefix+d.self.ID.VM)
@@ -117,7 +142,14 @@
 			return fmt.Errorf("heartbeat: %w: %s", ErrSuperseded, r.Peer.ID)
 		}
 	}
-	return d.write(ctx, rows[0].Version)
+	return d.write(ctx, rows[0])
+}
+
+// beatSince reports whether a heartbeat that began at t or later was written.
+func (d *Directory) beatSince(t time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version != 0 && d.lastBeat.After(t)
 }
 
 func (d *Directory) hasLeft() bool {
@@ -148,6 +180,15 @@
 	return d.present
 }
 
+// ReplacedAt returns when this member wrote over the row of an earlier
+// incarnation on its VM, or the zero time. Whatever that one had promised to
+// others may still hold.
+func (d *Directory) ReplacedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.replaced
+}
+
 // Deregister removes the own row. The member takes no more work.
 func (d *Directory) Deregister(ctx context.Context) error {
 	d.mu.Lock()
