--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -46,13 +46,17 @@
 	Engines int
 	// Budget is the tokens that the workspace has paid for.
 	Budget int64
+	// Engine describes the engines; its name is set for each.
+	Engine standin.EngineSettings
 	// Port is the caller port of the first router; the others follow, and
 	// the operator ports stand operatorPorts above them. 0 takes free ports.
 	Port int
 }
 
 // DefaultOptions returns three routers, two engines and 1,000,000 tokens.
-func DefaultOptions() Options { return Options{Routers: 3, Engines: 2, Budget: 1_000_000} }
+func DefaultOptions() Options {
+	return Options{Routers: 3, Engines: 2, Budget: 1_000_000, Engine: standin.DefaultEngineSettings("", Model)}
+}
 
 // WorkspaceInfo describes the fleet's workspace.
 type WorkspaceInfo struct {
@@ -127,7 +131,9 @@
 		return err
 	}
 	for i := range o.Engines {
-		e := standin.NewEngine(standin.DefaultEngineSettings(fmt.Sprintf("engine-%d", i+1), Model))
+		s := o.Engine
+		s.Name = fmt.Sprintf("engine-%d", i+1)
+		e := standin.NewEngine(s)
 		url, err := f.serve(e)
 		if err != nil {
 			return err
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -49,6 +49,25 @@
 	Deadline time.Duration
 	// Priority is sent with each request; empty sends none.
 	Priority string
+	// OneTarget sends each prompt to one target, in turn, and not to all.
+	OneTarget bool
+	// Observe is told of each request as it ends; nil is nobody. It is called
+	// by several goroutines at once.
+	Observe func(Observation)
+}
+
+// Observation is what a caller saw of one request.
+type Observation struct {
+	Target Target
+	// Began and Ended bound the request.
+	Began, Ended time.Time
+	// First is the time to the first token; 0 means that none came.
+	First time.Duration
+	// LongestGap is the longest time between two tokens.
+	LongestGap time.Duration
+	Tokens     int64
+	// Failure is why the answer is not whole, or empty.
+	Failure string
 }
 
 // DefaultOptions returns a light load.
@@ -168,6 +187,9 @@
 	for n := range r.starts {
 		for j := range r.results {
 			r.send(ctx, r.results[(turn+j)%len(r.results)], n)
+			if r.options.OneTarget {
+				break
+			}
 		}
 		turn++
 	}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,26 +20,34 @@
 
 // send sends one request and adds what it saw to result.
 func (r *runner) send(ctx context.Context, result *Result, n int64) {
+	seen := Observation{Target: result.Target, Began: time.Now()}
+	if err := r.exchange(ctx, result, n, &seen); err != nil {
+		seen.Failure = err.Error()
+		result.failed(seen.Failure)
+	}
+	seen.Ended = time.Now()
+	if r.options.Observe != nil {
+		r.options.Observe(seen)
+	}
+}
+
+// exchange sends one request and reads its answer. Its errors are short, since
+// they are counted by their text.
+func (r *runner) exchange(ctx context.Context, result *Result, n int64, seen *Observation) error {
 	req, err := r.request(ctx, result.Target, n)
 	if err != nil {
-		result.failed(err.Error())
-		return
+		return err
 	}
-	began := time.Now()
 	resp, err := r.client.Do(req)
 	if err != nil {
-		result.failed("transport")
-		return
+		return errors.New("transport")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, resp.Body)
-		result.failed("status " + strconv.Itoa(resp.StatusCode))
-		return
-	}
-	if err := readStream(resp.Body, began, result); err != nil {
-		result.failed(err.Error())
+		return errors.New("status " + strconv.Itoa(resp.StatusCode))
 	}
+	return readStream(resp.Body, result, seen)
 }
 
 func (r *runner) request(ctx context.Context, t Target, n int64) (*http.Request, error) {
@@ -82,31 +91,53 @@
 }
 
 // readStream reads an answer to its end marker.
-func readStream(body io.Reader, began time.Time, result *Result) error {
+func readStream(body io.Reader, result *Result, seen *Observation) error {
 	events := sse.NewReader(body, maxEventBytes)
-	tokens, last := int64(0), began
+	last := seen.Began
 	for {
 		data, err := events.Next()
 		if err != nil {
-			return fmt.Errorf("cut off")
+			return errors.New("cut off")
 		}
 		if string(data) == engine.EndOfStream {
-			result.whole(time.Since(began), tokens)
+			result.whole(time.Since(seen.Began), seen.Tokens)
 			return nil
 		}
-		var event streamEvent
-		if err := json.Unmarshal(data, &event); err != nil {
-			return fmt.Errorf("malformed event")
-		}
-		if event.Error != nil {
-			return fmt.Errorf("error event %s", event.Error.Code)
+		text, err := textOf(data)
+		if err != nil {
+			return err
 		}
-		if len(event.Choices) == 0 || event.Choices[0].Delta == nil || event.Choices[0].Delta.Content == "" {
+		if text == "" {
 			continue
 		}
 		now := time.Now()
-		result.token(tokens == 0, now.Sub(last))
+		seen.token(now.Sub(last))
+		result.token(seen.Tokens == 1, now.Sub(last))
 		last = now
-		tokens++
 	}
 }
+
+// token notes one more token, which came this long after the last one.
+func (o *Observation) token(since time.Duration) {
+	if o.Tokens == 0 {
+		o.First = since
+	} else {
+		o.LongestGap = max(o.LongestGap, since)
+	}
+	o.Tokens++
+}
+
+// textOf returns the text of an event, which may be empty.
+func textOf(data []byte) (string, error) {
+	var event streamEvent
+	if err := json.Unmarshal(data, &event); err != nil {
+		return "", errors.New("malformed event")
+	}
+	if event.Error != nil {
+		return "", fmt.Errorf("error event %s", event.Error.Code)
+	}
+	if len(event.Choices) == 0 || event.Choices[0].Delta == nil {
+		return "", nil
+	}
+	return event.Choices[0].Delta.Content, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,17 +4,11 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"os"
 	"reflect"
 	"time"
 
-	"github.com/go-viper/mapstructure/v2"
-
 	"daisyslip.dev/daisyslip/coord/budget"
 	"daisyslip.dev/daisyslip/coord/member"
 	"daisyslip.dev/daisyslip/internal/admission"
@@ -28,6 +22,7 @@
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/platformhttp"
 	"daisyslip.dev/daisyslip/internal/route"
+	"daisyslip.dev/daisyslip/internal/strictjson"
 	"daisyslip.dev/daisyslip/internal/timeline"
 )
 
@@ -136,108 +131,15 @@
 // Parse reads settings from JSON over the defaults and checks them. The error
 // holds every problem: unknown fields, wrong types and wrong values.
 func Parse(data []byte) (Settings, error) {
-	raw, err := parseObject(data)
-	if err != nil {
-		return Settings{}, err
-	}
 	s := Default()
 	var problems check.List
-	decodeInto(&s, raw, &problems)
+	if err := strictjson.Decode(data, &s, &problems); err != nil {
+		return Settings{}, err
+	}
 	s.Validate(&problems)
 	return s, problems.Err()
 }
 
-// parseObject decodes one JSON object and nothing after it.
-func parseObject(data []byte) (map[string]any, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.UseNumber()
-	var raw map[string]any
-	if err := decoder.Decode(&raw); err != nil {
-		return nil, fmt.Errorf("parse JSON at byte %d: %w", decoder.InputOffset(), err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("parse JSON at byte %d: more than one object", decoder.InputOffset())
-	}
-	return raw, nil
-}
-
-// decodeInto decodes raw over s, section by section, so that a problem in one
-// place hides none in another.
-func decodeInto(s *Settings, raw map[string]any, problems *check.List) {
-	decodeStruct(reflect.ValueOf(s).Elem(), raw, "", problems)
-}
-
-// decodeStruct decodes the fields of one struct and reports unknown ones.
-func decodeStruct(target reflect.Value, raw map[string]any, prefix string, problems *check.List) {
-	known := make(map[string]bool)
-	for i := range target.NumField() {
-		name := target.Type().Field(i).Tag.Get("json")
-		known[name] = true
-		value, present := raw[name]
-		if !present {
-			continue
-		}
-		decodeField(target.Field(i), value, prefix+name, problems)
-	}
-	for name, value := range raw {
-		if !known[name] {
-			problems.Add(prefix+name, value, "no such field; see the fields with: daisyslipd settings")
-		}
-	}
-}
-
-func decodeField(target reflect.Value, value any, path string, problems *check.List) {
-	section, isObject := value.(map[string]any)
-	if target.Kind() == reflect.Struct && isObject {
-		decodeStruct(target, section, path+".", problems)
-		return
-	}
-	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
-		Result:     target.Addr().Interface(),
-		DecodeHook: mapstructure.ComposeDecodeHookFunc(refuseNumber, mapstructure.StringToTimeDurationHookFunc()),
-	})
-	if err == nil {
-		err = decoder.Decode(value)
-	}
-	if err != nil {
-		problems.Add(path, value, wantOf(target.Type()))
-	}
-}
-
-var (
-	durationType = reflect.TypeFor[time.Duration]()
-	numberType   = reflect.TypeFor[json.Number]()
-)
-
-// refuseNumber refuses a number where a string or a duration with its unit is
-// wanted; json.Number is a string type, so the decoder would take it.
-func refuseNumber(from, to reflect.Type, value any) (any, error) {
-	if from == numberType && (to == durationType || to.Kind() == reflect.String) {
-		return nil, errors.New("number in place of a string")
-	}
-	return value, nil
-}
-
-// wantOf describes a type to the author of the settings.
-func wantOf(t reflect.Type) string {
-	if t == durationType {
-		return `a duration such as "250ms"`
-	}
-	switch t.Kind() {
-	case reflect.Struct:
-		return "an object"
-	case reflect.String:
-		return "a string"
-	case reflect.Bool:
-		return "true or false"
-	case reflect.Float64:
-		return "a number"
-	case reflect.Slice:
-		return "a list"
-	}
-	return "a whole number"
-}
-
 // Entry is one setting with its value, for listings.
 type Entry struct {
 	Path  string `json:"path"`
