--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -251,7 +251,8 @@
 	t := m.target
 	peers := t.Daemons - 1
 	by := m.relaying()
-	cpu, memory, writes, relay := m.slope(PeerCPUIdle), m.slope(PeerMemory), m.slope(RowsWriteIdle), m.slope(RelayBytes)
+	cpu, memory, relay := m.slope(PeerCPUIdle), m.slope(PeerMemory), m.slope(RelayBytes)
+	beat := m.settings.Member.HeartbeatInterval.Seconds()
 	perRow := m.slope(PlatformBytesIdle).Slope * m.settings.Member.RefreshInterval.Seconds()
 	m.add(
 		Line{
@@ -281,8 +282,8 @@
 			Formula: terms("%s readers × %s rows/s (settings and constants)", number(by.readers), number(by.rows)), Carrier: by.carrier,
 		},
 		Line{
-			Role: RoleMember, Item: "heartbeats", Budget: BudgetWrites, Value: t.Daemons * writes.Intercept,
-			Formula: terms("%s × %s rows/s", number(t.Daemons), number(writes.Intercept)),
+			Role: RoleMember, Item: "heartbeats", Budget: BudgetWrites, Value: t.Daemons / beat,
+			Formula: terms("%s daemons / %s s", number(t.Daemons), number(beat)),
 			Carrier: "one row a daemon, written rarely; liveness is judged on the peer link",
 		},
 	)
