--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -182,17 +182,16 @@
 		Line{
 			Role: RoleConfig, Item: "second index while a revision is put in force", Budget: BudgetMemory,
 			Value:   t.Workspaces*workspace.Slope + t.Workers*endpoint.Slope,
-			Formula: "as the two lines above", Carrier: "the old index is collected afterwards",
+			Formula: "as the two lines above, at most", Carrier: "the new index shares with the old one, which is collected afterwards",
 		},
 		Line{
 			Role: RoleConfig, Item: "apply changes, small configuration", Budget: BudgetCPU, Value: rate * cpu.Slope,
 			Formula: terms("%s changes/s (ten times the mean) × %s core s", number(rate), number(cpu.Slope)), Carrier: "deltas of a revisioned log",
 		},
 		Line{
-			Role: RoleConfig, Item: "index all workspaces for each change", Budget: BudgetCPU, Value: rate * indexed,
+			Role: RoleConfig, Item: "index changes of workspaces", Budget: BudgetCPU, Value: rate * indexed,
 			Formula: terms("%s changes/s × %s workspaces × %s core s", number(rate), number(t.Workspaces), number(m.slope(IndexPerWorkspace).Slope)),
-			Carrier: "changes that wait are put in force together", Planned: rate * cpu.Slope,
-			Plan: "an index that shares what a change does not touch, for the sake of the sum",
+			Carrier: "an index that shares what a change does not touch",
 		},
 		Line{
 			Role: RoleConfig, Item: "read changes", Budget: BudgetBytes, Value: rate * bytes.Slope,
@@ -252,7 +251,8 @@
 	t := m.target
 	peers := t.Daemons - 1
 	by := m.relaying()
-	cpu, memory, writes, relay := m.slope(PeerCPUIdle), m.slope(PeerMemory), m.slope(RowsWriteIdle), m.slope(RelayBytes)
+	cpu, memory, relay := m.slope(PeerCPUIdle), m.slope(PeerMemory), m.slope(RelayBytes)
+	beat := m.settings.Member.HeartbeatInterval.Seconds()
 	perRow := m.slope(PlatformBytesIdle).Slope * m.settings.Member.RefreshInterval.Seconds()
 	m.add(
 		Line{
@@ -282,8 +282,8 @@
 			Formula: terms("%s readers × %s rows/s (settings and constants)", number(by.readers), number(by.rows)), Carrier: by.carrier,
 		},
 		Line{
-			Role: RoleMember, Item: "heartbeats", Budget: BudgetWrites, Value: t.Daemons * writes.Intercept,
-			Formula: terms("%s × %s rows/s", number(t.Daemons), number(writes.Intercept)),
+			Role: RoleMember, Item: "heartbeats", Budget: BudgetWrites, Value: t.Daemons / beat,
+			Formula: terms("%s daemons / %s s", number(t.Daemons), number(beat)),
 			Carrier: "one row a daemon, written rarely; liveness is judged on the peer link",
 		},
 	)
