A replay is charged what it uses beyond the earlier bill

Cause: the first answer to a caller's key broke off after a few tokens and was billed for them; the whole answer that followed was a replay and free. Ruled out: a lost bill (in doubt was 0, and every bill row was there). Change: the key's row holds what it was charged; a replay is charged the difference, decided alike by two writers of one bill.

--- a/coord/budget/batch.go
+++ b/coord/budget/batch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 
 	"github.com/google/uuid"
 
@@ -120,20 +119,23 @@
 }
 
 // decide says whether a bill for a caller's key is the first, which is
-// charged, or a replay, which is not. A bill for other content, or past the
-// bound of replays, is charged under its own number: it was served.
+// charged, or a replay, which is charged what it used beyond the earlier
+// ones. A bill for other content, or past the bound of replays, is charged
+// under its own number: it was served.
 func (k *keyRow) decide(incarnation string, b *bill, maxReplays int) {
 	id := billID{Incarnation: incarnation, Number: b.Number}
+	known, isReplay := k.replay(id)
 	switch {
 	case k.Bill == billID{}:
-		*k = keyRow{Bill: id, Digest: b.Digest}
+		*k = keyRow{Bill: id, Digest: b.Digest, Charged: b.Tokens}
 	case k.Bill == id:
-	case slices.Contains(k.Replays, id):
-		b.Replay = true
+	case isReplay:
+		b.Replay, b.Extra = true, known.Extra
 	case k.Digest == b.Digest && len(k.Replays) < maxReplays:
-		b.Replay = true
-		k.Replays = append(k.Replays, id)
-		k.Replayed += b.Tokens
+		b.Replay, b.Extra = true, max(0, b.Tokens-k.Charged)
+		k.Replays = append(k.Replays, replay{Bill: id, Extra: b.Extra})
+		k.Charged += b.Extra
+		k.Replayed += b.Tokens - b.Extra
 	}
 }
 
--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -292,11 +292,8 @@
 			s = &sums{}
 			totals[bill.Account] = s
 		}
-		if bill.Replay {
-			s.void += bill.Tokens
-		} else {
-			s.charged += bill.Tokens
-		}
+		s.charged += bill.charge()
+		s.void += bill.Tokens - bill.charge()
 	}
 	last := batch.decided[len(batch.decided)-1].Number
 	stats := &b.holder.stats
--- a/coord/budget/doubts_test.go
+++ b/coord/budget/doubts_test.go
@@ -172,3 +172,20 @@
 		assert.NilError(t, f.checkBills())
 	})
 }
+
+// TestReplayIsChargedTheDifference breaks off the first answer to a key early.
+// The whole answer that follows is charged what it used beyond that, once, so
+// that a caller gets no answer for the price of its first tokens.
+func TestReplayIsChargedTheDifference(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(2, 10_000)
+		defer f.stop()
+		keyed := request("k", 100)
+		keyed.Unique = false
+		for i, step := range []struct{ used, settled int64 }{{10, 10}, {80, 80}, {60, 80}, {90, 90}} {
+			assert.NilError(t, f.serveOne(f.nodes[i%2], keyed, step.used))
+			assert.Equal(t, f.balance(t).Settled, step.settled)
+		}
+		assert.NilError(t, f.checkBills())
+	})
+}
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -210,11 +210,8 @@
 				continue
 			}
 			seen[bill.Number] = true
-			if bill.Replay {
-				replayed += bill.Tokens
-				continue
-			}
-			billed += bill.Tokens
+			billed += bill.charge()
+			replayed += bill.Tokens - bill.charge()
 		}
 	}
 	return billed, replayed, nil
--- a/coord/budget/rows.go
+++ b/coord/budget/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"daisyslip.dev/daisyslip/coord/platform"
 )
@@ -65,9 +66,19 @@
 	Digest  string  `json:"digest,omitempty" cbor:"4,keyasint,omitempty"`
 	Unique  bool    `json:"unique,omitempty" cbor:"5,keyasint,omitempty"`
 	Tokens  int64   `json:"tokens" cbor:"6,keyasint"`
-	// Replay marks a request that was served again for a key already billed;
-	// its tokens count nowhere.
+	// Replay marks a request that was served again for a key already billed.
 	Replay bool `json:"replay,omitempty" cbor:"7,keyasint,omitempty"`
+	// Extra is what a replay is charged: its tokens beyond those that the key
+	// was charged before, for example since the first answer broke off.
+	Extra int64 `json:"extra,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// charge returns the tokens that the bill takes from the budget.
+func (b bill) charge() int64 {
+	if b.Replay {
+		return b.Extra
+	}
+	return b.Tokens
 }
 
 // batchRow carries the bills of one incarnation that were written together,
@@ -87,13 +98,31 @@
 type keyRow struct {
 	Bill   billID `json:"bill"`
 	Digest string `json:"digest,omitempty"`
-	// Replays are the bills that were not charged since the key had one. They
-	// stand by name, so that two writers of one bill decide alike.
-	Replays []billID `json:"replays,omitempty"`
-	// Replayed counts the tokens of the replays.
+	// Charged is what the key was charged in all: the most that one answer to
+	// it used.
+	Charged int64 `json:"charged,omitempty"`
+	// Replays are the bills that came when the key had one. They stand by
+	// name, so that two writers of one bill decide alike.
+	Replays []replay `json:"replays,omitempty"`
+	// Replayed counts the tokens of the replays that were not charged.
 	Replayed int64 `json:"replayed,omitempty"`
 }
 
+// replay is a bill for a key that had one, with what it was charged.
+type replay struct {
+	Bill  billID `json:"bill"`
+	Extra int64  `json:"extra,omitempty"`
+}
+
+// replay returns the replay that a bill is known as.
+func (k *keyRow) replay(id billID) (replay, bool) {
+	i := slices.IndexFunc(k.Replays, func(r replay) bool { return r.Bill == id })
+	if i < 0 {
+		return replay{}, false
+	}
+	return k.Replays[i], true
+}
+
 func budgetKey(a Account) string { return budgetPrefix + a.String() }
 
 func shareKey(a Account, domain string) string { return sharePrefix + a.String() + "/" + domain }
