--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -139,12 +139,37 @@
 	o.dispatch.FirstToken = dispatch.Bound{Factor: 20, Floor: 100 * time.Millisecond, Ceiling: 300 * time.Millisecond}
 	o.dispatch.Gap = dispatch.Bound{Factor: 50, Floor: 100 * time.Millisecond, Ceiling: 300 * time.Millisecond}
 	o.dispatch.MaxChunkTokens = 1
+	// On a busy machine a healthy engine may miss the short bounds too.
+	o.dispatch.MaxAttempts = 100
 	o.calls.Once.AnswerWait = 200 * time.Millisecond
 	o.calls.Once.AnswerPoll = 5 * time.Millisecond
 	o.calls.Once.ClaimTimeout = 200 * time.Millisecond
 	return o
 }
 
+// patientOptions are quickOptions with bounds that no healthy engine misses,
+// for tests of other things.
+func patientOptions() options {
+	o := quickOptions()
+	bound := dispatch.Bound{Factor: 1000, Floor: 20 * time.Second, Ceiling: 20 * time.Second}
+	o.dispatch.FirstToken, o.dispatch.Gap = bound, bound
+	o.calls.Once.AnswerWait = 20 * time.Second
+	o.calls.Once.ClaimTimeout = 20 * time.Second
+	return o
+}
+
+// awaitStream waits until an engine is in the middle of an answer.
+func (b *bench) awaitStream(engine int) {
+	for {
+		for _, r := range b.engines[engine].Records() {
+			if r.Generated >= 2 && !r.Finished && !r.Canceled {
+				return
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // node is one router over the bench.
 type node struct {
 	router   *route.Router
