Uncounted answers are billed, answers beyond text refused, one command settles a router

Ruled out: passing other deltas on unread; the counting and resuming need text. Change: a prompt that no engine counted is taken at its bound; fields whose answers hold more than text are refused; daisyslip budget settle-router.

--- a/internal/caller/badinput_test.go
+++ b/internal/caller/badinput_test.go
@@ -60,6 +60,8 @@
 	{name: "two maxima", path: chatPath, body: chatBody(`,"max_tokens":5,"max_completion_tokens":6`), status: 400},
 	{name: "maximum in other case", path: chatPath, body: chatBody(`,"Max_Tokens":5`), status: 400},
 	{name: "several answers to choose from", path: chatPath, body: chatBody(`,"best_of":3`), status: 400},
+	{name: "tools", path: chatPath, body: chatBody(`,"tools":[{"type":"function"}]`), status: 400},
+	{name: "log probabilities", path: chatPath, body: chatBody(`,"logprobs":true`), status: 400},
 	{name: "own chat template", path: chatPath, body: chatBody(`,"chat_template":"x"`), status: 400},
 	{name: "two choices", path: chatPath, body: chatBody(`,"n":2`), status: 400},
 	{name: "no key", path: chatPath, header: map[string]string{"Authorization": ""}, body: chatBody(""), status: 401, code: "unauthorized"},
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -49,15 +49,18 @@
 }
 
 // refusedFields make an engine read or generate more than the router can
-// bound.
-var refusedFields = []string{"best_of", "use_beam_search", "chat_template"}
+// bound, or answer with more than text, which the router does not pass on.
+var refusedFields = []string{
+	"best_of", "use_beam_search", "chat_template",
+	"tools", "functions", "logprobs", "top_logprobs", "audio", "modalities",
+}
 
 // checkOptions refuses fields that would get past the router's bounds: some
 // servers match field names without regard to case.
 func checkOptions(options map[string]json.RawMessage) error {
-	for name := range options {
+	for name, value := range options {
 		lower := strings.ToLower(name)
-		if slices.Contains(refusedFields, lower) {
+		if slices.Contains(refusedFields, lower) && string(value) != "null" {
 			return badField(name, "is not served")
 		}
 		if name != lower && slices.Contains(routerFields, lower) {
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -265,7 +265,8 @@
 		Line{
 			Role: RoleMember, Item: "at rest", Budget: BudgetCPU, Value: cpu.Intercept + cpu.Slope*peers,
 			Formula: terms("%s + %s × %s peers cores", number(cpu.Intercept), number(cpu.Slope), number(peers)),
-			Carrier: "one goroutine a duty; pings on idle links",
+			Carrier: "one goroutine a duty; pings on idle links", Planned: cpu.Intercept + cpu.Slope*t.Daemons/t.Domains,
+			Plan: "requests to peers outside the own failure domain go by its relays",
 		},
 		Line{
 			Role: RoleMember, Item: "relay views to followers", Budget: BudgetBytes, Value: by.followers * relay.Slope,
--- a/internal/cli/doubts.go
+++ b/internal/cli/doubts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strconv"
 
 	"github.com/spf13/cobra"
@@ -55,12 +57,54 @@
 			if err != nil {
 				return err
 			}
-			t := table{header: []string{"BUDGET", "BILLED", "BURNED", "RETURNED"}, rows: [][]string{{done.Account.String(),
-				strconv.FormatInt(done.Billed, 10), strconv.FormatInt(done.Burned, 10), strconv.FormatInt(done.Returned, 10)}}}
-			return a.print(cmd.OutOrStdout(), done, t)
+			return a.printSettled(cmd, []budget.SettledDoubt{done})
 		}),
 	}
 	cmd.Flags().BoolVar(&order.Gone, "gone", false, "the router's process has ended for good")
 	cmd.Flags().Int64Var(&order.Spent, "spent", 0, "tokens of the rest to charge")
 	return cmd
 }
+
+// printSettled prints the results of settlements.
+func (a *app) printSettled(cmd *cobra.Command, all []budget.SettledDoubt) error {
+	t := table{header: []string{"BUDGET", "BILLED", "BURNED", "RETURNED"}}
+	for _, done := range all {
+		t.rows = append(t.rows, []string{done.Account.String(), strconv.FormatInt(done.Billed, 10),
+			strconv.FormatInt(done.Burned, 10), strconv.FormatInt(done.Returned, 10)})
+	}
+	return a.print(cmd.OutOrStdout(), all, t)
+}
+
+func (a *app) newSettleRouter() *cobra.Command {
+	var gone bool
+	cmd := &cobra.Command{
+		Use:   "settle-router INCARNATION [--gone]",
+		Short: "Settle all grants of a lost router",
+		Long: `settle-router settles every doubt of one incarnation, as settle does for one
+budget. Without --gone the rests are burned; with --gone, your word that the
+process has ended for good, what is not known to be spent goes back. It can be
+run again when it was broken off.`,
+		Example: "  daisyslip budget settle-router 5f0c... --gone",
+		Args:    cobra.ExactArgs(1),
+		RunE: a.run(func(ctx context.Context, cmd *cobra.Command, c *client.Client, args []string) error {
+			doubts, err := c.Doubts(ctx)
+			if err != nil {
+				return err
+			}
+			var settled []budget.SettledDoubt
+			for _, d := range doubts {
+				if d.Incarnation != args[0] {
+					continue
+				}
+				done, err := c.SettleDoubt(ctx, budget.Settlement{Account: d.Account, Incarnation: d.Incarnation, Gone: gone})
+				if err != nil {
+					return errors.Join(a.printSettled(cmd, settled), fmt.Errorf("settle %s: %w", d.Account, err))
+				}
+				settled = append(settled, done)
+			}
+			return a.printSettled(cmd, settled)
+		}),
+	}
+	cmd.Flags().BoolVar(&gone, "gone", false, "the router's process has ended for good")
+	return cmd
+}
--- a/internal/cli/observe.go
+++ b/internal/cli/observe.go
@@ -18,7 +18,7 @@
 
 func (a *app) newBudget() *cobra.Command {
 	cmd := &cobra.Command{Use: "budget", Short: "Prepaid budgets: pay, show, settle doubts"}
-	cmd.AddCommand(a.newBudgetShow(), a.newTopUp(), a.newDoubts(), a.newSettle())
+	cmd.AddCommand(a.newBudgetShow(), a.newTopUp(), a.newDoubts(), a.newSettle(), a.newSettleRouter())
 	return cmd
 }
 
--- a/internal/delivery/answers_test.go
+++ b/internal/delivery/answers_test.go
@@ -178,3 +178,18 @@
 		return poll.Continue("the engine still runs")
 	})
 }
+
+// TestUncountedAnswerIsNotFree has an engine that counts nothing: the pieces
+// are counted as they come and the prompt at its bound.
+func TestUncountedAnswerIsNotFree(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, 0, fastEngines(1)...)
+	b.setFaults(1, standin.EngineFaults{NoUsage: true})
+	g := newGeneration("request", "Summarise bin 1.", 20, 20*time.Second)
+	g.PromptBound = 77
+	a := ask(t.Context(), b.node(patientOptions()).dispatch, g)
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.text, right(g))
+	assert.Equal(t, a.outcome.Usage.PromptTokens, int64(77))
+	assert.Equal(t, a.outcome.Usage.CompletionTokens, int64(len(strings.Fields(a.text))))
+}
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -27,9 +27,15 @@
 	"guided_json", "guided_regex", "guided_choice", "guided_grammar", "structured_outputs",
 }
 
-// usage counts the prompt once and each token passed on once.
+// usage counts the prompt once and each token passed on once. The prompt of an
+// answer whose engines did not count it is taken at its bound, so that it is
+// never free.
 func (a *answer) usage() work.Usage {
-	return work.Usage{PromptTokens: a.prompt, CompletionTokens: a.tokens, TotalTokens: a.prompt + a.tokens}
+	prompt := a.prompt
+	if prompt == 0 && a.tokens > 0 {
+		prompt = a.generation.PromptBound
+	}
+	return work.Usage{PromptTokens: prompt, CompletionTokens: a.tokens, TotalTokens: prompt + a.tokens}
 }
 
 // pass passes a piece on to the caller.
--- a/internal/e2e/budget_test.go
+++ b/internal/e2e/budget_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -180,3 +181,21 @@
 	f.faults("", memory.Faults{})
 	f.settled(f.routers[0], used)
 }
+
+// TestSettleRouter settles all grants of a killed router with one command.
+func TestSettleRouter(t *testing.T) {
+	f := startFleet(t, 2, 1, 100_000)
+	chunk, answer := f.chat(f.routers[1], "Short question.", 5)
+	assert.Equal(t, answer.status, http.StatusOK, string(answer.body))
+	f.routers[1].signal(syscall.SIGKILL)
+	f.routers[1].wait()
+	doubts, err := f.client(f.routers[0]).Doubts(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(doubts), 1)
+	out, err := exec.Command(binaries.cli, "budget", "settle-router", doubts[0].Incarnation, "--gone",
+		"--operator", f.routers[0].Operator, "--token", testToken).CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	b := f.balance(f.routers[0])
+	assert.Equal(t, b.InDoubt, int64(0), "%s", out)
+	assert.Equal(t, b.Unspent, b.Paid-chunk.Usage.TotalTokens)
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -77,6 +77,8 @@
 	Duplicate bool `json:"duplicate,omitempty"`
 	// FirstDelay delays the first piece, in nanoseconds in JSON.
 	FirstDelay time.Duration `json:"first_delay,omitempty"`
+	// NoUsage leaves the usage out of all chunks.
+	NoUsage bool `json:"no_usage,omitempty"`
 	// Leaving reports the engine as leaving.
 	Leaving bool `json:"leaving,omitempty"`
 	// DropEvents loses this share of the cache events, and EventDelay
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -200,6 +200,9 @@
 }
 
 func (g *generation) send(w http.ResponseWriter, chunk engine.Chunk) {
+	if g.engine.Faults().NoUsage {
+		chunk.Usage = nil
+	}
 	fmt.Fprintf(w, "data: %s\n\n", marshal(chunk))
 	flush(w)
 }
