The random schedules read the budget at rest

Cause: the check read the balance while requests changed it; five tries in a row met a change, the balance was said to be approximate, and the early return left sleeping goroutines in the bubble, which hid the error as a deadlock. Ruled out: a fault in the ledger (it said itself that the figure was approximate); a goroutine that a stopped holder leaves behind. Change: the check waits until the bubble rests; an error waits for the requests.

--- a/coord/budget/fleet_test.go
+++ b/coord/budget/fleet_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -150,8 +151,10 @@
 }
 
 // check verifies conservation from the table alone, and that callers were
-// served no more than was paid.
+// served no more than was paid. It waits until all goroutines of the bubble
+// rest, since a balance that is read while rows change is approximate.
 func (f *fleet) check() error {
+	synctest.Wait()
 	b, err := f.ledger.Balance(context.Background(), testAccount)
 	if err != nil {
 		return err
--- a/coord/budget/schedule_test.go
+++ b/coord/budget/schedule_test.go
@@ -99,6 +99,7 @@
 		}
 		f.play(i, s)
 		if err := f.check(); err != nil {
+			pause(time.Minute) // the bubble must end without sleepers, or it hides the error
 			return fmt.Errorf("after step %d %+v: %w", i, s, err)
 		}
 		pause(10 * time.Millisecond)
