A planned stop leaves no draw behind; a failed draw refuses only who waited for it

Cause: a draw ahead of need that was still to do ran after the grant was given back, so that a stopped router left 400 tokens in doubt; and a failed draw refused reservations that joined after it had looked for tokens. Change: a closing holder draws only for those who wait; waiters are numbered, and a draw refuses those that were there when it began.

--- a/coord/budget/account.go
+++ b/coord/budget/account.go
@@ -28,6 +28,7 @@
 	// leaving is set aside for a return that is under way.
 	leaving int64
 	waiters []*waiter
+	joined  uint64 // waiters so far
 	// jobs are worked off by one goroutine, which runs while busy is set.
 	jobs jobs
 	busy bool
@@ -66,6 +67,7 @@
 // waiter is a reservation that waits for tokens.
 type waiter struct {
 	tokens int64
+	number uint64     // counts the waiters of the account
 	result chan error // receives once, buffered
 }
 
@@ -110,7 +112,8 @@
 		a.mu.Unlock()
 		return fmt.Errorf("%w: %d reservations wait", ErrBusy, len(a.waiters))
 	}
-	w := &waiter{tokens: tokens, result: make(chan error, 1)}
+	a.joined++
+	w := &waiter{tokens: tokens, number: a.joined, result: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	a.jobs.draw = true
 	a.startLocked()
@@ -211,12 +214,15 @@
 }
 
 // refuseLocked ends the waiters after a failed draw, unless open reservations
-// may still free tokens for them. If the budget is short of what the first
-// one wants, smaller ones wait on.
-func (a *account) refuseLocked(reason error, now time.Time) {
+// may still free tokens for them. Those that joined after the draw began, whose
+// last waiter had the number joined, wait on: what it saw may be out of date for
+// them. If the budget is short of what the first one wants, smaller ones wait
+// on, too.
+func (a *account) refuseLocked(reason error, now time.Time, joined uint64) {
 	a.reason = reason
 	short := errors.Is(reason, errShort)
-	if len(a.waiters) == 0 {
+	first := a.firstUpTo(joined)
+	if first == nil {
 		return
 	}
 	if a.open > 0 || a.unwritten > 0 && a.holder.biller.replaysPending() {
@@ -227,14 +233,14 @@
 	}
 	var least int64
 	if short {
-		least = a.waiters[0].tokens
+		least = first.tokens
 		if errors.Is(reason, ErrExhausted) {
 			a.shortOf, a.shortUntil = least, now.Add(exhaustedPause)
 		}
 	}
 	var rest []*waiter
 	for _, w := range a.waiters {
-		if w.tokens < least {
+		if w.tokens < least || w.number > joined {
 			rest = append(rest, w)
 			continue
 		}
@@ -244,6 +250,16 @@
 	a.serveLocked()
 }
 
+// firstUpTo returns the first waiter whose number is not above joined, or nil.
+func (a *account) firstUpTo(joined uint64) *waiter {
+	for _, w := range a.waiters {
+		if w.number <= joined {
+			return w
+		}
+	}
+	return nil
+}
+
 // passLocked lets waiters that fit go before the first one, for which the
 // budget has too little now, and has the next one tried first.
 func (a *account) passLocked() {
--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -57,7 +57,9 @@
 func (a *account) draw() {
 	a.mu.Lock()
 	wait := a.retryAt.Sub(a.holder.options.Clock.Now())
-	needless := wait > 0 && len(a.waiters) == 0
+	// A draw ahead of need that a holder in its planned stop still has to do
+	// would hold tokens that nobody returns.
+	needless := (wait > 0 || a.holder.closing.Load()) && len(a.waiters) == 0
 	a.mu.Unlock()
 	if needless {
 		return
@@ -65,6 +67,9 @@
 	if clock.Sleep(a.holder.ctx, a.holder.options.Clock, wait) != nil {
 		return
 	}
+	a.mu.Lock()
+	joined := a.joined
+	a.mu.Unlock()
 	err := a.tryDraw()
 	if errors.Is(err, errShort) {
 		err = a.recall(err)
@@ -82,7 +87,7 @@
 		a.holder.stats.DrawFailures.Add(1)
 		now := a.holder.options.Clock.Now()
 		a.retryAt = now.Add(a.holder.options.Settings.RetryAfter)
-		a.refuseLocked(err, now)
+		a.refuseLocked(err, now, joined)
 		a.jobs.draw = a.jobs.draw || len(a.waiters) > 0
 	}
 }
--- a/coord/budget/holder_test.go
+++ b/coord/budget/holder_test.go
@@ -194,3 +194,37 @@
 		})
 	}
 }
+
+// TestCloseForgetsDrawsAheadOfNeed stops a holder that still has a draw ahead
+// of need to do: nothing is left with it.
+func TestCloseForgetsDrawsAheadOfNeed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(1, 50_000)
+		assert.NilError(t, f.serveOne(f.nodes[0], request("one", 200), 120))
+		a := f.nodes[0].account(testAccount)
+		a.mu.Lock()
+		a.jobs.draw = true
+		a.mu.Unlock()
+		assert.NilError(t, f.nodes[0].Close(t.Context()))
+		assert.Equal(t, f.balance(t).Held, int64(0))
+	})
+}
+
+// TestDrawRefusesOnlyWhoWaited has a draw fail that began before the second
+// waiter joined: what the draw saw says nothing of the second one's chances.
+func TestDrawRefusesOnlyWhoWaited(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(1, 50_000)
+		defer f.stop()
+		a := f.nodes[0].account(testAccount)
+		early := &waiter{tokens: 60_000, number: 1, result: make(chan error, 1)}
+		late := &waiter{tokens: 60_000, number: 2, result: make(chan error, 1)}
+		a.mu.Lock()
+		a.waiters, a.joined = []*waiter{early, late}, 2
+		a.refuseLocked(fmt.Errorf("%w: %w", ErrExhausted, errShort), time.Now(), early.number)
+		assert.Equal(t, len(a.waiters), 1)
+		a.mu.Unlock()
+		assert.ErrorIs(t, <-early.result, ErrExhausted)
+		assert.Equal(t, len(late.result), 0)
+	})
+}
