--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -79,3 +79,10 @@
 		}
 	})
 }
+
+// TestExampleIsValid reads the settings file of the README.
+func TestExampleIsValid(t *testing.T) {
+	s, err := Load("../../examples/entry-1.json")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Operator.TokenHash, catalog.HashKey("dev-operator-token"))
+}
