--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -82,6 +82,9 @@
 	return nil
 }
 
+// Draining reports whether Drain has begun.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int { return len(s.inFlight) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,6 +225,7 @@
 		Started:  d.started,
 		Revision: d.config.Catalog().Revision,
 		InFlight: d.caller.InFlight(),
+		Draining: d.caller.Draining(),
 		Unready:  d.unready(),
 		Peers:    append([]bus.Peer{}, d.bus.Peers()...),
 	}
