--- /dev/null
+++ b/coord/rowstore/rowstore.go
@@ -0,0 +1,122 @@
+// Package rowstore describes a transactional store of rows in tables and
+// partitions, with reads of a range and a feed of changes. Its writes carry no
+// operation id: a writer learns whether a lost write was applied by reading a
+// row that only it writes.
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Key names a row. A transaction's rows share one Part.
+type Key struct {
+	Table string
+	// Part is the partition; it may be empty.
+	Part string
+	Name string
+}
+
+// String returns table/part/name.
+func (k Key) String() string { return k.Table + "/" + k.Part + "/" + k.Name }
+
+// Row is a row of the store.
+type Row struct {
+	Key   Key
+	Value []byte
+	// Version is the number of the transaction that wrote the row, from one
+	// counter for the whole store; 0 for an absent row. A row that is put
+	// again after a removal has a new, greater version.
+	Version int64
+	// Removed marks a row that a feed reports as dropped.
+	Removed bool
+}
+
+// Expect requires that the row has Version; 0 requires that it is absent.
+type Expect struct {
+	Key     Key
+	Version int64
+}
+
+// Put writes Value at Key.
+type Put struct {
+	Key   Key
+	Value []byte
+}
+
+// Tx is one atomic transaction: if all expectations hold, all writes happen.
+type Tx struct {
+	Expect []Expect
+	Put    []Put
+	Remove []Key
+}
+
+// Result is the outcome of a transaction that was applied.
+type Result struct {
+	// Version is the version of all rows that the transaction put.
+	Version int64
+	// Now is the store's steady clock.
+	Now time.Duration
+}
+
+// Snapshot is a set of rows as of one moment.
+type Snapshot struct {
+	// Rows are in ascending order of their keys' names.
+	Rows []Row
+	// Version is the newest version of the store at that moment, from which a
+	// feed continues.
+	Version int64
+}
+
+// Store is a transactional store. Implementations are safe for concurrent use.
+// Errors wrap one of the errors of this package.
+type Store interface {
+	// Commit applies tx. A *ConflictError holds the current rows of the
+	// expectations; ErrUnavailable says that nothing was done; ErrUnknown
+	// that the answer was lost, and the transaction may still be applied
+	// later if its expectations hold then.
+	Commit(ctx context.Context, tx Tx) (Result, error)
+	// Read returns all rows of a table's partition.
+	Read(ctx context.Context, table, part string) (Snapshot, error)
+	// Changes returns the rows of a table, in all its partitions, that
+	// changed after the version since, as soon as there is one or wait has
+	// passed. ErrCompacted says that the history since then is gone.
+	Changes(ctx context.Context, table string, since int64, wait time.Duration) (Snapshot, error)
+}
+
+// Errors of stores.
+var (
+	// ErrUnavailable: the store refused or was not reached; nothing was done.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrUnknown: the answer was lost.
+	ErrUnknown = errors.New("answer of the store lost")
+	// ErrCompacted: the requested history is no longer kept.
+	ErrCompacted = errors.New("history no longer kept")
+	// ErrInvalid: the store does not accept the call; sending it again does
+	// not help.
+	ErrInvalid = errors.New("invalid call")
+)
+
+// ConflictError says that an expectation of a transaction did not hold.
+type ConflictError struct {
+	// Rows are the current rows of all expectations; absent ones have
+	// version 0.
+	Rows []Row
+}
+
+// Error names the rows.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("expectations on %d rows do not hold", len(e.Rows))
+}
+
+// Row returns the current row at key; an absent one has version 0.
+func (e *ConflictError) Row(key Key) Row {
+	for _, row := range e.Rows {
+		if row.Key == key {
+			return row
+		}
+	}
+	return Row{Key: key}
+}
