First path of daisyslip on the users' platform

Change: platform/ translates settings, configuration, endpoint entries, headers and store calls; new slices for routes, endpoints, connections, placement, repeats, prepaid totals, ingress, and a gateway that assembles them.

--- /dev/null
+++ b/coord/prepaid/holder.go
@@ -0,0 +1,193 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/rowstore"
+)
+
+// Options are what a holder works with.
+type Options struct {
+	Settings Settings
+	Store    rowstore.Store
+	// Incarnation is unique to this start of the process.
+	Incarnation string
+	Clock       clock.Clock
+	Log         *slog.Logger
+	// Limit returns the workspace's limit as far as this process knows it, and
+	// false if it has none. A limit that falls makes the holder give back what
+	// it has not spent.
+	Limit func(workspace string) (Limit, bool)
+}
+
+// Limit is the prepaid total of a workspace.
+type Limit struct {
+	Tokens int64
+	// Revision orders limits: of two, the one with the greater is in force.
+	Revision int64
+}
+
+// Stats count the work of a holder.
+type Stats struct {
+	Draws, Returns, Conflicts, Failures atomic.Int64
+	Exhausted, Busy, Unavailable        atomic.Int64
+}
+
+// Holder holds the grants of one process. It is safe for concurrent use.
+type Holder struct {
+	options Options
+	stats   Stats
+	closing atomic.Bool
+	// storeNow is the store's clock at its last answer, and storeAt the local
+	// time of that answer.
+	storeMu  sync.Mutex
+	storeNow time.Duration
+	storeAt  time.Time
+
+	ctx     context.Context
+	stop    context.CancelFunc
+	spawnMu sync.Mutex // orders the start of goroutines before the wait for them; taken last
+	running sync.WaitGroup
+
+	mu       sync.Mutex // guards accounts; taken before an account's lock
+	accounts map[string]*account
+}
+
+// NewHolder returns a holder; Run has it give back surplus.
+func NewHolder(o Options) *Holder {
+	h := &Holder{options: o, accounts: make(map[string]*account)}
+	h.ctx, h.stop = context.WithCancel(context.Background())
+	return h
+}
+
+// Stats returns the counters.
+func (h *Holder) Stats() *Stats { return &h.stats }
+
+// Reservation holds the tokens of one request until Settle.
+type Reservation struct {
+	account *account
+	tokens  int64
+	once    sync.Once
+}
+
+// Settle ends the reservation with the tokens that were used; later calls do
+// nothing. Tokens beyond those reserved are counted, too.
+func (r *Reservation) Settle(used int64) {
+	r.once.Do(func() { r.account.settle(r.tokens, max(used, 0)) })
+}
+
+// Tokens returns the size of the reservation.
+func (r *Reservation) Tokens() int64 { return r.tokens }
+
+// Reserve sets tokens aside for a request of the workspace. It waits for the
+// store if the grant is too small, at most until ctx ends.
+func (h *Holder) Reserve(ctx context.Context, workspace string, tokens int64) (*Reservation, error) {
+	if h.closing.Load() {
+		return nil, fmt.Errorf("reserve for %s: %w", workspace, ErrClosed)
+	}
+	a := h.account(workspace)
+	if err := a.reserve(ctx, tokens); err != nil {
+		h.count(err)
+		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, err)
+	}
+	return &Reservation{account: a, tokens: tokens}, nil
+}
+
+// spawn runs f unless the holder has stopped.
+func (h *Holder) spawn(f func()) bool {
+	h.spawnMu.Lock()
+	defer h.spawnMu.Unlock()
+	if h.ctx.Err() != nil {
+		return false
+	}
+	h.running.Go(f)
+	return true
+}
+
+func (h *Holder) count(err error) {
+	switch {
+	case errors.Is(err, ErrExhausted):
+		h.stats.Exhausted.Add(1)
+	case errors.Is(err, ErrBusy):
+		h.stats.Busy.Add(1)
+	case errors.Is(err, ErrUnavailable):
+		h.stats.Unavailable.Add(1)
+	}
+}
+
+func (h *Holder) account(workspace string) *account {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[workspace]
+	if a == nil {
+		a = newAccount(h, workspace)
+		h.accounts[workspace] = a
+	}
+	return a
+}
+
+func (h *Holder) all() []*account {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make([]*account, 0, len(h.accounts))
+	for _, a := range h.accounts {
+		all = append(all, a)
+	}
+	return all
+}
+
+// Run gives back surplus until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	for clock.Sleep(ctx, h.options.Clock, h.options.Settings.CheckEvery) == nil {
+		for _, a := range h.all() {
+			a.check()
+		}
+	}
+}
+
+// LimitsChanged has each account look at its limit.
+func (h *Holder) LimitsChanged() {
+	for _, a := range h.all() {
+		a.checkLimit()
+	}
+}
+
+// Close refuses further reservations and returns what is not spent. Tokens of
+// reservations that are still open stay in the grant.
+func (h *Holder) Close(ctx context.Context) error {
+	h.closing.Store(true)
+	var problems []error
+	for _, a := range h.all() {
+		if err := a.close(ctx); err != nil {
+			problems = append(problems, err)
+		}
+	}
+	h.spawnMu.Lock()
+	h.stop()
+	h.spawnMu.Unlock()
+	h.running.Wait()
+	return errors.Join(problems...)
+}
+
+func (h *Holder) noteStoreTime(now time.Duration) {
+	h.storeMu.Lock()
+	defer h.storeMu.Unlock()
+	h.storeNow, h.storeAt = now, h.options.Clock.Now()
+}
+
+// storeMs estimates the store's clock, in milliseconds.
+func (h *Holder) storeMs() int64 {
+	h.storeMu.Lock()
+	defer h.storeMu.Unlock()
+	if h.storeAt.IsZero() {
+		return 0
+	}
+	return (h.storeNow + h.options.Clock.Now().Sub(h.storeAt)).Milliseconds()
+}
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -46,10 +46,7 @@
 }
 
 func configFlag(cmd *cobra.Command, path *string) {
-	cmd.Flags().StringVarP(path, "config", "c", "", "path of the settings file (JSON)")
-	if err := cmd.MarkFlagRequired("config"); err != nil {
-		panic(err)
-	}
+	cmd.Flags().StringVarP(path, "config", "c", "", "path of the settings file: JSON, or TOML for the users' platform, whose environment names it")
 }
 
 func newRun() *cobra.Command {
@@ -60,6 +57,12 @@
 		Example: "  daisyslipd run --config entry-1.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkFile(path); err != nil {
+				return err
+			}
+			if file, onPlatform := platformFile(path); onPlatform {
+				return runOnPlatform(cmd, file)
+			}
 			s, err := settings.Load(path)
 			if err != nil {
 				return &SettingsError{Err: err}
@@ -99,8 +102,8 @@
 		Example: "  daisyslipd check --config entry-1.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := settings.Load(path); err != nil {
-				return &SettingsError{Err: err}
+			if err := checkFile(path); err != nil {
+				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
 			return nil
--- /dev/null
+++ b/internal/daemoncli/platform.go
@@ -0,0 +1,102 @@
+package daemoncli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"log/slog"
+
+	"github.com/spf13/cobra"
+
+	"daisyslip.dev/daisyslip/internal/gateway"
+	"daisyslip.dev/daisyslip/internal/logs"
+	"daisyslip.dev/daisyslip/internal/settings"
+	"daisyslip.dev/daisyslip/platform"
+)
+
+// logFlush bounds the writing of the last log lines at the end.
+const logFlush = 200 * time.Millisecond
+
+// platformFile returns the path of the platform's settings file, if path or the
+// environment names one.
+func platformFile(path string) (string, bool) {
+	if path != "" {
+		return path, strings.HasSuffix(path, ".toml")
+	}
+	path = os.Getenv(platform.SettingsVariable)
+	return path, path != ""
+}
+
+// checkFile reads a settings file of either form.
+func checkFile(path string) error {
+	path, onPlatform := platformFile(path)
+	var err error
+	switch {
+	case onPlatform:
+		_, err = platform.LoadSettings(path)
+	case path == "":
+		err = errors.New("no settings: give --config")
+	default:
+		_, err = settings.Load(path)
+	}
+	if err != nil {
+		return &SettingsError{Err: err}
+	}
+	return nil
+}
+
+// identity maps the platform's settings.
+func identity(s platform.Settings) gateway.Identity {
+	return gateway.Identity{
+		VM: s.VM, Domain: s.Domain, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, MetricsAddr: s.MetricsAddr,
+		MemoryBytes: s.MemoryBytes, Grace: s.Grace, Retries: s.Retries,
+	}
+}
+
+// runOnPlatform runs a router on the users' platform.
+func runOnPlatform(cmd *cobra.Command, path string) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return &SettingsError{Err: err}
+	}
+	handler := logs.NewBounded(cmd.OutOrStdout(), slog.LevelInfo)
+	defer handler.Close(logFlush)
+	store := platform.NewStore(s.StoreAddr)
+	defer store.Close()
+	g := gateway.New(gateway.DefaultSettings(), identity(s), gateway.Platform{
+		Store: store, Codec: platform.Codec{},
+		ConfigTable: platform.OperatorTable, ConfigName: platform.ConfigName, EndpointTable: platform.EndpointTable,
+		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, ReadyPath: platform.ReadyPath,
+		Reload: func() (gateway.Identity, error) {
+			s, err := platform.LoadSettings(path)
+			return identity(s), err
+		},
+	}, slog.New(handler))
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go reloadOnSignal(ctx, reload, g)
+	if err := g.Provision(); err != nil {
+		return fmt.Errorf("provision the router: %w", err)
+	}
+	return g.Run(ctx)
+}
+
+func reloadOnSignal(ctx context.Context, reload <-chan os.Signal, g *gateway.Gateway) {
+	for {
+		select {
+		case <-reload:
+			g.Reload("SIGHUP")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
