--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -12,20 +12,24 @@
 	"daisyslip.dev/daisyslip/coord/rowstore"
 )
 
-// account is a holder's state of one workspace. At any moment, spent + open
-// is at most granted, and the table's grant row has at least granted.
+// account is a holder's state of one workspace. At any moment, spent + open is
+// at most granted, and at most cleared while the holder is in contact; the
+// table's grant row has at least granted and at least cleared.
 type account struct {
 	holder    *Holder
 	workspace string
 
 	mu      sync.Mutex // guards all below; never held over a call
 	granted int64
+	cleared int64
 	spent   int64
 	open    int64
-	// leaving is set aside for a return whose outcome is not known.
-	leaving int64
+	// grantedLeast and clearedLeast are what a write whose outcome is not
+	// known leaves of both at least.
+	grantedLeast, clearedLeast int64
+
 	waiters []*waiter
-	// busy is set while one goroutine changes the grant.
+	// busy is set while one goroutine writes.
 	busy bool
 	// recall asks to return everything that is not in use.
 	recall    bool
@@ -40,15 +44,25 @@
 	short      int64
 	shortUntil time.Time
 	shortErr   error
+	// scarceUntil is until when no stock is held; asked is when tokens that
+	// others hold were last asked for.
+	scarceUntil time.Time
+	asked       time.Time
 
-	use rate
+	// reported is the part of spent that the total has, and spentBefore what
+	// the total had when this grant began.
+	reported    int64
+	spentBefore int64
+	use         rate
 	// request is a running mean of the tokens of a reservation.
 	request float64
 
-	// The rows as last seen; they belong to the goroutine that is busy.
-	total, own         rowstore.Row
-	totalSeen, ownSeen bool
-	totalNow           totalRow
+	// The rows as last seen, and the grants that dead predecessors on this VM
+	// have left.
+	total, own rowstore.Row
+	totalNow   totalRow
+	totalSeen  bool
+	left       []rowstore.Row
 }
 
 // waiter is a reservation that waits for tokens.
@@ -58,19 +72,25 @@
 }
 
 func newAccount(h *Holder, workspace string) *account {
-	a := &account{holder: h, workspace: workspace}
-	a.total.Key = rowstore.Key{Table: Table, Part: workspace, Name: totalName}
-	a.own.Key = rowstore.Key{Table: Table, Part: workspace, Name: grantPrefix + h.options.Incarnation}
+	a := &account{holder: h, workspace: workspace, grantedLeast: math.MaxInt64, clearedLeast: math.MaxInt64}
+	a.total.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: totalName}
+	a.own.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: grantPrefix + h.options.VM + "/" + h.options.Incarnation}
 	a.use = newRate(h.options.Clock.Now())
 	return a
 }
 
-func (a *account) availableLocked() int64 { return a.granted - a.spent - a.open - a.leaving }
+// inUseLocked is what is spent or reserved.
+func (a *account) inUseLocked() int64 { return a.spent + a.open }
 
-func (a *account) now() time.Time { return a.holder.options.Clock.Now() }
+// availableLocked is what can be reserved now.
+func (a *account) availableLocked() int64 {
+	if a.holder.presence.cutOff() {
+		return min(a.granted, a.grantedLeast) - a.inUseLocked()
+	}
+	return min(a.cleared, a.clearedLeast) - a.inUseLocked()
+}
 
-// requestWeight is the weight of a new request in the mean size.
-const requestWeight = 0.2
+func (a *account) now() time.Time { return a.holder.options.Clock.Now() }
 
 // reserve takes tokens, or waits for them in order of arrival.
 func (a *account) reserve(ctx context.Context, tokens int64) error {
@@ -78,6 +98,9 @@
 	a.mu.Lock()
 	now := a.now()
 	a.use.add(now, tokens)
+	if a.request == 0 {
+		a.request = float64(tokens)
+	}
 	a.request += requestWeight * (float64(tokens) - a.request)
 	if len(a.waiters) == 0 && !a.recall && a.availableLocked() >= tokens {
 		a.open += tokens
@@ -101,6 +124,9 @@
 	return a.wait(ctx, w)
 }
 
+// requestWeight is the weight of a new request in the mean size.
+const requestWeight = 0.2
+
 func (a *account) wait(ctx context.Context, w *waiter) error {
 	select {
 	case err := <-w.result:
@@ -194,79 +220,57 @@
 	}
 }
 
-// check looks for surplus.
+// check looks for something to write, and in a cut-off for waiters that can be
+// served now.
 func (a *account) check() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.serveLocked()
 	a.wakeLocked()
 }
 
-// wakeLocked starts the goroutine of changes if there is one to make.
-func (a *account) wakeLocked() {
-	if a.busy || a.holder.ctx.Err() != nil {
-		return
-	}
-	if a.planLocked() != nil {
-		a.busy = a.holder.spawn(a.work)
-	}
+// wanted has the account hold no stock for a while.
+func (a *account) wanted() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scarceUntil = a.now().Add(a.holder.options.Settings.ScarceFor)
+	a.wakeLocked()
 }
 
-// targetLocked is the stock that the grant should have.
-func (a *account) targetLocked() int64 {
-	if !a.totalSeen {
-		return 0 // how much is left is not known yet
+// overdrawn reports whether uncleared tokens are in use.
+func (h *Holder) overdrawn() bool {
+	for _, a := range h.all() {
+		a.mu.Lock()
+		over := a.inUseLocked() > a.cleared
+		if over {
+			a.wakeLocked()
+		}
+		a.mu.Unlock()
+		if over {
+			return true
+		}
 	}
-	s := a.holder.options.Settings
-	byUse := a.use.perSecond(a.now()) * s.Horizon.Seconds()
-	rest := float64(a.lastLimit - a.totalNow.Granted)
-	byRest := s.RestShare * max(rest, 0) / float64(max(a.totalNow.Open, 1))
-	return int64(math.Min(byUse, byRest))
+	return false
 }
 
-// plan is a change of the grant.
-type plan struct {
-	// draw is the number of tokens to draw, and negative for a return.
-	draw int64
-	// least is what the draw must give for the first waiter.
-	least int64
-}
-
-// planLocked returns the change that is due, or nil.
-func (a *account) planLocked() *plan {
-	s := a.holder.options.Settings
-	available := a.availableLocked()
-	if a.recall {
-		return &plan{draw: -max(available, 0)}
-	}
-	if a.holder.closing.Load() {
-		return nil
-	}
-	target := a.targetLocked()
-	if len(a.waiters) > 0 {
-		all := int64(0)
-		for _, w := range a.waiters {
-			all += w.tokens
-		}
-		return &plan{draw: max(all+target-available, 1), least: max(a.waiters[0].tokens-available, 1)}
-	}
-	ahead := target - available
-	if float64(available) < s.LowWater*float64(target) && float64(ahead) >= a.request {
-		return &plan{draw: ahead}
+// wakeLocked starts the goroutine of writes if there is one to make.
+func (a *account) wakeLocked() {
+	if a.busy || a.holder.ctx.Err() != nil {
+		return
 	}
-	if a.totalSeen && available > 0 && float64(available) > s.Surplus*float64(max(target, 1)) && a.use.quiet(a.now(), s.Horizon) {
-		return &plan{draw: target - available}
+	if !a.totalSeen || a.planLocked() != nil {
+		a.busy = a.holder.spawn(a.work)
 	}
-	return nil
 }
 
 var errShort = errors.New("too few tokens unspent")
 
-// work makes changes until none is due.
+// work writes until nothing is due.
 func (a *account) work() {
 	for {
 		a.mu.Lock()
 		p := a.planLocked()
-		if p == nil || a.holder.ctx.Err() != nil {
+		if p == nil && a.totalSeen || a.holder.ctx.Err() != nil {
 			a.busy = false
 			a.mu.Unlock()
 			return
@@ -276,23 +280,22 @@
 		if err == nil {
 			continue
 		}
-		if !a.failed(p, err) {
+		if !a.failed(err) {
 			return
 		}
 	}
 }
 
-// failed handles a change that did not happen and tells whether to go on.
-func (a *account) failed(p *plan, err error) bool {
+// failed handles a write that did not happen and tells whether to go on.
+func (a *account) failed(err error) bool {
 	h := a.holder
 	a.mu.Lock()
 	if errors.Is(err, errShort) {
-		reason := a.shortReason(err)
 		if len(a.waiters) > 0 {
 			size := a.waiters[0].tokens
-			a.short, a.shortErr = size, reason
+			a.short, a.shortErr = size, shortReason(err)
 			a.shortUntil = a.now().Add(h.options.Settings.ShortFor)
-			a.refuseLocked(size, reason)
+			a.refuseLocked(size, a.shortErr)
 			a.mu.Unlock()
 			return true
 		}
@@ -303,13 +306,15 @@
 	h.stats.Failures.Add(1)
 	if !a.away {
 		a.away, a.awaySince = true, a.now()
-		h.options.Log.Warn("draws wait for the store", "workspace", a.workspace, "err", err)
+		h.options.Log.Warn("writes wait for the store", "workspace", a.workspace, "err", err.Error(),
+			"granted", a.granted, "cleared", a.cleared, "spent", a.spent, "open", a.open)
 	}
 	if a.now().Sub(a.awaySince) > h.options.Settings.WaitMax {
 		a.refuseLocked(0, ErrUnavailable)
 	}
 	pause := min(h.options.Settings.RetryAfter<<min(a.failures, maxDoublings), maxRetryPause)
 	a.failures++
+	a.serveLocked()
 	a.mu.Unlock()
 	select {
 	case <-h.options.Clock.After(pause/2 + rand.N(pause/2)):
@@ -330,23 +335,26 @@
 )
 
 // shortReason returns the error for waiters.
-func (a *account) shortReason(err error) error {
-	if errors.Is(err, ErrBusy) {
-		return ErrBusy
-	}
-	if errors.Is(err, ErrUnlimited) {
-		return ErrUnlimited
+func shortReason(err error) error {
+	for _, reason := range []error{ErrBusy, ErrUnlimited} {
+		if errors.Is(err, reason) {
+			return reason
+		}
 	}
 	return ErrExhausted
 }
 
-// close returns the whole grant.
-func (a *account) close(ctx context.Context) error {
+// startClose asks for the return of the whole grant.
+func (a *account) startClose() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.refuseLocked(0, ErrClosed)
-	a.recall = true
+	a.recall = a.granted > 0 || a.grantedLeast != math.MaxInt64 || a.busy
 	a.wakeLocked()
-	a.mu.Unlock()
+}
+
+// awaitClose waits for the return.
+func (a *account) awaitClose(ctx context.Context) error {
 	for {
 		a.mu.Lock()
 		done := !a.recall
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/rowstore"
@@ -15,55 +17,90 @@
 const maxConflicts = 40
 
 // conflictPause is the mean pause after a conflict, an open grant; it spreads
-// holders that draw at the same time.
-const conflictPause = 500 * time.Microsecond
+// holders that write at the same time.
+const conflictPause = 300 * time.Microsecond
 
-// change applies a plan in one transaction. The outcome of a transaction whose
-// answer was lost shows in the own row, which only this holder writes: the
-// next transaction expects the versions that it knew, and a conflict tells the
-// present ones. Until then the grant counts as the smaller of both outcomes.
+// maxConflictPause bounds it.
+const maxConflictPause = 20 * time.Millisecond
+
+// change brings the grant to a plan in one transaction. The outcome of a
+// transaction whose answer was lost shows in the own row, which only this holder
+// writes: the next transaction expects the versions that it knew, and a conflict
+// tells the present ones. Until then the grant counts as the smaller of both
+// outcomes.
 func (a *account) change(p *plan) error {
+	if !a.totalSeen {
+		_, err := a.read()
+		return err
+	}
+	asked := 0
 	for range maxConflicts {
-		p, err := a.confirm(p)
-		if err != nil || p == nil {
-			return err
+		if p == nil {
+			return nil
 		}
 		tx, apply, err := a.prepare(p)
-		if err != nil || tx == nil {
+		if errors.Is(err, errShort) {
+			p, err = a.confirmShort(err, &asked)
+		}
+		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
-		result, err := a.holder.options.Store.Commit(ctx, *tx)
-		cancel()
-		var conflict *rowstore.ConflictError
-		switch {
-		case err == nil:
-			a.holder.noteStoreTime(result.Now)
-			apply(result.Version)
-			a.regained()
+		if tx == nil {
+			continue
+		}
+		err = a.commit(tx, apply)
+		if err == nil {
 			return nil
-		case errors.As(err, &conflict):
-			a.holder.stats.Conflicts.Add(1)
-			if err := a.adopt(conflict.Row(a.total.Key), conflict.Row(a.own.Key)); err != nil {
-				return err
-			}
-			a.regained()
-			a.pause()
-		default:
-			return fmt.Errorf("change the grant of %s: %w", a.workspace, err)
+		}
+		if !errors.Is(err, errConflict) {
+			return err
 		}
 		a.mu.Lock()
 		p = a.planLocked()
 		a.mu.Unlock()
-		if p == nil {
-			return nil
-		}
 	}
 	return fmt.Errorf("change the grant of %s: %d conflicts: %w", a.workspace, maxConflicts, ErrUnavailable)
 }
 
+// errConflict: the rows were not as expected and have been taken over.
+var errConflict = errors.New("rows changed")
+
+func (a *account) commit(tx *rowstore.Tx, apply func(version int64)) error {
+	ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
+	defer cancel()
+	result, err := a.holder.options.Store.Commit(ctx, *tx)
+	var conflict *rowstore.ConflictError
+	switch {
+	case err == nil:
+		a.holder.presence.note(result.Now)
+		apply(result.Version)
+		a.regained()
+		return nil
+	case errors.As(err, &conflict):
+		a.holder.stats.Conflicts.Add(1)
+		if err := a.adopt(conflict.Row(a.total.Key), conflict.Row(a.own.Key), present(conflict, a.left)); err != nil {
+			return err
+		}
+		a.regained()
+		a.pause()
+		return errConflict
+	}
+	return fmt.Errorf("change the grant of %s: %w", a.workspace, err)
+}
+
+// present returns the rows as they are now, without those that are gone.
+func present(conflict *rowstore.ConflictError, rows []rowstore.Row) []rowstore.Row {
+	var now []rowstore.Row
+	for _, row := range rows {
+		if row = conflict.Row(row.Key); row.Version != 0 {
+			now = append(now, row)
+		}
+	}
+	return now
+}
+
 func (a *account) pause() {
-	longest := conflictPause * time.Duration(2*max(a.totalNow.Open, 1))
+	longest := min(conflictPause*time.Duration(2*max(a.totalNow.Open, 1)), maxConflictPause)
 	select {
 	case <-a.holder.options.Clock.After(rand.N(longest)):
 	case <-a.holder.ctx.Done():
@@ -75,7 +112,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.away {
-		a.holder.options.Log.Info("draws reach the store again", "workspace", a.workspace,
+		a.holder.options.Log.Info("writes reach the store again", "workspace", a.workspace,
 			"away_ms", a.now().Sub(a.awaySince).Milliseconds())
 	}
 	a.away, a.failures = false, 0
@@ -83,7 +120,7 @@
 
 // adopt takes over the rows as the store has them. The own row tells what this
 // holder was granted, whatever became of transactions whose answers were lost.
-func (a *account) adopt(total, own rowstore.Row) error {
+func (a *account) adopt(total, own rowstore.Row, left []rowstore.Row) error {
 	var totalNow totalRow
 	if err := decode(total, &totalNow); err != nil {
 		return err
@@ -94,9 +131,16 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.total, a.own, a.totalNow = total, own, totalNow
-	a.totalSeen, a.ownSeen = true, true
-	a.granted, a.leaving = grant.Granted, 0
+	if own.Version == 0 && a.own.Version != 0 {
+		a.spent = 0 // the grant was closed; the total keeps what was spent
+	}
+	a.total, a.own, a.totalNow, a.left = total, own, totalNow, left
+	if !a.totalSeen {
+		a.spentBefore = totalNow.Spent
+	}
+	a.totalSeen = true
+	a.granted, a.cleared, a.reported = grant.Granted, grant.Cleared, grant.Spent
+	a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
 	a.serveLocked()
 	return nil
 }
@@ -105,98 +149,135 @@
 func (a *account) read() (rowstore.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
 	defer cancel()
-	snap, err := a.holder.options.Store.Read(ctx, Table, a.workspace)
+	snap, err := a.holder.options.Store.Read(ctx, ledgerTable, a.workspace)
 	if err != nil {
 		return snap, fmt.Errorf("read the grants of %s: %w", a.workspace, err)
 	}
+	a.holder.presence.note(snap.Now)
 	total, own := rowstore.Row{Key: a.total.Key}, rowstore.Row{Key: a.own.Key}
+	var left []rowstore.Row
 	for _, row := range snap.Rows {
-		switch row.Key {
-		case a.total.Key:
+		switch {
+		case row.Key == a.total.Key:
 			total = row
-		case a.own.Key:
+		case row.Key == a.own.Key:
 			own = row
+		case a.predecessor(row) != "":
+			left = append(left, row)
 		}
 	}
-	return snap, a.adopt(total, own)
+	err = a.adopt(total, own, left)
+	a.regained()
+	return snap, err
+}
+
+// predecessor returns the incarnation of a dead process on this VM whose grant
+// the row is, or "".
+func (a *account) predecessor(row rowstore.Row) string {
+	incarnation, found := strings.CutPrefix(row.Key.Name, grantPrefix+a.holder.options.VM+"/")
+	if !found || incarnation == a.holder.options.Incarnation {
+		return ""
+	}
+	return incarnation
 }
 
 // prepare computes the transaction of a plan, and what to do once it is
 // applied. It returns no transaction if there is nothing to write.
 func (a *account) prepare(p *plan) (*rowstore.Tx, func(version int64), error) {
 	limit, ok := a.limit()
-	if !ok && p.draw > 0 {
-		return nil, nil, fmt.Errorf("%w: %w", errShort, ErrUnlimited)
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	draw := p.draw
+	total := a.totalNow
+	tx := &rowstore.Tx{Expect: []rowstore.Expect{{Key: a.total.Key, Version: a.total.Version}, {Key: a.own.Key, Version: a.own.Version}}}
+	if err := a.reclaim(tx, &total); err != nil {
+		return nil, nil, err
+	}
+	inUse := a.inUseLocked()
+	draw := p.granted - a.granted
 	if draw > 0 {
-		draw = min(draw, limit.Tokens-a.totalNow.Granted)
-		if draw <= 0 || draw < p.least {
+		if !ok {
+			return nil, nil, fmt.Errorf("%w: %w", errShort, ErrUnlimited)
+		}
+		draw = max(min(draw, limit.Tokens-total.Granted), 0)
+		if a.granted+draw < inUse+p.first {
 			return nil, nil, errShort
 		}
-	} else {
-		draw = -min(-draw, max(a.availableLocked(), 0))
 	}
-	if draw == 0 && !a.recall {
-		return nil, nil, nil
+	grant := grantRow{Granted: max(a.granted+draw, inUse), Spent: a.spent, StoreMs: a.holder.presence.storeMs()}
+	grant.Cleared = max(min(p.cleared, grant.Granted), inUse)
+	draw = grant.Granted - a.granted
+	if draw == 0 && grant.Cleared == a.cleared && len(tx.Remove) == 0 && a.own.Version != 0 && !a.recall {
+		return nil, nil, errShort // nothing can be had
 	}
-	if draw == 0 && a.own.Version == 0 {
+	if a.own.Version == 0 && a.recall && grant.Granted == 0 {
 		a.recall = false
-		return nil, nil, nil
+		return nil, nil, errShort
 	}
-	total := a.totalNow
 	total.Granted += draw
+	total.Spent += a.spent - a.reported
 	if ok {
 		total.Limit, total.Revision = limit.Tokens, limit.Revision
 	}
-	grant := grantRow{Granted: a.granted + draw, Spent: a.spent, StoreMs: a.holder.storeMs()}
-	tx := &rowstore.Tx{Expect: []rowstore.Expect{{Key: a.total.Key, Version: a.total.Version}, {Key: a.own.Key, Version: a.own.Version}}}
 	closed := a.holder.closing.Load() && a.open == 0 && a.recall
 	if a.own.Version == 0 {
 		total.Open++
 	}
 	if closed {
 		total.Open--
-		tx.Remove = []rowstore.Key{a.own.Key}
+		tx.Remove = append(tx.Remove, a.own.Key)
 	} else {
 		tx.Put = append(tx.Put, rowstore.Put{Key: a.own.Key, Value: encode(grant)})
 	}
 	tx.Put = append(tx.Put, rowstore.Put{Key: a.total.Key, Value: encode(total)})
-	if draw < 0 {
-		a.leaving = -draw
+	a.grantedLeast, a.clearedLeast = min(a.grantedLeast, grant.Granted), min(a.clearedLeast, grant.Cleared)
+	return tx, func(version int64) { a.applied(total, grant, version, closed) }, nil
+}
+
+// reclaim adds the return of what predecessors had not cleared.
+func (a *account) reclaim(tx *rowstore.Tx, total *totalRow) error {
+	for _, row := range a.left {
+		var grant grantRow
+		if err := decode(row, &grant); err != nil {
+			return err
+		}
+		incarnation := a.predecessor(row)
+		if !a.holder.presence.diedConnected(incarnation) {
+			grant.Cleared = grant.Granted
+		}
+		total.Granted -= grant.Granted - grant.Cleared
+		total.Spent += max(grant.Cleared-grant.Spent, 0)
+		total.Open--
+		tx.Expect = append(tx.Expect, rowstore.Expect{Key: row.Key, Version: row.Version})
+		tx.Remove = append(tx.Remove, row.Key)
 	}
-	return tx, func(version int64) { a.applied(draw, total, grant, version, closed) }, nil
+	return nil
 }
 
 // applied takes over a transaction that the store has.
-func (a *account) applied(draw int64, total totalRow, grant grantRow, version int64, closed bool) {
+func (a *account) applied(total totalRow, grant grantRow, version int64, closed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.totalNow, a.totalSeen = total, true
-	a.total.Version, a.own.Version = version, version
-	a.granted, a.leaving = grant.Granted, 0
+	drawn := grant.Granted - a.granted
+	if len(a.left) > 0 {
+		a.holder.stats.Reclaims.Add(int64(len(a.left)))
+		a.holder.options.Log.Info("grants of predecessors taken up", "workspace", a.workspace, "grants", len(a.left),
+			"came_back", a.totalNow.Granted+drawn-total.Granted, "version", version)
+	}
+	a.left = nil
+	a.totalNow, a.total.Version, a.own.Version = total, version, version
+	a.granted, a.cleared, a.reported = grant.Granted, grant.Cleared, grant.Spent
+	a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
 	if closed {
 		// What was spent stays in the total; the grant starts anew.
-		a.own.Version, a.granted, a.spent = 0, a.open, 0
-	}
-	if draw > 0 {
-		a.holder.stats.Draws.Add(1)
-	} else {
-		a.recall = a.recall && a.availableLocked() > 0
-		a.holder.stats.Returns.Add(1)
+		a.own.Version, a.granted, a.cleared, a.spent, a.reported = 0, 0, 0, 0, 0
 	}
-	a.holder.options.Log.Debug("grant changed", "workspace", a.workspace, "drawn", draw,
-		"granted", a.granted, "spent", a.spent, "open", a.open, "total_granted", total.Granted, "version", version)
+	a.recall = a.recall && a.granted > a.inUseLocked()
+	a.holder.stats.Writes.Add(1)
+	a.holder.options.Log.Debug("grant changed", "workspace", a.workspace, "drawn", drawn, "granted", a.granted,
+		"cleared", a.cleared, "spent", a.spent, "open", a.open, "total_granted", total.Granted, "limit", total.Limit, "version", version)
 	a.serveLocked()
 }
 
-// deadAfter is the age of a grant's last write after which its holder counts
-// as dead when a refusal is worded; holders that live and serve write more
-// often than that.
-const deadAfter = 15 * time.Second
-
 // limit is the newest limit that this process or the store knows.
 func (a *account) limit() (Limit, bool) {
 	limit, ok := a.holder.options.Limit(a.workspace)
@@ -206,38 +287,89 @@
 	return limit, ok
 }
 
-// confirm reads the rows before a waiter is refused on rows that may be out of
-// date, and returns the plan as it is then. The error tells whether tokens that
-// others hold may come back.
-func (a *account) confirm(p *plan) (*plan, error) {
-	limit, ok := a.limit()
-	if !ok || p.least == 0 || !a.totalSeen || limit.Tokens-a.totalNow.Granted >= p.least {
-		return p, nil
+// deadAfter is the age of a grant's last write after which its holder counts
+// as dead when a refusal is worded; holders that live and serve write more
+// often than that.
+const deadAfter = 15 * time.Second
+
+// Asking others for tokens: how often a waiter is tried again, after what pause.
+const (
+	maxAsks  = 4
+	askPause = 60 * time.Millisecond
+)
+
+// confirmShort reads the rows before a waiter is refused, and returns the plan
+// to try again with. If others hold enough it asks them to return it. The error
+// tells whether tokens may come back.
+func (a *account) confirmShort(short error, asked *int) (*plan, error) {
+	a.mu.Lock()
+	waiting := len(a.waiters) > 0
+	a.mu.Unlock()
+	if !waiting || errors.Is(short, ErrUnlimited) {
+		return nil, short
 	}
 	snap, err := a.read()
 	if err != nil {
 		return nil, err
 	}
 	a.mu.Lock()
-	p = a.planLocked()
+	p := a.planLocked()
+	lacks := int64(0)
+	if p != nil {
+		lacks = a.inUseLocked() + p.first - a.granted
+	}
 	a.mu.Unlock()
-	limit, _ = a.limit()
+	limit, _ := a.limit()
 	rest := limit.Tokens - a.totalNow.Granted
-	if p == nil || p.least == 0 || rest >= p.least {
+	if p == nil || p.first == 0 || rest >= lacks {
 		return p, nil
 	}
 	held := a.heldByOthers(snap.Rows)
 	a.holder.options.Log.Info("workspace is short of tokens", "workspace", a.workspace,
-		"wanted", p.least, "unspent", rest, "held_by_others", held, "limit", limit.Tokens, "store_version", snap.Version)
-	if rest+held >= p.least {
+		"lacks", lacks, "unspent", rest, "held_by_others", held, "limit", limit.Tokens, "store_version", snap.Version)
+	if rest+held < lacks {
+		return nil, errShort
+	}
+	if *asked++; *asked > maxAsks {
 		return nil, fmt.Errorf("%w: %w", errShort, ErrBusy)
 	}
-	return nil, errShort
+	if err := a.ask(); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.planLocked(), nil
+}
+
+// ask asks the other holders to return what they need not.
+func (a *account) ask() error {
+	a.mu.Lock()
+	now := a.now()
+	again := a.asked.IsZero() || now.Sub(a.asked) > a.holder.options.Settings.ScarceFor/2
+	a.scarceUntil = now.Add(a.holder.options.Settings.ScarceFor)
+	a.mu.Unlock()
+	if again {
+		ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
+		defer cancel()
+		key := rowstore.Key{Table: wantedTable, Name: a.workspace}
+		put := rowstore.Put{Key: key, Value: encode(wantedRow{StoreMs: a.holder.presence.storeMs()})}
+		if _, err := a.holder.options.Store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{put}}); err != nil {
+			return fmt.Errorf("ask for tokens of %s: %w", a.workspace, err)
+		}
+		a.mu.Lock()
+		a.asked = now
+		a.mu.Unlock()
+	}
+	select {
+	case <-a.holder.options.Clock.After(askPause):
+	case <-a.holder.ctx.Done():
+	}
+	return nil
 }
 
 // heldByOthers is what grants of holders that seem to live have not spent.
 func (a *account) heldByOthers(rows []rowstore.Row) int64 {
-	now, held := a.holder.storeMs(), int64(0)
+	now, held := a.holder.presence.storeMs(), int64(0)
 	for _, row := range rows {
 		if row.Key == a.own.Key || row.Key == a.total.Key {
 			continue
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -17,6 +17,9 @@
 type Options struct {
 	Settings Settings
 	Store    rowstore.Store
+	// VM names the place of the process: while a process runs there, no
+	// earlier one of that name does.
+	VM string
 	// Incarnation is unique to this start of the process.
 	Incarnation string
 	Clock       clock.Clock
@@ -36,20 +39,16 @@
 
 // Stats count the work of a holder.
 type Stats struct {
-	Draws, Returns, Conflicts, Failures atomic.Int64
-	Exhausted, Busy, Unavailable        atomic.Int64
+	Writes, Conflicts, Failures, Reclaims atomic.Int64
+	Exhausted, Busy, Unavailable          atomic.Int64
 }
 
 // Holder holds the grants of one process. It is safe for concurrent use.
 type Holder struct {
-	options Options
-	stats   Stats
-	closing atomic.Bool
-	// storeNow is the store's clock at its last answer, and storeAt the local
-	// time of that answer.
-	storeMu  sync.Mutex
-	storeNow time.Duration
-	storeAt  time.Time
+	options  Options
+	stats    Stats
+	closing  atomic.Bool
+	presence presence
 
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -60,9 +59,10 @@
 	accounts map[string]*account
 }
 
-// NewHolder returns a holder; Run has it give back surplus.
+// NewHolder returns a holder; Run has it keep contact.
 func NewHolder(o Options) *Holder {
 	h := &Holder{options: o, accounts: make(map[string]*account)}
+	h.presence.init(h)
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	return h
 }
@@ -70,6 +70,10 @@
 // Stats returns the counters.
 func (h *Holder) Stats() *Stats { return &h.stats }
 
+// Holders returns the number of VMs that hold or held grants, or 0 while it is
+// not known.
+func (h *Holder) Holders() int { return int(h.presence.holders.Load()) }
+
 // Reservation holds the tokens of one request until Settle.
 type Reservation struct {
 	account *account
@@ -143,13 +147,17 @@
 	return all
 }
 
-// Run gives back surplus until ctx ends.
+// Run keeps contact with the store and gives back surplus until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { h.presence.run(ctx) })
+	duties.Go(func() { h.followWanted(ctx) })
 	for clock.Sleep(ctx, h.options.Clock, h.options.Settings.CheckEvery) == nil {
 		for _, a := range h.all() {
 			a.check()
 		}
 	}
+	duties.Wait()
 }
 
 // LimitsChanged has each account look at its limit.
@@ -159,35 +167,64 @@
 	}
 }
 
+// Sweep takes up the grants of predecessors for the workspaces, so that what
+// can be given back is.
+func (h *Holder) Sweep(workspaces []string) {
+	for _, w := range workspaces {
+		h.account(w).check()
+	}
+}
+
+// wantedWait is the longest wait of one call for wanted tokens; a silent
+// connection only delays their return.
+const wantedWait = 3 * time.Second
+
+// followWanted returns tokens that another holder is short of.
+func (h *Holder) followWanted(ctx context.Context) {
+	f := rowstore.Follower{Store: h.options.Store, Table: wantedTable, Wait: wantedWait, Clock: h.options.Clock, Log: h.options.Log}
+	f.Changed = func(rows []rowstore.Row) {
+		for _, row := range rows {
+			var w wantedRow
+			if err := decode(row, &w); err != nil {
+				h.options.Log.Error("row of wanted tokens is unreadable", "row", row.Key.String(), "err", err.Error())
+				continue
+			}
+			if h.presence.storeMs()-w.StoreMs < h.options.Settings.ScarceFor.Milliseconds() {
+				h.account(row.Key.Name).wanted()
+			}
+		}
+	}
+	f.Whole = f.Changed
+	for ctx.Err() == nil {
+		f.Step(ctx)
+		// Asks come in groups; one look answers them.
+		_ = clock.Sleep(ctx, h.options.Clock, wantedPause) // the loop looks at ctx
+	}
+}
+
+// wantedPause is the least time between two looks at what is wanted.
+const wantedPause = 10 * time.Millisecond
+
 // Close refuses further reservations and returns what is not spent. Tokens of
 // reservations that are still open stay in the grant.
 func (h *Holder) Close(ctx context.Context) error {
 	h.closing.Store(true)
+	all := h.all()
+	for _, a := range all {
+		a.startClose()
+	}
 	var problems []error
-	for _, a := range h.all() {
-		if err := a.close(ctx); err != nil {
+	for _, a := range all {
+		if err := a.awaitClose(ctx); err != nil {
 			problems = append(problems, err)
 		}
 	}
+	if err := h.presence.withdraw(ctx, len(problems) == 0); err != nil {
+		problems = append(problems, err)
+	}
 	h.spawnMu.Lock()
 	h.stop()
 	h.spawnMu.Unlock()
 	h.running.Wait()
 	return errors.Join(problems...)
 }
-
-func (h *Holder) noteStoreTime(now time.Duration) {
-	h.storeMu.Lock()
-	defer h.storeMu.Unlock()
-	h.storeNow, h.storeAt = now, h.options.Clock.Now()
-}
-
-// storeMs estimates the store's clock, in milliseconds.
-func (h *Holder) storeMs() int64 {
-	h.storeMu.Lock()
-	defer h.storeMu.Unlock()
-	if h.storeAt.IsZero() {
-		return 0
-	}
-	return (h.storeNow + h.options.Clock.Now().Sub(h.storeAt)).Milliseconds()
-}
--- /dev/null
+++ b/coord/prepaid/plan.go
@@ -0,0 +1,90 @@
+package prepaid
+
+import "math"
+
+// plan is what a grant should become, in tokens.
+type plan struct {
+	granted int64
+	cleared int64
+	// first is the size of the first waiter, or 0.
+	first int64
+}
+
+// shareRequests is the number of requests after which a holder's own use tells
+// its part of the workspace's.
+const shareRequests = 3
+
+// clearLowWater is the share of the cleared stock below which more is cleared.
+const clearLowWater = 0.5
+
+// planLocked returns the write that is due, or nil.
+func (a *account) planLocked() *plan {
+	inUse := a.inUseLocked()
+	if a.recall {
+		return &plan{granted: inUse, cleared: inUse}
+	}
+	if a.holder.closing.Load() {
+		return nil
+	}
+	ahead, stock := a.stocksLocked()
+	wanted := inUse
+	for _, w := range a.waiters {
+		wanted += w.tokens
+	}
+	p := &plan{granted: wanted + max(ahead, stock), cleared: wanted + ahead}
+	if len(a.waiters) > 0 {
+		p.first = a.waiters[0].tokens
+		p.granted = max(p.granted, a.granted) // a return would delay the waiter
+		if a.scarceLocked() {
+			p.granted = wanted + ahead
+		}
+		return p
+	}
+	free := a.granted - inUse
+	s := a.holder.options.Settings
+	switch {
+	case len(a.left) > 0, inUse > a.cleared:
+	case float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted:
+	case float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request:
+	case a.scarceLocked() && float64(free-ahead) > a.request:
+		return p
+	case float64(free) > s.Surplus*float64(max(stock, 1)) && float64(free-stock) >= a.request && a.use.quiet(a.now(), s.Horizon):
+		return p
+	default:
+		return nil
+	}
+	p.granted = max(p.granted, a.granted)
+	return p
+}
+
+// scarceLocked reports whether no stock is to be held.
+func (a *account) scarceLocked() bool { return a.now().Before(a.scarceUntil) }
+
+// stocksLocked returns what should be cleared ahead of use, and the stock that
+// the grant should have.
+func (a *account) stocksLocked() (ahead, stock int64) {
+	if !a.totalSeen || a.scarceLocked() {
+		return 0, 0 // how much is left is not known yet, or others need it
+	}
+	s := a.holder.options.Settings
+	use := a.use.perSecond(a.now())
+	rest := max(float64(a.lastLimit-a.totalNow.Granted), 0) + float64(max(a.granted-a.inUseLocked(), 0))
+	byRest := s.RestFactor / (1 + s.RestFactor) * rest * a.shareLocked()
+	stock = int64(math.Min(use*s.Horizon.Seconds(), byRest))
+	ahead = min(int64(use*s.CutOffAfter.Seconds()), stock)
+	return ahead, stock
+}
+
+// shareLocked is this holder's part of the workspace's use. Until some use is
+// known all holders count alike.
+func (a *account) shareLocked() float64 {
+	equal := 1 / float64(max(a.totalNow.Open, int64(a.holder.Holders()), 1))
+	own := float64(a.inUseLocked())
+	// What is open elsewhere is not in the total yet.
+	all := float64(a.totalNow.Spent-a.spentBefore-a.reported) + own
+	if all <= 0 {
+		return equal
+	}
+	known := min(own/max(shareRequests*a.request, 1), 1)
+	return known*min(own/all, 1) + (1-known)*equal
+}
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -3,9 +3,18 @@
 // all grants together never pass the limit, so that a holder which is cut off,
 // suspended or woken again can spend only what is already set aside for it.
 //
-// What a holder that died had left of its grant stays set aside: nobody else
-// can tell how much of it was spent. Grants are therefore small against what is
-// left of the total.
+// Of its grant a holder spends only what it has cleared by a write, until it has
+// not reached the store for CutOffAfter; then it may spend all of it. So a
+// process that starts on the same VM, where its predecessor is surely dead, can
+// give back the uncleared part if the predecessor was in contact less than
+// CutOffAfter ago. Otherwise the whole grant counts as spent.
+//
+// Rows, each in the part of its workspace but for the last two:
+//
+//	prepaid/WORKSPACE/total      what all grants hold together
+//	prepaid/WORKSPACE/grant/...  one grant, written by its holder only
+//	prepaid_holders//VM          the last contact of a VM's process
+//	prepaid_wanted//WORKSPACE    asks holders to return what they need not
 package prepaid
 
 import (
@@ -36,12 +45,21 @@
 	Horizon time.Duration `json:"horizon"`
 	// LowWater is the share of that stock below which more is drawn.
 	LowWater float64 `json:"low_water"`
-	// RestShare bounds the stock of all grants together by a share of the
-	// tokens that are in no grant.
-	RestShare float64 `json:"rest_share"`
-	// Surplus is the factor over the stock above which a grant gives tokens
-	// back.
+	// RestFactor bounds the stock of all grants together by a factor of the
+	// tokens that are in no grant. Each grant's part of it is its part of the
+	// use.
+	RestFactor float64 `json:"rest_factor"`
+	// Surplus is the factor over the stock above which a grant that is not in
+	// use gives tokens back.
 	Surplus float64 `json:"surplus"`
+	// CutOffAfter is the time without the store after which a holder may spend
+	// what it has not cleared. What is cleared covers the use of that time.
+	CutOffAfter time.Duration `json:"cut_off_after"`
+	// ContactEvery is the interval of proving contact with the store.
+	ContactEvery time.Duration `json:"contact_every"`
+	// ScarceFor is how long a workspace is kept without stock after a holder
+	// was short of tokens that others held.
+	ScarceFor time.Duration `json:"scarce_for"`
 	// CheckEvery is the interval of looking for surplus.
 	CheckEvery time.Duration `json:"check_every"`
 	// WaitMax bounds the wait of a reservation for the store.
@@ -58,15 +76,18 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		Horizon:     6 * time.Second, // the usual outage of a store, 4 to 6 s
-		LowWater:    0.6,
-		RestShare:   0.25,
-		Surplus:     2,
-		CheckEvery:  time.Second,
-		WaitMax:     1200 * time.Millisecond, // a caller's patience before its first byte
-		CallTimeout: time.Second,
-		RetryAfter:  100 * time.Millisecond,
-		ShortFor:    500 * time.Millisecond,
+		Horizon:      15 * time.Second, // the longest usual outage, 12 s, and some use above the mean
+		LowWater:     0.7,
+		RestFactor:   3,
+		Surplus:      2,
+		CutOffAfter:  4 * time.Second,        // a process killed with its VM is back in about 3 s
+		ContactEvery: 700 * time.Millisecond, // the rest of CutOffAfter is for the restart
+		ScarceFor:    5 * time.Second,
+		CheckEvery:   time.Second,
+		WaitMax:      1200 * time.Millisecond, // a caller's patience before its first byte
+		CallTimeout:  700 * time.Millisecond,  // twice the answer of a store that is slow
+		RetryAfter:   100 * time.Millisecond,
+		ShortFor:     500 * time.Millisecond,
 	}
 }
 
@@ -79,21 +100,26 @@
 		}
 	}
 	for name, d := range map[string]time.Duration{
-		"horizon": s.Horizon, "check_every": s.CheckEvery, "wait_max": s.WaitMax,
+		"horizon": s.Horizon, "check_every": s.CheckEvery, "wait_max": s.WaitMax, "contact_every": s.ContactEvery,
 		"call_timeout": s.CallTimeout, "retry_after": s.RetryAfter,
 	} {
 		require(d > 0, name, d, "a duration above 0")
 	}
 	require(s.ShortFor >= 0, "short_for", s.ShortFor, "a duration from 0")
+	require(s.ScarceFor >= 0, "scarce_for", s.ScarceFor, "a duration from 0")
+	require(s.CutOffAfter > s.ContactEvery, "cut_off_after", s.CutOffAfter, "more than contact_every")
 	require(s.LowWater > 0 && s.LowWater <= 1, "low_water", s.LowWater, "a share above 0, at most 1")
-	require(s.RestShare > 0 && s.RestShare <= 1, "rest_share", s.RestShare, "a share above 0, at most 1")
+	require(s.RestFactor > 0, "rest_factor", s.RestFactor, "a factor above 0")
 	require(s.Surplus >= 1, "surplus", s.Surplus, "a factor from 1")
 	return errors.Join(problems...)
 }
 
-// Table is the table of the ledger's rows; a workspace's rows are in the part
-// of its name.
-const Table = "prepaid"
+// The tables of the ledger.
+const (
+	ledgerTable  = "prepaid"
+	holdersTable = "prepaid_holders"
+	wantedTable  = "prepaid_wanted"
+)
 
 // totalName is the row that all holders of a workspace share.
 const totalName = "total"
@@ -103,6 +129,8 @@
 	// Granted is what open grants hold, spent or not, plus what closed grants
 	// spent.
 	Granted int64 `json:"granted"`
+	// Spent is what holders have reported as spent.
+	Spent int64 `json:"spent"`
 	// Open is the number of open grants.
 	Open int64 `json:"open"`
 	// Limit and Revision are the newest limit that a holder has drawn under.
@@ -110,16 +138,34 @@
 	Revision int64 `json:"revision"`
 }
 
-// grantRow is the grant of one holder. Only that holder writes it.
+// grantRow is the grant of one holder. Only that holder writes it, and after
+// its death a successor on its VM.
 type grantRow struct {
 	// Granted is what was drawn and not returned, in tokens.
 	Granted int64 `json:"granted"`
-	// Spent is what of it was spent at the time of writing, in tokens.
+	// Cleared is what of it the holder may spend while it is in contact.
+	Cleared int64 `json:"cleared"`
+	// Spent is what of it was spent at the time of writing.
 	Spent int64 `json:"spent"`
 	// StoreMs is the store's clock at the writing, in milliseconds, as far as
 	// the holder knew it.
 	StoreMs int64 `json:"store_ms"`
 }
 
-// grantPrefix and the incarnation of a holder name its row.
+// grantPrefix, the VM and the incarnation of a holder name its row.
 const grantPrefix = "grant/"
+
+// holderRow tells of the last contact of the process on a VM.
+type holderRow struct {
+	Incarnation string `json:"incarnation"`
+	// StoreMs is a lower bound of the store's clock when the row was sent.
+	StoreMs int64 `json:"store_ms"`
+	// Connected are earlier incarnations on the VM that died in contact, so
+	// that what they had not cleared can be given back.
+	Connected []string `json:"connected,omitempty"`
+}
+
+// wantedRow asks for the return of tokens.
+type wantedRow struct {
+	StoreMs int64 `json:"store_ms"`
+}
--- /dev/null
+++ b/coord/prepaid/presence.go
@@ -0,0 +1,221 @@
+package prepaid
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/rowstore"
+)
+
+// presence proves this process's contact with the store by rewriting the row of
+// its VM, and learns from the row it found whether its predecessor died in
+// contact.
+//
+// Invariant: a row with StoreMs = c can be in the store only if this process
+// spends nothing uncleared before the store's clock shows c + CutOffAfter. For
+// this, c is a lower bound of the store's clock at sending, a row whose fate is
+// unknown is sent again unchanged, and a new one is sent only while nothing
+// uncleared is spent.
+type presence struct {
+	holder  *Holder
+	key     rowstore.Key
+	holders atomic.Int64
+
+	mu sync.Mutex // guards all below
+	// storeNow is the store's clock at an answer, storeAt when that came.
+	storeNow time.Duration
+	storeAt  time.Time
+	// stamped is when the last row was stamped that may be in the store.
+	stamped time.Time
+	// connected are predecessors whose uncleared tokens can be given back.
+	connected []string
+	looked    bool
+	row       rowstore.Row
+}
+
+// maxConnected bounds the predecessors that are remembered.
+const maxConnected = 8
+
+// countEvery is the number of contacts between two counts of the holders.
+const countEvery = 8
+
+func (p *presence) init(h *Holder) {
+	p.holder = h
+	p.key = rowstore.Key{Table: holdersTable, Name: h.options.VM}
+	p.row.Key = p.key
+}
+
+// note takes over the store's clock from an answer.
+func (p *presence) note(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.storeNow, p.storeAt = now, p.holder.options.Clock.Now()
+}
+
+// storeMs is a lower bound of the store's clock, in milliseconds. The monotonic
+// clock stands still while a VM is suspended, which only makes it lower.
+func (p *presence) storeMs() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.storeMsLocked()
+}
+
+func (p *presence) storeMsLocked() int64 {
+	if p.storeAt.IsZero() {
+		return 0
+	}
+	return (p.storeNow + p.holder.options.Clock.Now().Sub(p.storeAt)).Milliseconds()
+}
+
+// cutOff reports whether uncleared tokens may be spent.
+func (p *presence) cutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.stamped.IsZero() && p.holder.options.Clock.Now().Sub(p.stamped) >= p.holder.options.Settings.CutOffAfter
+}
+
+// untilCutOff is the time until uncleared tokens may be spent without contact.
+func (p *presence) untilCutOff() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.holder.options.Settings.CutOffAfter-p.holder.options.Clock.Now().Sub(p.stamped), 0)
+}
+
+// diedConnected reports whether an earlier incarnation on this VM is known to
+// have died in contact.
+func (p *presence) diedConnected(incarnation string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.connected, incarnation)
+}
+
+func (p *presence) run(ctx context.Context) {
+	pause := time.Duration(0)
+	for n := 0; ; n++ {
+		if clock.Sleep(ctx, p.holder.options.Clock, pause) != nil || p.holder.closing.Load() {
+			return
+		}
+		pause = p.holder.options.Settings.ContactEvery
+		if err := p.contact(ctx, n%countEvery == 0); err != nil && ctx.Err() == nil {
+			p.holder.options.Log.Debug("no contact with the store", "err", err.Error())
+			pause = p.holder.options.Settings.RetryAfter + rand.N(p.holder.options.Settings.RetryAfter)
+		}
+	}
+}
+
+// contact proves contact once.
+func (p *presence) contact(ctx context.Context, count bool) error {
+	ctx, cancel := context.WithTimeout(ctx, p.holder.options.Settings.CallTimeout)
+	defer cancel()
+	if count || !p.looked {
+		if err := p.look(ctx); err != nil {
+			return err
+		}
+	}
+	if p.row.Value == nil && !p.stamp() {
+		return errors.New("uncleared tokens are not written yet")
+	}
+	result, err := p.holder.options.Store.Commit(ctx, rowstore.Tx{
+		Expect: []rowstore.Expect{{Key: p.key, Version: p.row.Version}},
+		Put:    []rowstore.Put{{Key: p.key, Value: p.row.Value}},
+	})
+	var conflict *rowstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		// The row that was sent before has arrived, or an operator removed it.
+		p.row.Version = conflict.Row(p.key).Version
+		return nil
+	case err != nil:
+		return fmt.Errorf("prove contact: %w", err)
+	}
+	p.note(result.Now)
+	p.row = rowstore.Row{Key: p.key, Version: result.Version}
+	return nil
+}
+
+// look reads the rows of all holders.
+func (p *presence) look(ctx context.Context) error {
+	snap, err := p.holder.options.Store.Read(ctx, holdersTable, "")
+	if err != nil {
+		return fmt.Errorf("read the holders: %w", err)
+	}
+	p.note(snap.Now)
+	p.holders.Store(int64(max(len(snap.Rows), 1)))
+	if p.looked {
+		return nil
+	}
+	p.looked = true
+	for _, row := range snap.Rows {
+		if row.Key == p.key {
+			p.row.Version = row.Version
+			p.inherit(row, snap.Now)
+		}
+	}
+	return nil
+}
+
+// inherit learns from the row of the predecessor, at the store's time now.
+func (p *presence) inherit(row rowstore.Row, now time.Duration) {
+	var before holderRow
+	log := p.holder.options.Log
+	if err := json.Unmarshal(row.Value, &before); err != nil {
+		log.Error("row of the predecessor is unreadable, its grants stay spent", "row", row.Key.String(), "err", err.Error())
+		return
+	}
+	age := now - time.Duration(before.StoreMs)*time.Millisecond
+	inContact := age < p.holder.options.Settings.CutOffAfter
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connected = before.Connected
+	if inContact {
+		p.connected = append(p.connected, before.Incarnation)
+	}
+	p.connected = p.connected[max(0, len(p.connected)-maxConnected):]
+	log.Info("predecessor found", "incarnation", before.Incarnation, "contact_age_ms", age.Milliseconds(), "grants_come_back", inContact)
+}
+
+// stamp makes the next row, unless uncleared tokens are in use. The stamp comes
+// before the look, so that no uncleared token is taken after it.
+func (p *presence) stamp() bool {
+	p.mu.Lock()
+	before := p.stamped
+	p.stamped = p.holder.options.Clock.Now()
+	p.mu.Unlock()
+	over := p.holder.overdrawn()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if over {
+		p.stamped = before
+		return false
+	}
+	value, err := json.Marshal(holderRow{Incarnation: p.holder.options.Incarnation, StoreMs: p.storeMsLocked(), Connected: p.connected})
+	if err != nil {
+		panic(err) // the row type always encodes
+	}
+	p.row.Value = value
+	return true
+}
+
+// withdraw removes the row if nothing is left to give back.
+func (p *presence) withdraw(ctx context.Context, clean bool) error {
+	if !clean {
+		return nil
+	}
+	for {
+		_, err := p.holder.options.Store.Commit(ctx, rowstore.Tx{Remove: []rowstore.Key{p.key}})
+		if err == nil {
+			return nil
+		}
+		if clock.Sleep(ctx, p.holder.options.Clock, p.holder.options.Settings.RetryAfter) != nil {
+			return fmt.Errorf("remove the holder's row: %w", err)
+		}
+	}
+}
--- /dev/null
+++ b/coord/rowstore/follow.go
@@ -0,0 +1,92 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+)
+
+// Follower reads a table's rows without a partition and then its changes. It
+// belongs to one goroutine.
+type Follower struct {
+	Store Store
+	Table string
+	// Wait is the longest wait of a call for changes.
+	Wait  time.Duration
+	Clock clock.Clock
+	Log   *slog.Logger
+	// Whole takes over all rows, and Changed those that changed, removed ones
+	// among them.
+	Whole, Changed func(rows []Row)
+	// Lost is called when the table can no longer be read, and Read before
+	// rows are taken over; either may be nil.
+	Lost, Read func()
+
+	since int64
+	pause time.Duration
+	away  time.Time // since when calls fail; zero while they succeed
+}
+
+// Pauses after failed calls: they double from the first to the longest.
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// Step makes one call. After a failure it pauses.
+func (f *Follower) Step(ctx context.Context) {
+	var snap Snapshot
+	var err error
+	first := f.since == 0
+	if first {
+		snap, err = f.Store.Read(ctx, f.Table, "")
+	} else {
+		snap, err = f.Store.Changes(ctx, f.Table, f.since, f.Wait)
+	}
+	switch {
+	case errors.Is(err, ErrCompacted):
+		f.Log.Info("history of the store is gone, table is read anew", "table", f.Table, "since", f.since)
+		f.since = 0
+		return
+	case err != nil:
+		f.failed(ctx, err)
+		return
+	}
+	f.succeeded()
+	if first {
+		f.Whole(snap.Rows)
+	} else {
+		f.Changed(snap.Rows)
+	}
+	f.since = max(f.since, snap.Version)
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.away.IsZero() {
+		f.away = f.Clock.Now()
+		f.Log.Warn("store lost", "table", f.Table, "version", f.since, "err", err.Error())
+		if f.Lost != nil {
+			f.Lost()
+		}
+	}
+	f.pause = min(max(2*f.pause, firstPause), longestPause)
+	// An end of the pause is no news; the caller looks at ctx.
+	_ = clock.Sleep(ctx, f.Clock, f.pause/2+rand.N(f.pause/2))
+}
+
+func (f *Follower) succeeded() {
+	if !f.away.IsZero() {
+		f.Log.Info("store regained", "table", f.Table, "away_ms", f.Clock.Now().Sub(f.away).Milliseconds(), "version", f.since)
+		f.away, f.pause = time.Time{}, 0
+	}
+	if f.Read != nil {
+		f.Read()
+	}
+}
--- a/coord/rowstore/memory/memory.go
+++ b/coord/rowstore/memory/memory.go
@@ -172,7 +172,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	snap := rowstore.Snapshot{Version: s.version}
+	snap := rowstore.Snapshot{Version: s.version, Now: time.Since(s.started)}
 	for key, row := range s.rows {
 		if key.Table == table && key.Part == part {
 			snap.Rows = append(snap.Rows, row)
@@ -210,7 +210,7 @@
 	if since < s.oldest {
 		return rowstore.Snapshot{}, nil, fmt.Errorf("follow %s: %w", table, rowstore.ErrCompacted)
 	}
-	snap := rowstore.Snapshot{Version: s.version}
+	snap := rowstore.Snapshot{Version: s.version, Now: time.Since(s.started)}
 	for _, row := range s.log {
 		if row.Key.Table == table && row.Version > since {
 			snap.Rows = append(snap.Rows, row)
--- a/coord/rowstore/rowstore.go
+++ b/coord/rowstore/rowstore.go
@@ -68,6 +68,8 @@
 	// Version is the newest version of the store at that moment, from which a
 	// feed continues.
 	Version int64
+	// Now is the store's steady clock at that moment.
+	Now time.Duration
 }
 
 // Store is a transactional store. Implementations are safe for concurrent use.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -52,5 +52,5 @@
 func (g *Gateway) leave() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
 	defer cancel()
-	return errors.Join(g.prepaid.Close(ctx), g.withdraw(ctx))
+	return g.prepaid.Close(ctx)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/clock"
@@ -21,76 +19,13 @@
 	// quarter of the 2 s in which a leaving one must get no more work. Entries
 	// change all the time, so that a waiting feed would return at once.
 	endpointInterval = 500 * time.Millisecond
-	// firstPause and longestPause bound the pause after a failed call.
-	firstPause   = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	// startPause is the pause between looks for the first configuration.
+	startPause = 50 * time.Millisecond
 )
 
-// follower reads a table of the store and then its changes.
-type follower struct {
-	gateway *Gateway
-	table   string
-	wait    time.Duration
-	// whole takes over the rows of the whole table, changed those that changed.
-	whole   func(rows []rowstore.Row)
-	changed func(rows []rowstore.Row)
-	// lost and read note whether the table can be read.
-	lost func()
-	read func()
-
-	since int64
-	pause time.Duration
-	away  time.Time // since when calls fail; zero while they succeed
-}
-
-// step makes one call.
-func (f *follower) step(ctx context.Context) {
-	var snap rowstore.Snapshot
-	var err error
-	first := f.since == 0
-	if first {
-		snap, err = f.gateway.platform.Store.Read(ctx, f.table, "")
-	} else {
-		snap, err = f.gateway.platform.Store.Changes(ctx, f.table, f.since, f.wait)
-	}
-	switch {
-	case errors.Is(err, rowstore.ErrCompacted):
-		f.gateway.log.Info("history of the store is gone, table is read anew", "table", f.table, "since", f.since)
-		f.since = 0
-		return
-	case err != nil:
-		f.failed(ctx, err)
-		return
-	}
-	f.succeeded()
-	if first {
-		f.whole(snap.Rows)
-	} else {
-		f.changed(snap.Rows)
-	}
-	f.since = max(f.since, snap.Version)
-}
-
-func (f *follower) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if f.away.IsZero() {
-		f.away = time.Now()
-		f.gateway.log.Warn("store lost", "table", f.table, "version", f.since, "err", err.Error())
-		f.lost()
-	}
-	f.pause = min(max(2*f.pause, firstPause), longestPause)
-	// An end of the pause is no news; the loop looks at ctx.
-	_ = clock.Sleep(ctx, f.gateway.clock, f.pause/2+rand.N(f.pause/2))
-}
-
-func (f *follower) succeeded() {
-	if !f.away.IsZero() {
-		f.gateway.log.Info("store regained", "table", f.table, "away_ms", time.Since(f.away).Milliseconds(), "version", f.since)
-		f.away, f.pause = time.Time{}, 0
-	}
-	f.read()
+// follower returns a follower of a table of the platform's store.
+func (g *Gateway) follower(table string, wait time.Duration) *rowstore.Follower {
+	return &rowstore.Follower{Store: g.platform.Store, Table: table, Wait: wait, Clock: g.clock, Log: g.log}
 }
 
 func (g *Gateway) followConfig(ctx context.Context) {
@@ -101,12 +36,12 @@
 			}
 		}
 	}
-	nothing := func() {}
-	f := &follower{gateway: g, table: g.platform.ConfigTable, wait: configWait, whole: take, changed: take, lost: nothing, read: nothing}
+	f := g.follower(g.platform.ConfigTable, configWait)
+	f.Whole, f.Changed = take, take
 	for ctx.Err() == nil {
-		f.step(ctx)
+		f.Step(ctx)
 		if g.tables.Load() == nil {
-			_ = clock.Sleep(ctx, g.clock, firstPause) // the loop looks at ctx
+			_ = clock.Sleep(ctx, g.clock, startPause) // the loop looks at ctx
 		}
 	}
 }
@@ -124,11 +59,13 @@
 	}
 	g.log.Info("configuration in force", "config", table.Revision, "row_version", row.Version, "routes", table.Routes())
 	g.prepaid.LimitsChanged()
+	g.prepaid.Sweep(table.Metered())
 }
 
 func (g *Gateway) followEndpoints(ctx context.Context) {
-	f := &follower{gateway: g, table: g.platform.EndpointTable, lost: g.endpoints.Lost, read: g.endpoints.Read}
-	f.whole = func(rows []rowstore.Row) {
+	f := g.follower(g.platform.EndpointTable, 0)
+	f.Lost, f.Read = g.endpoints.Lost, g.endpoints.Read
+	f.Whole = func(rows []rowstore.Row) {
 		var list []endpoints.Endpoint
 		for _, row := range rows {
 			if e, ok := g.decodeEndpoint(row); ok {
@@ -137,7 +74,7 @@
 		}
 		g.endpoints.Replace(list)
 	}
-	f.changed = func(rows []rowstore.Row) {
+	f.Changed = func(rows []rowstore.Row) {
 		for _, row := range rows {
 			if row.Removed {
 				g.endpoints.Drop(row.Key.Name, "entry removed")
@@ -151,7 +88,7 @@
 		}
 	}
 	for ctx.Err() == nil {
-		f.step(ctx)
+		f.Step(ctx)
 		_ = clock.Sleep(ctx, g.clock, endpointInterval) // the loop looks at ctx
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,6 @@
 	prepaid   *prepaid.Holder
 	upstream  *upstream.Pool
 	handler   *ingress.Handler
-	routers   atomic.Int64
 	draining  atomic.Bool
 
 	caller, ready, scrape *server
@@ -108,11 +107,11 @@
 	g.identity.Store(&id)
 	g.endpoints = endpoints.NewRegistry(g.clock, g.part("endpoints"))
 	g.balancer = placement.NewBalancer(s.Placement, id.Domain, g.clock, g.part("placement"))
-	g.retries = retrybudget.New(g.clock, id.Retries, g.countRouters)
 	g.prepaid = prepaid.NewHolder(prepaid.Options{
-		Settings: s.Prepaid, Store: p.Store, Incarnation: id.VM + "/" + g.incarnation, Clock: g.clock,
+		Settings: s.Prepaid, Store: p.Store, VM: id.VM + "@" + id.CallerAddr, Incarnation: g.incarnation, Clock: g.clock,
 		Log: g.part("prepaid"), Limit: g.limit,
 	})
+	g.retries = retrybudget.New(g.clock, id.Retries, g.countRouters)
 	g.upstream = upstream.NewPool(s.Upstream, g.clock, g.metrics)
 	g.handler = ingress.NewHandler(s.Ingress, ingress.Duties{
 		Codec: p.Codec, Tables: g.tables, Endpoints: g.endpoints, Balancer: g.balancer, Retries: g.retries,
@@ -168,7 +167,7 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, duty := range []func(context.Context){g.followConfig, g.followEndpoints, g.prepaid.Run, g.keepHouse, g.announce} {
+	for _, duty := range []func(context.Context){g.followConfig, g.followEndpoints, g.prepaid.Run, g.keepHouse} {
 		running.Go(func() { duty(duties) })
 	}
 	failed := make(chan error, 3)
@@ -224,7 +223,7 @@
 	})
 	stats := g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
-		"draws": &stats.Draws, "returns": &stats.Returns, "conflicts": &stats.Conflicts, "failures": &stats.Failures,
+		"writes": &stats.Writes, "reclaims": &stats.Reclaims, "conflicts": &stats.Conflicts, "failures": &stats.Failures,
 		"exhausted": &stats.Exhausted, "busy": &stats.Busy, "unavailable": &stats.Unavailable,
 	} {
 		g.metrics.NewGauge(fmt.Sprintf("daisyslip_prepaid_total{what=%q}", name), func() float64 { return float64(value.Load()) })
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -169,6 +169,18 @@
 // Workspace returns the workspace of a name, or nil.
 func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
 
+// Metered returns the names of the workspaces with a prepaid total.
+func (t *Table) Metered() []string {
+	var names []string
+	for name, w := range t.workspaces {
+		if w.Prepaid != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
