--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -44,10 +44,15 @@
 	short      int64
 	shortUntil time.Time
 	shortErr   error
-	// scarceUntil is until when no stock is held; asked is when tokens that
-	// others hold were last asked for.
+	// scarceUntil is until when less stock is held, or none if scarceAll is
+	// set; asked is when tokens that others hold were last asked for, and
+	// askedAll whether all of them.
 	scarceUntil time.Time
+	scarceAll   bool
 	asked       time.Time
+	askedAll    bool
+	// reread asks to read the rows before the next plan.
+	reread bool
 
 	// reported is the part of spent that the total has, and spentBefore what
 	// the total had when this grant began.
@@ -72,7 +77,7 @@
 }
 
 func newAccount(h *Holder, workspace string) *account {
-	a := &account{holder: h, workspace: workspace, grantedLeast: math.MaxInt64, clearedLeast: math.MaxInt64}
+	a := &account{holder: h, workspace: workspace, request: usualRequest, grantedLeast: math.MaxInt64, clearedLeast: math.MaxInt64}
 	a.total.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: totalName}
 	a.own.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: grantPrefix + h.options.VM + "/" + h.options.Incarnation}
 	a.use = newRate(h.options.Clock.Now())
@@ -98,9 +103,6 @@
 	a.mu.Lock()
 	now := a.now()
 	a.use.add(now, tokens)
-	if a.request == 0 {
-		a.request = float64(tokens)
-	}
 	a.request += requestWeight * (float64(tokens) - a.request)
 	if len(a.waiters) == 0 && !a.recall && a.availableLocked() >= tokens {
 		a.open += tokens
@@ -112,7 +114,8 @@
 		defer a.mu.Unlock()
 		return a.shortErr
 	}
-	if a.away && now.Sub(a.awaySince) > a.holder.options.Settings.WaitMax {
+	wait := a.holder.presence.patience()
+	if a.away && a.holder.presence.untilCutOff() > wait {
 		defer a.mu.Unlock()
 		a.wakeLocked()
 		return ErrUnavailable
@@ -121,19 +124,23 @@
 	a.waiters = append(a.waiters, w)
 	a.wakeLocked()
 	a.mu.Unlock()
-	return a.wait(ctx, w)
+	return a.wait(ctx, w, wait)
 }
 
 // requestWeight is the weight of a new request in the mean size.
 const requestWeight = 0.2
 
-func (a *account) wait(ctx context.Context, w *waiter) error {
+// usualRequest is the size of a request before any is known, in tokens: a long
+// prompt with a short answer.
+const usualRequest = 5000
+
+func (a *account) wait(ctx context.Context, w *waiter, longest time.Duration) error {
 	select {
 	case err := <-w.result:
 		return err
 	case <-ctx.Done():
 		return a.giveUp(w, ctx.Err())
-	case <-a.holder.options.Clock.After(a.holder.options.Settings.WaitMax):
+	case <-a.holder.options.Clock.After(longest):
 		return a.giveUp(w, nil)
 	}
 }
@@ -229,11 +236,13 @@
 	a.wakeLocked()
 }
 
-// wanted has the account hold no stock for a while.
-func (a *account) wanted() {
+// wanted has the account hold less stock for a while, or none.
+func (a *account) wanted(all bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.scarceAll = all || a.scarceAll && a.scarceLocked()
 	a.scarceUntil = a.now().Add(a.holder.options.Settings.ScarceFor)
+	a.reread = a.granted > a.inUseLocked()
 	a.wakeLocked()
 }
 
@@ -258,7 +267,7 @@
 	if a.busy || a.holder.ctx.Err() != nil {
 		return
 	}
-	if !a.totalSeen || a.planLocked() != nil {
+	if !a.totalSeen || a.reread || a.planLocked() != nil {
 		a.busy = a.holder.spawn(a.work)
 	}
 }
@@ -270,7 +279,7 @@
 	for {
 		a.mu.Lock()
 		p := a.planLocked()
-		if p == nil && a.totalSeen || a.holder.ctx.Err() != nil {
+		if p == nil && a.totalSeen && !a.reread || a.holder.ctx.Err() != nil {
 			a.busy = false
 			a.mu.Unlock()
 			return
@@ -299,8 +308,12 @@
 			a.mu.Unlock()
 			return true
 		}
+		ask := a.starvedLocked()
 		a.busy = false
 		a.mu.Unlock()
+		if ask {
+			h.spawn(func() { a.askAhead() })
+		}
 		return false
 	}
 	h.stats.Failures.Add(1)
@@ -309,7 +322,7 @@
 		h.options.Log.Warn("writes wait for the store", "workspace", a.workspace, "err", err.Error(),
 			"granted", a.granted, "cleared", a.cleared, "spent", a.spent, "open", a.open)
 	}
-	if a.now().Sub(a.awaySince) > h.options.Settings.WaitMax {
+	if h.presence.untilCutOff() > h.presence.patience() {
 		a.refuseLocked(0, ErrUnavailable)
 	}
 	pause := min(h.options.Settings.RetryAfter<<min(a.failures, maxDoublings), maxRetryPause)
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -29,7 +29,10 @@
 // tells the present ones. Until then the grant counts as the smaller of both
 // outcomes.
 func (a *account) change(p *plan) error {
-	if !a.totalSeen {
+	a.mu.Lock()
+	read := !a.totalSeen || a.reread
+	a.mu.Unlock()
+	if read {
 		_, err := a.read()
 		return err
 	}
@@ -68,11 +71,13 @@
 func (a *account) commit(tx *rowstore.Tx, apply func(version int64)) error {
 	ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
 	defer cancel()
+	started := a.now()
 	result, err := a.holder.options.Store.Commit(ctx, *tx)
 	var conflict *rowstore.ConflictError
 	switch {
 	case err == nil:
 		a.holder.presence.note(result.Now)
+		a.holder.presence.answered(a.now().Sub(started))
 		apply(result.Version)
 		a.regained()
 		return nil
@@ -138,7 +143,7 @@
 	if !a.totalSeen {
 		a.spentBefore = totalNow.Spent
 	}
-	a.totalSeen = true
+	a.totalSeen, a.reread = true, false
 	a.granted, a.cleared, a.reported = grant.Granted, grant.Cleared, grant.Spent
 	a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
 	a.serveLocked()
@@ -333,40 +338,63 @@
 	if *asked++; *asked > maxAsks {
 		return nil, fmt.Errorf("%w: %w", errShort, ErrBusy)
 	}
-	if err := a.ask(); err != nil {
+	if err := a.ask(*asked > 1); err != nil {
 		return nil, err
 	}
+	select {
+	case <-a.holder.options.Clock.After(askPause):
+	case <-a.holder.ctx.Done():
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.planLocked(), nil
 }
 
-// ask asks the other holders to return what they need not.
-func (a *account) ask() error {
+// ask asks the other holders to return stock, or all of it.
+func (a *account) ask(all bool) error {
 	a.mu.Lock()
 	now := a.now()
-	again := a.asked.IsZero() || now.Sub(a.asked) > a.holder.options.Settings.ScarceFor/2
+	recent := !a.asked.IsZero() && now.Sub(a.asked) < a.holder.options.Settings.ScarceFor/2
+	needless := recent && (a.askedAll || !all)
+	if !needless {
+		a.asked, a.askedAll = now, all
+	}
+	a.scarceAll = all || a.scarceAll && a.scarceLocked()
 	a.scarceUntil = now.Add(a.holder.options.Settings.ScarceFor)
 	a.mu.Unlock()
-	if again {
-		ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
-		defer cancel()
-		key := rowstore.Key{Table: wantedTable, Name: a.workspace}
-		put := rowstore.Put{Key: key, Value: encode(wantedRow{StoreMs: a.holder.presence.storeMs()})}
-		if _, err := a.holder.options.Store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{put}}); err != nil {
-			return fmt.Errorf("ask for tokens of %s: %w", a.workspace, err)
-		}
-		a.mu.Lock()
-		a.asked = now
-		a.mu.Unlock()
+	if needless {
+		return nil
 	}
-	select {
-	case <-a.holder.options.Clock.After(askPause):
-	case <-a.holder.ctx.Done():
+	a.holder.options.Log.Info("others are asked for tokens", "workspace", a.workspace, "all", all)
+	ctx, cancel := context.WithTimeout(a.holder.ctx, a.holder.options.Settings.CallTimeout)
+	defer cancel()
+	key := rowstore.Key{Table: wantedTable, Name: a.workspace}
+	put := rowstore.Put{Key: key, Value: encode(wantedRow{StoreMs: a.holder.presence.storeMs(), All: all})}
+	if _, err := a.holder.options.Store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{put}}); err != nil {
+		return fmt.Errorf("ask for tokens of %s: %w", a.workspace, err)
 	}
 	return nil
 }
 
+// starvedLocked reports whether the grant is short of stock that others hold
+// above their part.
+func (a *account) starvedLocked() bool {
+	_, stock := a.stocksLocked()
+	free := a.granted - a.inUseLocked()
+	recent := !a.asked.IsZero() && a.now().Sub(a.asked) < a.holder.options.Settings.ScarceFor
+	return !a.away && !recent && !a.scarceLocked() && float64(free) < starvedShare*float64(stock)
+}
+
+// starvedShare is the part of its stock below which a grant is starved.
+const starvedShare = 0.3
+
+// askAhead asks for stock before a request needs it.
+func (a *account) askAhead() {
+	if err := a.ask(false); err != nil {
+		a.holder.options.Log.Warn("others were not asked for tokens", "workspace", a.workspace, "err", err.Error())
+	}
+}
+
 // heldByOthers is what grants of holders that seem to live have not spent.
 func (a *account) heldByOthers(rows []rowstore.Row) int64 {
 	now, held := a.holder.presence.storeMs(), int64(0)
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -190,7 +190,7 @@
 				continue
 			}
 			if h.presence.storeMs()-w.StoreMs < h.options.Settings.ScarceFor.Milliseconds() {
-				h.account(row.Key.Name).wanted()
+				h.account(row.Key.Name).wanted(w.All)
 			}
 		}
 	}
--- a/coord/prepaid/holder_test.go
+++ b/coord/prepaid/holder_test.go
@@ -43,7 +43,7 @@
 
 func quick() prepaid.Settings {
 	s := prepaid.DefaultSettings()
-	s.WaitMax = time.Second
+	s.WaitLeast = time.Second
 	s.CallTimeout = 100 * time.Millisecond
 	s.RetryAfter = time.Millisecond
 	s.ShortFor = 0
@@ -208,7 +208,7 @@
 	p := &process{store: &mortal{Store: s.store}, vm: vm, ended: make(chan struct{})}
 	settings := quick()
 	settings.CutOffAfter, settings.ContactEvery = 40*time.Millisecond, 5*time.Millisecond
-	settings.CheckEvery, settings.ScarceFor, settings.WaitMax = 5*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond
+	settings.CheckEvery, settings.ScarceFor, settings.WaitLeast = 5*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond
 	p.Holder = prepaid.NewHolder(prepaid.Options{
 		Settings: settings, Store: p.store, VM: fmt.Sprint("vm-", vm), Incarnation: fmt.Sprint("i-", s.made), Clock: clock.Real{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -17,6 +17,19 @@
 // clearLowWater is the share of the cleared stock below which more is cleared.
 const clearLowWater = 0.5
 
+// aheadRequests is the number of requests that are cleared beside the use of
+// the time to a cut-off, since requests come in groups; aheadShare bounds what
+// is cleared by a share of the stock, since it is lost when the holder dies.
+const (
+	aheadRequests = 1
+	aheadShare    = 0.6
+)
+
+// stockRequests is the number of requests that a grant covers beside the use of
+// the horizon: the first requests of a workspace may come when the store is
+// away.
+const stockRequests = 4
+
 // planLocked returns the write that is due, or nil.
 func (a *account) planLocked() *plan {
 	inUse := a.inUseLocked()
@@ -46,9 +59,7 @@
 	case len(a.left) > 0, inUse > a.cleared:
 	case float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted:
 	case float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request:
-	case a.scarceLocked() && float64(free-ahead) > a.request:
-		return p
-	case float64(free) > s.Surplus*float64(max(stock, 1)) && float64(free-stock) >= a.request && a.use.quiet(a.now(), s.Horizon):
+	case float64(free) > a.surplusLocked()*float64(stock) && float64(free-stock) >= a.request:
 		return p
 	default:
 		return nil
@@ -57,21 +68,33 @@
 	return p
 }
 
-// scarceLocked reports whether no stock is to be held.
+// scarceLocked reports whether a holder is short of tokens.
 func (a *account) scarceLocked() bool { return a.now().Before(a.scarceUntil) }
 
+// surplusLocked is the factor over the stock above which tokens go back.
+func (a *account) surplusLocked() float64 {
+	if a.scarceLocked() {
+		return 1
+	}
+	return a.holder.options.Settings.Surplus
+}
+
 // stocksLocked returns what should be cleared ahead of use, and the stock that
 // the grant should have.
 func (a *account) stocksLocked() (ahead, stock int64) {
-	if !a.totalSeen || a.scarceLocked() {
+	if !a.totalSeen || a.scarceLocked() && a.scarceAll {
 		return 0, 0 // how much is left is not known yet, or others need it
 	}
 	s := a.holder.options.Settings
+	share := s.StockShare
+	if a.scarceLocked() {
+		share = s.ScarceShare
+	}
 	use := a.use.perSecond(a.now())
-	rest := max(float64(a.lastLimit-a.totalNow.Granted), 0) + float64(max(a.granted-a.inUseLocked(), 0))
-	byRest := s.RestFactor / (1 + s.RestFactor) * rest * a.shareLocked()
-	stock = int64(math.Min(use*s.Horizon.Seconds(), byRest))
-	ahead = min(int64(use*s.CutOffAfter.Seconds()), stock)
+	unspent := max(a.lastLimit-a.totalNow.Spent-(a.inUseLocked()-a.reported), 0)
+	byRest := share * float64(unspent) * a.shareLocked()
+	stock = int64(math.Min(use*s.Horizon.Seconds()+stockRequests*a.request, byRest))
+	ahead = min(int64(use*s.CutOffAfter.Seconds()+aheadRequests*a.request), int64(aheadShare*float64(stock)))
 	return ahead, stock
 }
 
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -45,25 +45,31 @@
 	Horizon time.Duration `json:"horizon"`
 	// LowWater is the share of that stock below which more is drawn.
 	LowWater float64 `json:"low_water"`
-	// RestFactor bounds the stock of all grants together by a factor of the
-	// tokens that are in no grant. Each grant's part of it is its part of the
+	// StockShare bounds the stock of all grants together by a share of the
+	// tokens that are not spent. Each grant's part of it is its part of the
 	// use.
-	RestFactor float64 `json:"rest_factor"`
-	// Surplus is the factor over the stock above which a grant that is not in
-	// use gives tokens back.
+	StockShare float64 `json:"stock_share"`
+	// ScarceShare takes its place while a holder is short of tokens that
+	// others hold.
+	ScarceShare float64 `json:"scarce_share"`
+	// Surplus is the factor over the stock above which a grant gives tokens
+	// back.
 	Surplus float64 `json:"surplus"`
 	// CutOffAfter is the time without the store after which a holder may spend
 	// what it has not cleared. What is cleared covers the use of that time.
 	CutOffAfter time.Duration `json:"cut_off_after"`
 	// ContactEvery is the interval of proving contact with the store.
 	ContactEvery time.Duration `json:"contact_every"`
-	// ScarceFor is how long a workspace is kept without stock after a holder
-	// was short of tokens that others held.
+	// ScarceFor is how long after that.
 	ScarceFor time.Duration `json:"scarce_for"`
 	// CheckEvery is the interval of looking for surplus.
 	CheckEvery time.Duration `json:"check_every"`
-	// WaitMax bounds the wait of a reservation for the store.
-	WaitMax time.Duration `json:"wait_max"`
+	// WaitLeast and WaitMost bound the wait of a reservation for the store,
+	// which is WaitFactor times its usual answer. A caller that waits no longer
+	// can try another holder while it is still on time.
+	WaitLeast  time.Duration `json:"wait_least"`
+	WaitMost   time.Duration `json:"wait_most"`
+	WaitFactor float64       `json:"wait_factor"`
 	// CallTimeout bounds one call of the store.
 	CallTimeout time.Duration `json:"call_timeout"`
 	// RetryAfter is the pause after a call that failed.
@@ -78,14 +84,17 @@
 	return Settings{
 		Horizon:      15 * time.Second, // the longest usual outage, 12 s, and some use above the mean
 		LowWater:     0.7,
-		RestFactor:   3,
-		Surplus:      2,
+		StockShare:   0.75, // what all die with that have lost the store; the rest serves after that
+		ScarceShare:  0.4,
+		Surplus:      1.5,
 		CutOffAfter:  4 * time.Second,        // a process killed with its VM is back in about 3 s
 		ContactEvery: 700 * time.Millisecond, // the rest of CutOffAfter is for the restart
 		ScarceFor:    5 * time.Second,
 		CheckEvery:   time.Second,
-		WaitMax:      1200 * time.Millisecond, // a caller's patience before its first byte
-		CallTimeout:  700 * time.Millisecond,  // twice the answer of a store that is slow
+		WaitLeast:    100 * time.Millisecond, // ten usual answers, a fifth of an objective
+		WaitMost:     time.Second,
+		WaitFactor:   5,
+		CallTimeout:  700 * time.Millisecond, // twice the answer of a store that is slow
 		RetryAfter:   100 * time.Millisecond,
 		ShortFor:     500 * time.Millisecond,
 	}
@@ -100,16 +109,19 @@
 		}
 	}
 	for name, d := range map[string]time.Duration{
-		"horizon": s.Horizon, "check_every": s.CheckEvery, "wait_max": s.WaitMax, "contact_every": s.ContactEvery,
+		"horizon": s.Horizon, "check_every": s.CheckEvery, "wait_least": s.WaitLeast, "contact_every": s.ContactEvery,
 		"call_timeout": s.CallTimeout, "retry_after": s.RetryAfter,
 	} {
 		require(d > 0, name, d, "a duration above 0")
 	}
+	require(s.WaitMost >= s.WaitLeast, "wait_most", s.WaitMost, "at least wait_least")
+	require(s.WaitFactor >= 1, "wait_factor", s.WaitFactor, "a factor from 1")
 	require(s.ShortFor >= 0, "short_for", s.ShortFor, "a duration from 0")
 	require(s.ScarceFor >= 0, "scarce_for", s.ScarceFor, "a duration from 0")
 	require(s.CutOffAfter > s.ContactEvery, "cut_off_after", s.CutOffAfter, "more than contact_every")
 	require(s.LowWater > 0 && s.LowWater <= 1, "low_water", s.LowWater, "a share above 0, at most 1")
-	require(s.RestFactor > 0, "rest_factor", s.RestFactor, "a factor above 0")
+	require(s.StockShare > 0 && s.StockShare <= 1, "stock_share", s.StockShare, "a share above 0, at most 1")
+	require(s.ScarceShare >= 0 && s.ScarceShare <= s.StockShare, "scarce_share", s.ScarceShare, "a share from 0 to stock_share")
 	require(s.Surplus >= 1, "surplus", s.Surplus, "a factor from 1")
 	return errors.Join(problems...)
 }
@@ -168,4 +180,6 @@
 // wantedRow asks for the return of tokens.
 type wantedRow struct {
 	StoreMs int64 `json:"store_ms"`
+	// All asks for all stock, instead of that above ScarceShare.
+	All bool `json:"all,omitempty"`
 }
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -33,6 +33,8 @@
 	// storeNow is the store's clock at an answer, storeAt when that came.
 	storeNow time.Duration
 	storeAt  time.Time
+	// usual is the mean time of answers.
+	usual time.Duration
 	// stamped is when the last row was stamped that may be in the store.
 	stamped time.Time
 	// connected are predecessors whose uncleared tokens can be given back.
@@ -82,6 +84,30 @@
 	return !p.stamped.IsZero() && p.holder.options.Clock.Now().Sub(p.stamped) >= p.holder.options.Settings.CutOffAfter
 }
 
+// answerWeight is the weight of a new answer in the mean time of answers.
+const answerWeight = 0.2
+
+// answered takes the time of an answer into the mean.
+func (p *presence) answered(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual += time.Duration(answerWeight * float64(took-p.usual))
+}
+
+// patience is how long a reservation waits for the store. Near the cut-off,
+// after which the whole grant can be spent, it waits for that.
+func (p *presence) patience() time.Duration {
+	s := p.holder.options.Settings
+	until := p.untilCutOff()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wait := min(max(time.Duration(s.WaitFactor*float64(p.usual)), s.WaitLeast), s.WaitMost)
+	if until > 0 && until < s.WaitMost {
+		wait = max(wait, until+s.RetryAfter)
+	}
+	return wait
+}
+
 // untilCutOff is the time until uncleared tokens may be spent without contact.
 func (p *presence) untilCutOff() time.Duration {
 	p.mu.Lock()
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -18,6 +18,8 @@
 	drainPoll = 50 * time.Millisecond
 	// stopReserve is kept of the grace for the return of grants and the exit.
 	stopReserve = 700 * time.Millisecond
+	// exitReserve is kept of the grace for the exit.
+	exitReserve = 300 * time.Millisecond
 	// leastDrain holds where the platform gives little grace.
 	leastDrain = time.Second
 )
@@ -43,14 +45,10 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = fmt.Errorf("%d requests cut off at the end of the grace", left)
 	}
-	err = errors.Join(err, g.leave())
+	// While the store is away the return of grants is tried until the end.
+	leaving, stop := context.WithTimeout(context.Background(), max(grace-time.Since(begun)-exitReserve, exitReserve))
+	defer stop()
+	err = errors.Join(err, g.prepaid.Close(leaving))
 	g.log.Info("drain ends", "cut_off", left, "ms", time.Since(begun).Milliseconds(), "err", fmt.Sprint(err))
 	return err
 }
-
-// leave returns what the router holds in the store.
-func (g *Gateway) leave() error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
-	defer cancel()
-	return g.prepaid.Close(ctx)
-}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -25,12 +25,18 @@
 // try sends the request to one endpoint after the other.
 func (q *request) try(ctx context.Context) *refusal {
 	excluded := make(map[string]bool)
+	alone := false
 	for {
 		choice, ok := q.handler.duties.Balancer.Begin(q.handler.duties.Endpoints.Usable(q.pool), q.affinity, excluded)
 		if !ok {
 			if len(excluded) > 0 && q.runs == 0 {
 				return refuseNoEndpoint(fmt.Sprintf("%d endpoints tried, none ran it", len(excluded)))
 			}
+			if q.stream.held != nil && !alone {
+				alone = true // one that failed is better than none
+				clear(excluded)
+				continue
+			}
 			if q.runs > 0 {
 				return q.fail(broken, errors.New("no other endpoint"))
 			}
@@ -92,7 +98,7 @@
 		q.torn = true
 		return nil
 	}
-	if held := q.stream.held; held != nil && ended == failed {
+	if held := q.stream.held; held != nil && (ended == failed || ended == broken && q.runs > 0) {
 		q.passFailure(held)
 		return nil
 	}
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -29,8 +29,10 @@
 	overloadPause = 500 * time.Millisecond
 	// fullPause is the time in which an endpoint at its limit ends a request.
 	fullPause = 250 * time.Millisecond
-	// storePause is between two tries of a store that does not answer.
-	storePause = time.Second
+	// storePause is after a router that lacks tokens while it does not reach
+	// the store: another try reaches another router, which has a grant of its
+	// own.
+	storePause = 40 * time.Millisecond
 	// busyPause is the time in which other routers settle requests or return
 	// tokens.
 	busyPause = time.Second
