--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -10,9 +10,9 @@
 	first int64
 }
 
-// shareRequests is the number of requests after which a holder's own use tells
-// its part of the workspace's.
-const shareRequests = 3
+// shareRequests is the number of requests that outweigh the assumption that all
+// holders have equal parts of the use.
+const shareRequests = 10
 
 // clearLowWater is the share of the cleared stock below which more is cleared.
 const clearLowWater = 0.5
@@ -21,7 +21,7 @@
 // the time to a cut-off, since requests come in groups; aheadShare bounds what
 // is cleared by a share of the stock, since it is lost when the holder dies.
 const (
-	aheadRequests = 1
+	aheadRequests = 0.5
 	aheadShare    = 0.6
 )
 
@@ -98,16 +98,13 @@
 	return ahead, stock
 }
 
-// shareLocked is this holder's part of the workspace's use. Until some use is
-// known all holders count alike.
+// shareLocked is this holder's part of the workspace's use. Holders start with
+// equal parts, which weigh like shareRequests requests.
 func (a *account) shareLocked() float64 {
 	equal := 1 / float64(max(a.totalNow.Open, int64(a.holder.Holders()), 1))
 	own := float64(a.inUseLocked())
 	// What is open elsewhere is not in the total yet.
 	all := float64(a.totalNow.Spent-a.spentBefore-a.reported) + own
-	if all <= 0 {
-		return equal
-	}
-	known := min(own/max(shareRequests*a.request, 1), 1)
-	return known*min(own/all, 1) + (1-known)*equal
+	prior := shareRequests * a.request
+	return (own + prior*equal) / (max(all, own) + prior)
 }
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -82,13 +82,13 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		Horizon:      15 * time.Second, // the longest usual outage, 12 s, and some use above the mean
+		Horizon:      10 * time.Second, // the usual outage, 8 s, and some use above the mean
 		LowWater:     0.7,
 		StockShare:   0.75, // what all die with that have lost the store; the rest serves after that
 		ScarceShare:  0.4,
 		Surplus:      1.5,
-		CutOffAfter:  4 * time.Second,        // a process killed with its VM is back in about 3 s
-		ContactEvery: 700 * time.Millisecond, // the rest of CutOffAfter is for the restart
+		CutOffAfter:  2500 * time.Millisecond, // a process that is killed is back in about 2 s
+		ContactEvery: 500 * time.Millisecond,  // the rest of CutOffAfter is for the restart
 		ScarceFor:    5 * time.Second,
 		CheckEvery:   time.Second,
 		WaitLeast:    100 * time.Millisecond, // ten usual answers, a fifth of an objective
--- a/coord/prepaid/rate.go
+++ b/coord/prepaid/rate.go
@@ -6,14 +6,13 @@
 )
 
 // rateMemory is the time constant of the running mean of a workspace's use.
-const rateMemory = 4 * time.Second
+const rateMemory = 6 * time.Second
 
 // rate is a running mean of tokens a second, with exponential decay.
 type rate struct {
-	sum    float64 // decayed tokens
-	at     time.Time
-	start  time.Time
-	recent time.Time // last use
+	sum   float64 // decayed tokens
+	at    time.Time
+	start time.Time
 }
 
 func newRate(now time.Time) rate { return rate{at: now, start: now} }
@@ -28,17 +27,11 @@
 func (r *rate) add(now time.Time, tokens int64) {
 	r.decay(now)
 	r.sum = max(0, r.sum+float64(tokens))
-	if tokens > 0 {
-		r.recent = now
-	}
 }
 
 // perSecond corrects for the time that the mean has not yet seen.
 func (r *rate) perSecond(now time.Time) float64 {
 	r.decay(now)
-	seen := 1 - math.Exp(-max(now.Sub(r.start), time.Second).Seconds()/rateMemory.Seconds())
+	seen := 1 - math.Exp(-max(now.Sub(r.start), rateMemory/2).Seconds()/rateMemory.Seconds())
 	return r.sum / rateMemory.Seconds() / seen
 }
-
-// quiet reports whether the last use is longer ago than d.
-func (r *rate) quiet(now time.Time, d time.Duration) bool { return now.Sub(r.recent) > d }
