--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -325,13 +325,20 @@
 	if h.presence.untilCutOff() > h.presence.patience() {
 		a.refuseLocked(0, ErrUnavailable)
 	}
-	pause := min(h.options.Settings.RetryAfter<<min(a.failures, maxDoublings), maxRetryPause)
+	pause := h.options.Settings.RetryAfter
+	if a.failures > 0 {
+		pause = awayPause
+	}
 	a.failures++
+	contact := h.presence.next()
 	a.serveLocked()
 	a.mu.Unlock()
+	// One duty asks whether the store answers, not each account.
 	select {
 	case <-h.options.Clock.After(pause/2 + rand.N(pause/2)):
 		return true
+	case <-contact:
+		return true
 	case <-h.ctx.Done():
 		a.mu.Lock()
 		a.busy = false
@@ -340,12 +347,9 @@
 	}
 }
 
-// maxRetryPause bounds the pause between calls of a store that does not
-// answer; maxDoublings keeps its computation in range.
-const (
-	maxRetryPause = 800 * time.Millisecond
-	maxDoublings  = 4
-)
+// awayPause is the pause between an account's own tries of a store that does
+// not answer, if nothing is heard of it.
+const awayPause = 3 * time.Second
 
 // shortReason returns the error for waiters.
 func shortReason(err error) error {
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -83,7 +83,11 @@
 		return nil
 	case errors.As(err, &conflict):
 		a.holder.stats.Conflicts.Add(1)
-		if err := a.adopt(conflict.Row(a.total.Key), conflict.Row(a.own.Key), present(conflict, a.left)); err != nil {
+		total := a.total
+		if len(tx.Expect) > 1 {
+			total = conflict.Row(a.total.Key)
+		}
+		if err := a.adopt(total, conflict.Row(a.own.Key), present(conflict, a.left)); err != nil {
 			return err
 		}
 		a.regained()
@@ -218,6 +222,9 @@
 		a.recall = false
 		return nil, nil, errShort
 	}
+	if draw == 0 && a.own.Version != 0 && len(tx.Remove) == 0 && !a.recall {
+		return a.prepareOwn(grant)
+	}
 	total.Granted += draw
 	total.Spent += a.spent - a.reported
 	if ok {
@@ -238,6 +245,25 @@
 	return tx, func(version int64) { a.applied(total, grant, version, closed) }, nil
 }
 
+// prepareOwn computes a transaction that leaves the total as it is, which no
+// other holder can be in the way of.
+func (a *account) prepareOwn(grant grantRow) (*rowstore.Tx, func(version int64), error) {
+	grant.Spent = a.reported
+	tx := &rowstore.Tx{
+		Expect: []rowstore.Expect{{Key: a.own.Key, Version: a.own.Version}},
+		Put:    []rowstore.Put{{Key: a.own.Key, Value: encode(grant)}},
+	}
+	a.clearedLeast = min(a.clearedLeast, grant.Cleared)
+	return tx, func(version int64) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.own.Version, a.cleared = version, grant.Cleared
+		a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
+		a.holder.stats.Writes.Add(1)
+		a.serveLocked()
+	}, nil
+}
+
 // reclaim adds the return of what predecessors had not cleared.
 func (a *account) reclaim(tx *rowstore.Tx, total *totalRow) error {
 	for _, row := range a.left {
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -28,7 +28,7 @@
 // stockRequests is the number of requests that a grant covers beside the use of
 // the horizon: the first requests of a workspace may come when the store is
 // away.
-const stockRequests = 4
+const stockRequests = 6
 
 // planLocked returns the write that is due, or nil.
 func (a *account) planLocked() *plan {
@@ -45,26 +45,25 @@
 		wanted += w.tokens
 	}
 	p := &plan{granted: wanted + max(ahead, stock), cleared: wanted + ahead}
-	if len(a.waiters) > 0 {
-		p.first = a.waiters[0].tokens
-		p.granted = max(p.granted, a.granted) // a return would delay the waiter
-		if a.scarceLocked() {
-			p.granted = wanted + ahead
-		}
-		return p
-	}
-	free := a.granted - inUse
+	free := a.granted - wanted
 	s := a.holder.options.Settings
+	low := float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request
+	high := float64(free) > a.surplusLocked()*float64(stock) && float64(free-stock) >= a.request
 	switch {
-	case len(a.left) > 0, inUse > a.cleared:
-	case float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted:
-	case float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request:
-	case float64(free) > a.surplusLocked()*float64(stock) && float64(free-stock) >= a.request:
-		return p
+	case len(a.waiters) > 0:
+		p.first = a.waiters[0].tokens
+		if free >= ahead && !low {
+			p.granted = a.granted // clearing is enough
+		}
+		p.granted = max(p.granted, a.granted) // a return would delay the waiter
+	case low:
+		p.granted = max(p.granted, a.granted)
+	case high:
+	case len(a.left) > 0, inUse > a.cleared, float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted:
+		p.granted = a.granted
 	default:
 		return nil
 	}
-	p.granted = max(p.granted, a.granted)
 	return p
 }
 
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -157,7 +157,7 @@
 	Granted int64 `json:"granted"`
 	// Cleared is what of it the holder may spend while it is in contact.
 	Cleared int64 `json:"cleared"`
-	// Spent is what of it was spent at the time of writing.
+	// Spent is what of it the total has as spent.
 	Spent int64 `json:"spent"`
 	// StoreMs is the store's clock at the writing, in milliseconds, as far as
 	// the holder knew it.
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -33,6 +33,8 @@
 	// storeNow is the store's clock at an answer, storeAt when that came.
 	storeNow time.Duration
 	storeAt  time.Time
+	// contacts is closed, and made anew, at each contact.
+	contacts chan struct{}
 	// usual is the mean time of answers.
 	usual time.Duration
 	// stamped is when the last row was stamped that may be in the store.
@@ -51,6 +53,7 @@
 
 func (p *presence) init(h *Holder) {
 	p.holder = h
+	p.contacts = make(chan struct{})
 	p.key = rowstore.Key{Table: holdersTable, Name: h.options.VM}
 	p.row.Key = p.key
 }
@@ -94,6 +97,21 @@
 	p.usual += time.Duration(answerWeight * float64(took-p.usual))
 }
 
+// reached tells those who wait that the store answers.
+func (p *presence) reached() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.contacts)
+	p.contacts = make(chan struct{})
+}
+
+// next returns a channel that is closed at the next answer of the store.
+func (p *presence) next() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.contacts
+}
+
 // patience is how long a reservation waits for the store. Near the cut-off,
 // after which the whole grant can be spent, it waits for that.
 func (p *presence) patience() time.Duration {
@@ -147,6 +165,11 @@
 		}
 	}
 	if p.row.Value == nil && !p.stamp() {
+		// The accounts write first; they wait to hear that the store answers.
+		if err := p.look(ctx); err != nil {
+			return err
+		}
+		p.reached()
 		return errors.New("uncleared tokens are not written yet")
 	}
 	result, err := p.holder.options.Store.Commit(ctx, rowstore.Tx{
@@ -158,11 +181,13 @@
 	case errors.As(err, &conflict):
 		// The row that was sent before has arrived, or an operator removed it.
 		p.row.Version = conflict.Row(p.key).Version
+		p.reached()
 		return nil
 	case err != nil:
 		return fmt.Errorf("prove contact: %w", err)
 	}
 	p.note(result.Now)
+	p.reached()
 	p.row = rowstore.Row{Key: p.key, Version: result.Version}
 	return nil
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -29,8 +29,8 @@
 // go back.
 func (g *Gateway) drain() error {
 	g.draining.Store(true)
-	g.handler.Drain()
 	grace := g.identity.Load().Grace
+	g.handler.Drain(time.Now().Add(grace - stopReserve))
 	g.log.Info("drain starts", "in_flight", g.handler.InFlight(), "grace_ms", grace.Milliseconds())
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), max(grace-stopReserve, leastDrain))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,10 +105,11 @@
 		incarnation: uuid.NewString(), tables: &routetable.Current{},
 	}
 	g.identity.Store(&id)
+	g.platform.Store = meteredStore{Store: p.Store, set: g.metrics}
 	g.endpoints = endpoints.NewRegistry(g.clock, g.part("endpoints"))
 	g.balancer = placement.NewBalancer(s.Placement, id.Domain, g.clock, g.part("placement"))
 	g.prepaid = prepaid.NewHolder(prepaid.Options{
-		Settings: s.Prepaid, Store: p.Store, VM: id.VM + "@" + id.CallerAddr, Incarnation: g.incarnation, Clock: g.clock,
+		Settings: s.Prepaid, Store: g.platform.Store, VM: id.VM + "@" + id.CallerAddr, Incarnation: g.incarnation, Clock: g.clock,
 		Log: g.part("prepaid"), Limit: g.limit,
 	})
 	g.retries = retrybudget.New(g.clock, id.Retries, g.countRouters)
--- /dev/null
+++ b/internal/gateway/meter.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisyslip.dev/daisyslip/coord/rowstore"
+)
+
+// meteredStore counts the calls of a store and how long they take.
+type meteredStore struct {
+	rowstore.Store
+	set *metrics.Set
+}
+
+var _ rowstore.Store = meteredStore{}
+
+// outcome names an error in metrics.
+func outcome(err error) string {
+	var conflict *rowstore.ConflictError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.Is(err, rowstore.ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, rowstore.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, rowstore.ErrInvalid):
+		return "invalid"
+	}
+	return "unknown"
+}
+
+func (s meteredStore) count(call, table string, started time.Time, err error) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("daisyslip_store_calls_total{call=%q,table=%q,outcome=%q}", call, table, outcome(err))).Inc()
+	s.set.GetOrCreateHistogram(fmt.Sprintf("daisyslip_store_call_seconds{call=%q}", call)).UpdateDuration(started)
+}
+
+// Commit implements rowstore.Store.
+func (s meteredStore) Commit(ctx context.Context, tx rowstore.Tx) (rowstore.Result, error) {
+	started := time.Now()
+	result, err := s.Store.Commit(ctx, tx)
+	s.count("commit", tableOf(tx), started, err)
+	return result, err
+}
+
+// tableOf returns the table of a transaction's first row.
+func tableOf(tx rowstore.Tx) string {
+	switch {
+	case len(tx.Put) > 0:
+		return tx.Put[0].Key.Table
+	case len(tx.Remove) > 0:
+		return tx.Remove[0].Table
+	}
+	return ""
+}
+
+// Read implements rowstore.Store.
+func (s meteredStore) Read(ctx context.Context, table, part string) (rowstore.Snapshot, error) {
+	started := time.Now()
+	snap, err := s.Store.Read(ctx, table, part)
+	s.count("read", table, started, err)
+	return snap, err
+}
+
+// Changes implements rowstore.Store.
+func (s meteredStore) Changes(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Snapshot, error) {
+	started := time.Now()
+	snap, err := s.Store.Changes(ctx, table, since, wait)
+	s.count("follow", table, started, err)
+	return snap, err
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,7 +60,7 @@
 	settings Settings
 	duties   Duties
 	inFlight atomic.Int64
-	draining atomic.Bool
+	drain    atomic.Pointer[drain]
 	stats    stats
 }
 
@@ -72,14 +72,31 @@
 // InFlight returns the number of requests at present.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
-// Drain has every answer from now on close its connection.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// drain is a planned stop under way.
+type drain struct{ begun, end time.Time }
+
+// Drain has every answer from now on close its connection. Requests that may
+// last beyond end are refused once callers had time to learn of the stop.
+func (h *Handler) Drain(end time.Time) {
+	h.drain.Store(&drain{begun: h.duties.Clock.Now(), end: end})
+}
+
+// drainNotice is how long after the start of a stop requests of any length are
+// taken: the balancer needs two questions, a second apart, to learn of it, and
+// callers on open connections expect their requests to be taken for 3 s.
+const drainNotice = 2800 * time.Millisecond
+
+// outlasts reports whether a request that arrives now and may last until by
+// would be cut off by the stop.
+func (d *drain) outlasts(now, by time.Time) bool {
+	return d != nil && now.Sub(d.begun) > drainNotice && by.After(d.end)
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.draining.Load() {
+	if h.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{handler: h, writer: w, http: r, started: h.duties.Clock.Now()}
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -29,10 +29,10 @@
 	overloadPause = 500 * time.Millisecond
 	// fullPause is the time in which an endpoint at its limit ends a request.
 	fullPause = 250 * time.Millisecond
-	// storePause is after a router that lacks tokens while it does not reach
-	// the store: another try reaches another router, which has a grant of its
-	// own.
-	storePause = 40 * time.Millisecond
+	// elsewherePause is where another try reaches a router that can serve: one
+	// that does not stop, or that has a grant of its own while the store is
+	// away.
+	elsewherePause = 40 * time.Millisecond
 	// busyPause is the time in which other routers settle requests or return
 	// tokens.
 	busyPause = time.Second
@@ -58,6 +58,11 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.Overloaded), reason: fmt.Sprintf("%d requests in flight", inFlight), retryAfter: after(overloadPause)}
 }
 
+// refuseDraining sends a caller to another router.
+func refuseDraining() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.Draining), reason: "router stops before the request could end", retryAfter: after(elsewherePause)}
+}
+
 func refuseNoRoute(revision int64) *refusal {
 	return &refusal{status: http.StatusNotFound, code: string(failure.NotFound), reason: fmt.Sprintf("no route in configuration %d", revision)}
 }
@@ -78,7 +83,7 @@
 	case errors.Is(err, prepaid.ErrBusy):
 		r.status, r.code, r.retryAfter = http.StatusServiceUnavailable, string(failure.BudgetBusy), after(busyPause)
 	default:
-		r.status, r.code, r.retryAfter = http.StatusServiceUnavailable, string(failure.StoreUnavailable), after(storePause)
+		r.status, r.code, r.retryAfter = http.StatusServiceUnavailable, string(failure.StoreUnavailable), after(elsewherePause)
 	}
 	return r
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -64,6 +64,9 @@
 	if refused := q.match(); refused != nil {
 		return refused
 	}
+	if h.drain.Load().outlasts(q.started, q.by) {
+		return refuseDraining()
+	}
 	if refused := q.readBody(); refused != nil {
 		return refused
 	}
