--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -215,7 +215,7 @@
 	grant := grantRow{Granted: max(a.granted+draw, inUse), Spent: a.spent, StoreMs: a.holder.presence.storeMs()}
 	grant.Cleared = max(min(p.cleared, grant.Granted), inUse)
 	draw = grant.Granted - a.granted
-	if draw == 0 && grant.Cleared == a.cleared && len(tx.Remove) == 0 && a.own.Version != 0 && !a.recall {
+	if draw == 0 && !p.due || draw == 0 && grant.Cleared == a.cleared && len(tx.Remove) == 0 && a.own.Version != 0 && !a.recall {
 		return nil, nil, errShort // nothing can be had
 	}
 	if a.own.Version == 0 && a.recall && grant.Granted == 0 {
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -8,6 +8,8 @@
 	cleared int64
 	// first is the size of the first waiter, or 0.
 	first int64
+	// due says that the write is due even if nothing can be drawn.
+	due bool
 }
 
 // shareRequests is the number of requests that outweigh the assumption that all
@@ -34,7 +36,7 @@
 func (a *account) planLocked() *plan {
 	inUse := a.inUseLocked()
 	if a.recall {
-		return &plan{granted: inUse, cleared: inUse}
+		return &plan{granted: inUse, cleared: inUse, due: true}
 	}
 	if a.holder.closing.Load() {
 		return nil
@@ -45,6 +47,8 @@
 		wanted += w.tokens
 	}
 	p := &plan{granted: wanted + max(ahead, stock), cleared: wanted + ahead}
+	uncleared := inUse > a.cleared || float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted
+	p.due = len(a.left) > 0 || uncleared || len(a.waiters) > 0
 	free := a.granted - wanted
 	s := a.holder.options.Settings
 	low := float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request
@@ -59,7 +63,7 @@
 	case low:
 		p.granted = max(p.granted, a.granted)
 	case high:
-	case len(a.left) > 0, inUse > a.cleared, float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted:
+	case p.due:
 		p.granted = a.granted
 	default:
 		return nil
