--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,198 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"daisyslip.dev/daisyslip/internal/gateway"
+	"daisyslip.dev/daisyslip/internal/retrybudget"
+	"daisyslip.dev/daisyslip/platform"
+	"daisyslip.dev/daisyslip/platform/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is a router with the platform's stand-ins.
+type fleet struct {
+	t         *testing.T
+	store     *standin.Store
+	client    *http.Client
+	config    standin.Config
+	endpoints []*standin.Endpoint
+	router    *gateway.Gateway
+	identity  gateway.Identity
+	stop      context.CancelFunc
+	ended     chan error
+	requests  int
+}
+
+func baseConfig() standin.Config {
+	prepaid := int64(1_000_000)
+	return standin.Config{
+		Version: 1,
+		Routes: []standin.Route{
+			{Name: "switch", Host: "coop.example", Prefix: "/switch/", Kind: "non_idempotent", TimeoutMS: 2000, ObjectiveMS: 300, Service: "app", MaxAttempts: 1},
+			{Name: "read", Host: "coop.example", Prefix: "/read/", Kind: "idempotent", TimeoutMS: 2000, ObjectiveMS: 300, Service: "app", MaxAttempts: 2},
+			{Name: "digest", Host: "coop.example", Prefix: "/stream/digest/", Kind: "streaming", TimeoutMS: 3000, ObjectiveMS: 500, PauseMS: 100, Service: "app", MaxAttempts: 1},
+			{Name: "chat", Host: "coop.example", Prefix: "/stream/chat/", Kind: "streaming", TimeoutMS: 5000, ObjectiveMS: 100, PauseMS: 60, Service: "app", MaxAttempts: 2, Resumable: true},
+			{Name: "open", Host: "coop.example", Prefix: "/open/", Kind: "idempotent", TimeoutMS: 2000, ObjectiveMS: 300, Service: "app", MaxAttempts: 2, Public: true},
+		},
+		Services: []standin.Service{{Name: "app", MaxConns: 100, Engine: &standin.Engine{Stride: 5}}},
+		Limits:   standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 65536, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
+		Tenants:  []standin.Tenant{{Name: "coop-7", APIKeys: []string{"key-7"}, Prepaid: &prepaid}, {Name: "coop-8", APIKeys: []string{"key-8"}}},
+	}
+}
+
+// newFleet starts the store, n endpoints and a router that is ready.
+func newFleet(t *testing.T, n int, behave func(n int) standin.Fault) *fleet {
+	t.Parallel()
+	f := &fleet{t: t, store: standin.NewStore(), config: baseConfig()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	assert.NilError(t, f.store.PutConfig(context.Background(), f.config))
+	for i := range n {
+		f.addEndpoint(fmt.Sprintf("i-%d", i+1), behave)
+	}
+	f.identity = gateway.Identity{
+		VM: "vm-1", Domain: "zone-a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", MetricsAddr: "127.0.0.1:0",
+		Grace: 4 * time.Second, Retries: retrybudget.Settings{Ratio: 0.5, Allowance: 50, Window: 10 * time.Second},
+	}
+	f.start(server.Listener.Addr().String())
+	return f
+}
+
+func (f *fleet) start(storeAddr string) {
+	store := platform.NewStore(storeAddr)
+	f.t.Cleanup(store.Close)
+	f.router = gateway.New(gateway.DefaultSettings(), f.identity, gateway.Platform{
+		Store: store, Codec: platform.Codec{},
+		ConfigTable: platform.OperatorTable, ConfigName: platform.ConfigName, EndpointTable: platform.EndpointTable,
+		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, ReadyPath: platform.ReadyPath,
+		Reload: func() (gateway.Identity, error) { return f.identity, nil },
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	assert.NilError(f.t, f.router.Provision())
+	f.client = &http.Client{Transport: &http.Transport{}}
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop, f.ended = stop, make(chan error, 1)
+	go func() { f.ended <- f.router.Run(ctx) }()
+	f.t.Cleanup(func() {
+		stop()
+		<-f.ended
+		f.client.CloseIdleConnections()
+	})
+	f.eventually(func() bool { return f.ready() == http.StatusOK })
+}
+
+func (f *fleet) addEndpoint(id string, behave func(n int) standin.Fault) *standin.Endpoint {
+	e, err := standin.StartEndpoint(f.store, &standin.Endpoint{ID: id, Service: "app", Events: 8, Pause: 5 * time.Millisecond, Behave: behave})
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { assert.NilError(f.t, e.Close()) })
+	f.endpoints = append(f.endpoints, e)
+	return e
+}
+
+func (f *fleet) ready() int {
+	r, err := f.client.Get("http://" + f.router.Addresses().Ready + platform.ReadyPath)
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	return r.StatusCode
+}
+
+func (f *fleet) eventually(holds func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// putConfig puts a changed configuration in force at the router.
+func (f *fleet) putConfig(change func(*standin.Config)) {
+	f.config.Version++
+	change(&f.config)
+	assert.NilError(f.t, f.store.PutConfig(context.Background(), f.config))
+	f.eventually(func() bool { return f.router.ConfigRevision() == f.config.Version })
+}
+
+// request builds a caller's request.
+func (f *fleet) request(ctx context.Context, method, path, body string, header ...string) *http.Request {
+	f.requests++
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.router.Addresses().Callers+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	r.Host = "coop.example"
+	r.Header.Set("X-Daisyslip-Attempt-Id", fmt.Sprintf("r-%d", f.requests))
+	r.Header.Set("X-Daisyslip-Deadline-Ms", "5000")
+	r.Header.Set("X-Daisyslip-Credential", "key-8")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer broke off
+}
+
+func (f *fleet) send(method, path, body string, header ...string) result {
+	return f.do(f.request(context.Background(), method, path, body, header...))
+}
+
+func (f *fleet) do(r *http.Request) result {
+	response, err := f.client.Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+// runs returns all that ran at the endpoints.
+func (f *fleet) runs() []standin.Run {
+	var all []standin.Run
+	for _, e := range f.endpoints {
+		all = append(all, e.Runs()...)
+	}
+	return all
+}
+
+// events is a whole stream of n events for a request.
+func events(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d of %s\n\n", i, i, id)
+	}
+	return b.String()
+}
+
+// raw sends bytes and returns the first answer.
+func (f *fleet) raw(bytes string) (*http.Response, error) {
+	c, err := net.Dial("tcp", f.router.Addresses().Callers)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(f.t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(c, bytes)
+	assert.NilError(f.t, err)
+	return http.ReadResponse(bufio.NewReader(c), nil)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,12 +216,7 @@
 
 func (g *Gateway) gauges() {
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
-	g.metrics.NewGauge("daisyslip_config_revision", func() float64 {
-		if t := g.tables.Load(); t != nil {
-			return float64(t.Revision)
-		}
-		return 0
-	})
+	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
 	stats := g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
 		"writes": &stats.Writes, "reclaims": &stats.Reclaims, "conflicts": &stats.Conflicts, "failures": &stats.Failures,
@@ -278,3 +273,24 @@
 	}
 	return nil
 }
+
+// ConfigRevision returns the revision of the configuration in force, or 0.
+func (g *Gateway) ConfigRevision() int64 {
+	if t := g.tables.Load(); t != nil {
+		return t.Revision
+	}
+	return 0
+}
+
+// UsableEndpoints returns the number of endpoints of a pool that may get work.
+func (g *Gateway) UsableEndpoints(pool string) int { return len(g.endpoints.Usable(pool)) }
+
+// Addresses say where a router listens, as host:port.
+type Addresses struct{ Callers, Ready, Metrics string }
+
+// Addresses returns where the router listens, after Provision.
+func (g *Gateway) Addresses() Addresses {
+	return Addresses{Callers: g.caller.addr(), Ready: g.ready.addr(), Metrics: g.scrape.addr()}
+}
+
+func (s *server) addr() string { return s.listener.Addr().String() }
--- /dev/null
+++ b/internal/gateway/serve_test.go
@@ -0,0 +1,226 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"daisyslip.dev/daisyslip/platform/standin"
+)
+
+// first returns a behaviour whose first n requests have the fault.
+func first(n int, fault standin.Fault) func(int) standin.Fault {
+	return func(i int) standin.Fault {
+		if i < n {
+			return fault
+		}
+		return standin.None
+	}
+}
+
+func always(fault standin.Fault) func(int) standin.Fault {
+	return func(int) standin.Fault { return fault }
+}
+
+func TestForwardsAsSent(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	got := f.send("POST", "/switch/bins/7?on=1&x=%2F", `{"on":true}`, "X-Custom", "kept", "X-Daisyslip-Tenant", "forged",
+		"X-Daisyslip-Kv-Hold", "h", "X-Daisyslip-Pin-Ms", "9", "Kv-From", "10.0.0.1:1/x", "X-Daisyslip-Kv-Backup", "10.0.0.1:1", "X-Daisyslip-Model", "m")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, "run r-1 at i-1")
+	assert.Equal(t, got.header.Get("X-Daisyslip-Server-Stamp"), "stamp-i-1")
+	run := f.runs()[0]
+	assert.Equal(t, run.Method+" "+run.Target, "POST /switch/bins/7?on=1&x=%2F")
+	assert.Equal(t, run.Body, `{"on":true}`)
+	assert.Equal(t, run.Workspace, "coop-8")
+	assert.Equal(t, run.Header.Get("X-Custom"), "kept")
+	assert.Equal(t, run.Header.Get("X-Daisyslip-Model"), "m")
+	assert.Assert(t, run.LeftMS > 0 && run.LeftMS <= 2000, "left %d ms", run.LeftMS)
+	for _, name := range []string{"X-Daisyslip-Credential", "X-Daisyslip-Kv-Hold", "X-Daisyslip-Pin-Ms", "Kv-From", "X-Daisyslip-Kv-Backup"} {
+		assert.Equal(t, run.Header.Get(name), "", name)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	for _, c := range []struct {
+		name, method, path string
+		header             []string
+		status             int
+	}{
+		{"no route", "GET", "/nothing/", nil, 404},
+		{"prefix without its slash", "GET", "/read", nil, 404},
+		{"unknown key", "GET", "/read/1", []string{"X-Daisyslip-Credential", "forged"}, 401},
+		{"no key", "GET", "/read/1", []string{"X-Daisyslip-Credential", ""}, 401},
+		{"bad tokens", "POST", "/stream/digest/1", []string{"X-Daisyslip-Token-Usage", "many"}, 400},
+		{"bad prefix", "POST", "/stream/digest/1", []string{"X-Daisyslip-Token-Usage", "10,10", "X-Daisyslip-Prefix-Hash", "a:b"}, 400},
+		{"bad deadline", "GET", "/read/1", []string{"X-Daisyslip-Deadline-Ms", "-4"}, 400},
+		{"public route", "GET", "/open/1", []string{"X-Daisyslip-Credential", "forged"}, 200},
+	} {
+		got := f.send(c.method, c.path, "", c.header...)
+		assert.Equal(t, got.status, c.status, "%s: %s", c.name, got.body)
+	}
+	assert.Equal(t, f.send("POST", "/switch/1", strings.Repeat("x", 70_000)).status, 413)
+	assert.Equal(t, len(f.runs()), 1, "only the public one ran")
+}
+
+// TestBadRequestForms: forms by which a request could hide in another.
+func TestBadRequestForms(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	head := "POST /switch/1 HTTP/1.1\r\nHost: coop.example\r\nX-Daisyslip-Attempt-Id: raw\r\nX-Daisyslip-Credential: key-8\r\n"
+	hidden := "POST /switch/hidden HTTP/1.1\r\nHost: coop.example\r\nX-Daisyslip-Attempt-Id: hidden\r\nX-Daisyslip-Credential: key-8\r\nContent-Length: 0\r\n\r\n"
+	for name, bytes := range map[string]string{
+		"two lengths":       head + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabc",
+		"length not number": head + "Content-Length: abc\r\n\r\n",
+		"bad chunk":         head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+		"space in name":     head + "X Bad: 1\r\nContent-Length: 0\r\n\r\n",
+		"two ids":           head + "X-Daisyslip-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n",
+	} {
+		response, err := f.raw(bytes)
+		assert.NilError(t, err, name)
+		assert.Equal(t, response.StatusCode, 400, name)
+	}
+	// The hidden request is the body of the first, by the chunks that hold it.
+	chunk := strconv.FormatInt(int64(len(hidden)), 16)
+	response, err := f.raw(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n" + hidden + "\r\n0\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	runs := f.runs()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Body, hidden)
+}
+
+// TestNonIdempotentRunsOnce: after bytes were sent, a command is not tried
+// elsewhere, and the answer does not promise that it did not run.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{"reset": standin.Reset, "cut": standin.Cut, "unsigned": standin.Unsigned} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, always(fault))
+			got := f.send("POST", "/switch/1", "on")
+			assert.Equal(t, got.status, 502)
+			assert.Equal(t, len(f.runs()), 1)
+		})
+	}
+}
+
+func TestNonIdempotentTriedAgainIfNotRun(t *testing.T) {
+	f := newFleet(t, 1, always(standin.Full))
+	f.addEndpoint("i-free", nil)
+	f.waitUsable(2)
+	for range 5 {
+		assert.Equal(t, f.send("POST", "/switch/1", "on").body[:3], "run")
+	}
+	assert.Equal(t, len(f.runs()), 5)
+}
+
+// waitUsable waits until the router knows n endpoints.
+func (f *fleet) waitUsable(n int) {
+	f.eventually(func() bool { return f.router.UsableEndpoints("app") == n })
+}
+
+func TestAllFullIsRefusedTruthfully(t *testing.T) {
+	f := newFleet(t, 2, always(standin.Full))
+	got := f.send("POST", "/switch/1", "on")
+	assert.Equal(t, got.status, 503)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 0 && after < 1, "%v", after)
+	assert.Equal(t, len(f.runs()), 0)
+}
+
+func TestIdempotentTriedElsewhere(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{"error": standin.Error, "reset": standin.Reset, "cut": standin.Cut, "hang": standin.Hang, "unsigned": standin.Unsigned} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, always(fault))
+			f.addEndpoint("i-good", nil)
+			f.waitUsable(2)
+			for range 4 {
+				got := f.send("GET", "/read/1", "")
+				assert.Equal(t, got.status, 200, got.body)
+				assert.Assert(t, cmp.Contains(got.body, "at i-good"))
+			}
+		})
+	}
+}
+
+// TestFailureOfTheOnlyEndpointIsPassedOn: one endpoint that fails is tried
+// twice, and its own answer goes to the caller.
+func TestFailureOfTheOnlyEndpointIsPassedOn(t *testing.T) {
+	f := newFleet(t, 1, always(standin.Error))
+	got := f.send("GET", "/read/1", "")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.header.Get("X-Daisyslip-Server-Stamp"), "stamp-i-1")
+	assert.Equal(t, len(f.runs()), 2)
+}
+
+func TestExtraAnswerGoesToNobody(t *testing.T) {
+	f := newFleet(t, 1, always(standin.Extra))
+	for range 5 {
+		got := f.send("POST", "/switch/1", "on")
+		assert.Equal(t, got.body, "run "+got.header.Get("X-Daisyslip-Attempt-Id")+" at i-1")
+	}
+}
+
+func TestStreamsArePassedOnWhole(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	for _, path := range []string{"/stream/digest/1", "/stream/chat/1"} {
+		got := f.send("POST", path, "prompt")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, events(got.header.Get("X-Daisyslip-Attempt-Id"), 8))
+	}
+}
+
+// TestStreamGoesOnElsewhere: a resumable stream that breaks off, or falls
+// silent, is continued by another endpoint after the last whole event.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{"cut": standin.Cut, "stall": standin.Stall, "hang": standin.Hang, "reset": standin.Reset} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, always(fault))
+			f.addEndpoint("i-good", nil)
+			f.waitUsable(2)
+			for range 3 {
+				got := f.send("POST", "/stream/chat/1", "prompt")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, events(got.header.Get("X-Daisyslip-Attempt-Id"), 8))
+			}
+		})
+	}
+}
+
+// TestBrokenStreamDoesNotLookWhole: a stream that may not be resumed ends
+// short, and the caller can see it.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	f := newFleet(t, 2, always(standin.Cut))
+	got := f.send("POST", "/stream/digest/1", "prompt")
+	assert.Assert(t, got.err != nil, "the answer looks whole")
+	assert.Equal(t, len(f.runs()), 1)
+}
+
+// TestCallerLeaving: the endpoint's work ends soon after the caller has left.
+func TestCallerLeaving(t *testing.T) {
+	f := newFleet(t, 1, always(standin.Stall))
+	ctx, leave := context.WithCancel(context.Background())
+	response, err := f.client.Do(f.request(ctx, "POST", "/stream/digest/1", "prompt"))
+	assert.NilError(t, err)
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	assert.NilError(t, err)
+	leave()
+	_ = response.Body.Close()
+	f.eventually(func() bool { return f.runs()[0].Dropped })
+}
+
+func TestTimeoutOfTheRoute(t *testing.T) {
+	f := newFleet(t, 1, always(standin.Hang))
+	f.putConfig(func(c *standin.Config) { c.Routes[0].TimeoutMS = 200 })
+	started := time.Now()
+	got := f.send("POST", "/switch/1", "on")
+	assert.Equal(t, got.status, 504)
+	assert.Assert(t, time.Since(started) < 2*time.Second)
+	f.eventually(func() bool { return f.runs()[0].Dropped })
+}
