--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -125,10 +125,10 @@
 }
 
 // put keeps a connection for the next exchange. keep is the endpoint's own idle
-// timeout, or 0 if it did not say.
+// timeout, or unsaid.
 func (p *Pool) put(c *conn, keep time.Duration) {
 	c.idleFor = p.settings.IdleUnsaid
-	if keep > 0 {
+	if keep != unsaid {
 		c.idleFor = time.Duration(keepShare * float64(keep))
 	}
 	if err := c.setReadDeadline(time.Time{}); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -60,6 +60,9 @@
 	release func() bool
 }
 
+// maxStatus is the greatest status that HTTP has a class for.
+const maxStatus = 599
+
 // maxStale is the number of answers to earlier requests that are skipped.
 const maxStale = 4
 
@@ -100,6 +103,9 @@
 		if response.StatusCode < http.StatusOK {
 			continue // interim
 		}
+		if response.StatusCode > maxStatus {
+			return fmt.Errorf("%w: status %d", ErrMalformed, response.StatusCode)
+		}
 		if id := idOf(response.Header); id != r.ID && (id != "" || response.StatusCode < http.StatusMultipleChoices) {
 			// Late or doubled answer to another request.
 			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
@@ -160,7 +166,10 @@
 	a.conn.close()
 }
 
-// keepAlive returns for how long the endpoint keeps an idle connection, or 0.
+// unsaid stands for an idle timeout that the endpoint does not tell.
+const unsaid = time.Duration(-1)
+
+// keepAlive returns for how long the endpoint keeps an idle connection.
 func keepAlive(h http.Header) time.Duration {
 	for _, v := range h.Values("Keep-Alive") {
 		for field := range splitList(v) {
@@ -170,7 +179,7 @@
 			}
 		}
 	}
-	return 0
+	return unsaid
 }
 
 // encode returns the head of a request.
