Entries that come late do not bring an endpoint back; stale ones are passed over

The registry took any entry of the same start for news, so one that was written before the removal and arrived after it brought the endpoint back. Change: an entry with an older or, while the endpoint is missing, the same sequence is ignored; an endpoint that has not written for 2.2 heartbeats is passed over while others write.

--- a/internal/daemoncli/platform.go
+++ b/internal/daemoncli/platform.go
@@ -55,7 +55,7 @@
 func identity(s platform.Settings) gateway.Identity {
 	return gateway.Identity{
 		VM: s.VM, Domain: s.Domain, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, MetricsAddr: s.MetricsAddr,
-		MemoryBytes: s.MemoryBytes, Grace: s.Grace, Retries: s.Retries,
+		MemoryBytes: s.MemoryBytes, Grace: s.Grace, Heartbeat: s.Heartbeat, Retries: s.Retries,
 	}
 }
 
--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -44,17 +44,24 @@
 	// missingUntil the endpoint may get work.
 	missing      bool
 	missingUntil time.Time
+	// written is when its sequence was last seen to advance.
+	written time.Time
 }
 
 func (e *entry) usable(now time.Time) bool {
 	return !e.endpoint.Leaving && (!e.missing || now.Before(e.missingUntil))
 }
 
+// staleAfter is the number of heartbeats without a new entry after which an
+// endpoint is passed over for others: one may be late, two are a sign.
+const staleAfter = 2.2
+
 // Registry holds the endpoints. It is safe for concurrent use.
 type Registry struct {
-	clock clock.Clock
-	log   *slog.Logger
-	known atomic.Bool
+	clock     clock.Clock
+	log       *slog.Logger
+	heartbeat time.Duration
+	known     atomic.Bool
 
 	mu      sync.Mutex // guards all below
 	entries map[string]*entry
@@ -64,29 +71,50 @@
 	regained time.Time
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry(c clock.Clock, log *slog.Logger) *Registry {
-	return &Registry{clock: c, log: log, entries: make(map[string]*entry)}
+// NewRegistry returns an empty registry of endpoints that write their entries
+// every heartbeat.
+func NewRegistry(heartbeat time.Duration, c clock.Clock, log *slog.Logger) *Registry {
+	return &Registry{clock: c, log: log, heartbeat: heartbeat, entries: make(map[string]*entry)}
 }
 
 // Known reports whether the list was read once.
 func (r *Registry) Known() bool { return r.known.Load() }
 
-// Usable returns the endpoints of a pool that may get work now, by id.
+// Usable returns the endpoints of a pool that may get work now, by id. Those
+// whose entries are stale are passed over, unless that would leave less than
+// half: then it is the writing of entries that fails.
 func (r *Registry) Usable(pool string) []Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	var list []Endpoint
+	var all, fresh []Endpoint
 	for _, e := range r.entries {
-		if e.endpoint.Pool == pool && e.usable(now) {
-			list = append(list, e.endpoint)
+		if e.endpoint.Pool != pool || !e.usable(now) {
+			continue
+		}
+		all = append(all, e.endpoint)
+		if !r.staleLocked(e, now) {
+			fresh = append(fresh, e.endpoint)
 		}
 	}
+	list := all
+	if 2*len(fresh) >= len(all) {
+		list = fresh
+	}
 	slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
+// staleLocked reports whether an endpoint has not written for some heartbeats
+// in which the list could be read.
+func (r *Registry) staleLocked(e *entry, now time.Time) bool {
+	since := e.written
+	if r.regained.After(since) {
+		since = r.regained
+	}
+	return !r.lost && now.Sub(since) > time.Duration(staleAfter*float64(r.heartbeat))
+}
+
 // MayGet reports whether the endpoint may still get work; it is asked right
 // before a request is sent.
 func (r *Registry) MayGet(id string) bool {
@@ -119,15 +147,16 @@
 	defer r.mu.Unlock()
 	old := r.entries[e.ID]
 	if old == nil {
-		r.entries[e.ID] = &entry{endpoint: e}
+		r.entries[e.ID] = &entry{endpoint: e, written: r.clock.Now()}
 		r.log.Info("endpoint known", "endpoint", e.ID, "pool", e.Pool, "addr", e.Addr, "domain", e.Domain, "leaving", e.Leaving)
 		return
 	}
-	if outdated(old.endpoint, e) {
-		r.log.Warn("entry of an earlier start ignored", "endpoint", e.ID, "started_ms", e.StartedMs, "known_ms", old.endpoint.StartedMs)
+	if old.outdates(e) {
+		r.log.Warn("late entry ignored", "endpoint", e.ID, "started_ms", e.StartedMs, "known_ms", old.endpoint.StartedMs,
+			"sequence", e.Sequence, "known_sequence", old.endpoint.Sequence, "missing", old.missing)
 		return
 	}
-	if sameStart(old.endpoint, e) && old.endpoint.Leaving {
+	if e.StartedMs == old.endpoint.StartedMs && old.endpoint.Leaving {
 		e.Leaving = true // a leaving endpoint does not return
 	}
 	if e.Leaving && !old.endpoint.Leaving {
@@ -136,18 +165,23 @@
 	if old.missing {
 		r.log.Info("endpoint is back in the list", "endpoint", e.ID, "pool", e.Pool)
 	}
+	if e.Sequence != old.endpoint.Sequence || e.StartedMs != old.endpoint.StartedMs {
+		old.written = r.clock.Now()
+	}
 	old.endpoint, old.missing = e, false
 }
 
-// sameStart reports whether two entries of one id come from one start of the
-// endpoint.
-func sameStart(old, e Endpoint) bool {
-	return old.StartedMs == e.StartedMs && e.Sequence >= old.Sequence
-}
-
-// outdated reports whether e was written by an earlier start than old.
-func outdated(old, e Endpoint) bool {
-	return old.StartedMs != 0 && e.StartedMs != 0 && e.StartedMs < old.StartedMs
+// outdates reports whether e was written before what is known: by an earlier
+// start, or earlier by the same one. An endpoint that is missing is back only
+// with an entry that it wrote since.
+func (old *entry) outdates(e Endpoint) bool {
+	if e.StartedMs != old.endpoint.StartedMs {
+		return e.StartedMs != 0 && e.StartedMs < old.endpoint.StartedMs
+	}
+	if e.StartedMs == 0 && e.Sequence < old.endpoint.Sequence {
+		return false // a new start that does not tell its time
+	}
+	return e.Sequence < old.endpoint.Sequence || old.missing && e.Sequence == old.endpoint.Sequence
 }
 
 // Drop notes that the list no longer has an endpoint. While the store is away,
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -68,7 +68,7 @@
 	}
 	f.identity = gateway.Identity{
 		VM: "vm-1", Domain: "zone-a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", MetricsAddr: "127.0.0.1:0",
-		Grace: 4 * time.Second, Retries: retrybudget.Settings{Ratio: 0.5, Allowance: 50, Window: 10 * time.Second},
+		Grace: 4 * time.Second, Heartbeat: time.Hour, Retries: retrybudget.Settings{Ratio: 0.5, Allowance: 50, Window: 10 * time.Second},
 	}
 	f.start(server.Listener.Addr().String())
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	MemoryBytes int64
 	// Grace is the time from the signal to stop to the end of the process.
 	Grace time.Duration
+	// Heartbeat is the interval in which endpoints write their entries.
+	Heartbeat time.Duration
 	// Retries bound the repeats of the whole fleet.
 	Retries retrybudget.Settings
 }
@@ -106,7 +108,7 @@
 	}
 	g.identity.Store(&id)
 	g.platform.Store = meteredStore{Store: p.Store, set: g.metrics}
-	g.endpoints = endpoints.NewRegistry(g.clock, g.part("endpoints"))
+	g.endpoints = endpoints.NewRegistry(id.Heartbeat, g.clock, g.part("endpoints"))
 	g.balancer = placement.NewBalancer(s.Placement, id.Domain, g.clock, g.part("placement"))
 	g.prepaid = prepaid.NewHolder(prepaid.Options{
 		Settings: s.Prepaid, Store: g.platform.Store, VM: id.VM + "@" + id.CallerAddr, Incarnation: g.incarnation, Clock: g.clock,
