--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -14,7 +14,7 @@
 
 // shareRequests is the number of requests that outweigh the assumption that all
 // holders have equal parts of the use.
-const shareRequests = 10
+const shareRequests = 4
 
 // clearLowWater is the share of the cleared stock below which more is cleared.
 const clearLowWater = 0.5
