--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -30,7 +30,7 @@
 with PUT /standin/faults and a JSON body; the platform's also for one client
 with PUT /standin/faults/VM.`,
 	}
-	cmd.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService())
+	cmd.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService(), newStandinSite())
 	return cmd
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -207,7 +207,9 @@
 	case ctx.Err() != nil || errors.Is(err, upstream.ErrSilent) && !now.Before(q.by):
 		return timeOver, placement.Dropped, err
 	case errors.Is(err, upstream.ErrSilent):
-		return silent, placement.Silent, err
+		// The patience of a request that can go elsewhere is short; whether the
+		// endpoint is silent is judged by suspectAfter.
+		return silent, placement.Failed, err
 	}
 	return broken, placement.Failed, err
 }
@@ -298,6 +300,9 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // else the server guesses one
+	}
 	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
 		header.Set("Content-Length", fmt.Sprint(length))
 	}
