A slow endpoint without another to go to is waited for

Ruled out: a silent endpoint (it answered others in that second). Change: the short patience holds only among several candidates. Test: TestSlowOnlyEndpointIsWaitedFor failed first.

--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -159,6 +159,18 @@
 	assert.Equal(t, len(f.runs()), 2)
 }
 
+// TestSlowOnlyEndpointIsWaitedFor: without another endpoint to go to, a slow
+// answer is better than none.
+func TestSlowOnlyEndpointIsWaitedFor(t *testing.T) {
+	f := newFleet(t, 1, nil)
+	f.endpoints[0].Delay = 500 * time.Millisecond // beyond the objective
+	assert.Equal(t, f.send("GET", "/read/1", "").status, 200)
+	got := f.send("POST", "/stream/chat/1", "prompt")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, len(f.runs()), 2)
+}
+
 func TestExtraAnswerGoesToNobody(t *testing.T) {
 	f := newFleet(t, 1, always(standin.Extra))
 	for range 5 {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -44,7 +44,7 @@
 		}
 		e := choice.Endpoint
 		q.logPlaced(choice)
-		q.endpoint = e.ID
+		q.endpoint, q.candidates = e.ID, choice.Candidates
 		q.sends++
 		ended, outcome, err := q.attempt(ctx, e)
 		q.handler.duties.Balancer.End(e, outcome)
@@ -149,9 +149,10 @@
 	return q.take(ctx, e, answer, said)
 }
 
-// othersLeft reports whether another endpoint may be tried if this one fails.
+// othersLeft reports whether another endpoint may be tried if this one fails,
+// and there is one.
 func (q *request) othersLeft() bool {
-	return q.route.Repeatable() && q.runs+1 < q.route.MaxAttempts
+	return q.candidates > 1 && q.route.Repeatable() && q.runs+1 < q.route.MaxAttempts
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -39,6 +39,7 @@
 	// run the request.
 	sends, runs int
 	endpoint    string // the last
+	candidates  int    // endpoints among which it was chosen
 	status      int    // told to the caller
 	stream      relay
 	torn        bool // the answer must not look complete
