--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -29,7 +29,7 @@
 
 // TestPagesNameExistingTests requires that each test that a page cites exists.
 func TestPagesNameExistingTests(t *testing.T) {
-	tests := read(t, "../internal", "_test.go") + read(t, "../coord", "_test.go")
+	tests := read(t, "../internal", "_test.go") + read(t, "../coord", "_test.go") + read(t, "../platform", "_test.go")
 	cited := regexp.MustCompile("`((?:Test|Fuzz|Benchmark)[A-Z][A-Za-z]*)`").FindAllStringSubmatch(read(t, ".", ".md"), -1)
 	assert.Assert(t, len(cited) > 0)
 	for _, name := range cited {
