A write whose answer is lost counts until the versions it expects have moved on

A holder that had offered to return tokens, and lost the answer, read the rows unchanged and took the return for over; it came later, others drew the tokens, and both spent them. Change: writes of unknown outcome are kept with the versions that they expect, and the least of what they leave is what may be spent; a write that succeeds ends them. The proof of contact takes its time before the look at what is in use. Test: TestReadDoesNotEndALateWrite failed first (130,000 of 100,000).

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,9 +23,8 @@
 	cleared int64
 	spent   int64
 	open    int64
-	// grantedLeast and clearedLeast are what a write whose outcome is not
-	// known leaves of both at least.
-	grantedLeast, clearedLeast int64
+	// pending are writes that may still be applied.
+	pending []pendingWrite
 
 	waiters []*waiter
 	// busy is set while one goroutine writes.
@@ -77,7 +75,7 @@
 }
 
 func newAccount(h *Holder, workspace string) *account {
-	a := &account{holder: h, workspace: workspace, request: usualRequest, grantedLeast: math.MaxInt64, clearedLeast: math.MaxInt64}
+	a := &account{holder: h, workspace: workspace, request: usualRequest}
 	a.total.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: totalName}
 	a.own.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: grantPrefix + h.options.VM + "/" + h.options.Incarnation}
 	a.use = newRate(h.options.Clock.Now())
@@ -89,10 +87,11 @@
 
 // availableLocked is what can be reserved now.
 func (a *account) availableLocked() int64 {
+	granted, cleared := a.leastLocked()
 	if a.holder.presence.cutOff() {
-		return min(a.granted, a.grantedLeast) - a.inUseLocked()
+		return granted - a.inUseLocked()
 	}
-	return min(a.cleared, a.clearedLeast) - a.inUseLocked()
+	return cleared - a.inUseLocked()
 }
 
 func (a *account) now() time.Time { return a.holder.options.Clock.Now() }
@@ -250,7 +249,8 @@
 func (h *Holder) overdrawn() bool {
 	for _, a := range h.all() {
 		a.mu.Lock()
-		over := a.inUseLocked() > a.cleared
+		_, cleared := a.leastLocked()
+		over := a.inUseLocked() > cleared
 		if over {
 			a.wakeLocked()
 		}
@@ -366,7 +366,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refuseLocked(0, ErrClosed)
-	a.recall = a.granted > 0 || a.grantedLeast != math.MaxInt64 || a.busy
+	a.recall = a.granted > 0 || len(a.pending) > 0 || a.busy
 	a.wakeLocked()
 }
 
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -93,6 +92,8 @@
 		a.regained()
 		a.pause()
 		return errConflict
+	case errors.Is(err, rowstore.ErrUnavailable):
+		a.refused()
 	}
 	return fmt.Errorf("change the grant of %s: %w", a.workspace, err)
 }
@@ -149,7 +150,7 @@
 	}
 	a.totalSeen, a.reread = true, false
 	a.granted, a.cleared, a.reported = grant.Granted, grant.Cleared, grant.Spent
-	a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
+	a.settlePendingLocked()
 	a.serveLocked()
 	return nil
 }
@@ -215,7 +216,7 @@
 	grant := grantRow{Granted: max(a.granted+draw, inUse), Spent: a.spent, StoreMs: a.holder.presence.storeMs()}
 	grant.Cleared = max(min(p.cleared, grant.Granted), inUse)
 	draw = grant.Granted - a.granted
-	if draw == 0 && !p.due || draw == 0 && grant.Cleared == a.cleared && len(tx.Remove) == 0 && a.own.Version != 0 && !a.recall {
+	if draw == 0 && !p.due || draw == 0 && grant.Cleared == a.cleared && len(tx.Remove) == 0 && a.own.Version != 0 && !a.recall && len(a.pending) == 0 {
 		return nil, nil, errShort // nothing can be had
 	}
 	if a.own.Version == 0 && a.recall && grant.Granted == 0 {
@@ -241,7 +242,7 @@
 		tx.Put = append(tx.Put, rowstore.Put{Key: a.own.Key, Value: encode(grant)})
 	}
 	tx.Put = append(tx.Put, rowstore.Put{Key: a.total.Key, Value: encode(total)})
-	a.grantedLeast, a.clearedLeast = min(a.grantedLeast, grant.Granted), min(a.clearedLeast, grant.Cleared)
+	a.addPendingLocked(grant, true)
 	return tx, func(version int64) { a.applied(total, grant, version, closed) }, nil
 }
 
@@ -253,12 +254,12 @@
 		Expect: []rowstore.Expect{{Key: a.own.Key, Version: a.own.Version}},
 		Put:    []rowstore.Put{{Key: a.own.Key, Value: encode(grant)}},
 	}
-	a.clearedLeast = min(a.clearedLeast, grant.Cleared)
+	a.addPendingLocked(grant, false)
 	return tx, func(version int64) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.own.Version, a.cleared = version, grant.Cleared
-		a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
+		a.settlePendingLocked()
 		a.holder.stats.Writes.Add(1)
 		a.serveLocked()
 	}, nil
@@ -297,7 +298,7 @@
 	a.left = nil
 	a.totalNow, a.total.Version, a.own.Version = total, version, version
 	a.granted, a.cleared, a.reported = grant.Granted, grant.Cleared, grant.Spent
-	a.grantedLeast, a.clearedLeast = math.MaxInt64, math.MaxInt64
+	a.settlePendingLocked()
 	if closed {
 		// What was spent stays in the total; the grant starts anew.
 		a.own.Version, a.granted, a.cleared, a.spent, a.reported = 0, 0, 0, 0, 0
--- a/coord/prepaid/holder_test.go
+++ b/coord/prepaid/holder_test.go
@@ -197,6 +197,8 @@
 // schedule plays processes on VMs and counts what callers got.
 type schedule struct {
 	*fleet
+	// retryAfter replaces the holders' setting if it is not 0.
+	retryAfter   time.Duration
 	live         []*process
 	dead         []*process
 	spent, open  int64
@@ -209,6 +211,9 @@
 	settings := quick()
 	settings.CutOffAfter, settings.ContactEvery = 40*time.Millisecond, 5*time.Millisecond
 	settings.CheckEvery, settings.ScarceFor, settings.WaitLeast = 5*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond
+	if s.retryAfter > 0 {
+		settings.RetryAfter = s.retryAfter
+	}
 	p.Holder = prepaid.NewHolder(prepaid.Options{
 		Settings: settings, Store: p.store, VM: fmt.Sprint("vm-", vm), Incarnation: fmt.Sprint("i-", s.made), Clock: clock.Real{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -358,6 +363,53 @@
 	}
 }
 
+// TestReadDoesNotEndALateWrite: a return whose answer is lost may be applied
+// seconds later, also after the rows were read unchanged. Until then the holder
+// may not spend what it has offered to return.
+func TestReadDoesNotEndALateWrite(t *testing.T) {
+	s := &schedule{fleet: newFleet(100_000), retryAfter: 60 * time.Millisecond}
+	first, second := s.start(1), s.start(2)
+	defer second.end(t, false)
+	defer first.end(t, false)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 10 {
+		r, err := first.Reserve(ctx, "coop-7", 1000)
+		assert.NilError(t, err)
+		r.Settle(1000)
+	}
+	time.Sleep(30 * time.Millisecond) // stock is drawn
+	s.store.SetFaults(memory.Faults{ApplyLate: 1000})
+	s.askAll(t)
+	time.Sleep(150 * time.Millisecond) // a return is sent that comes late, and the asking is past
+	_, err := first.Reserve(ctx, "coop-7", 200_000)
+	assert.Assert(t, err != nil, "the rows are read, and have too little")
+	// The writes are unknown for longer than the cut-off: all of the grant that
+	// is surely there may be spent.
+	spent := int64(10_000)
+	short, stop := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer stop()
+	if r, err := first.Reserve(short, "coop-7", 40_000); err == nil {
+		r.Settle(40_000)
+		spent += 40_000
+	}
+	s.store.ApplyHeld()
+	s.store.SetFaults(memory.Faults{})
+	if r, err := second.Reserve(ctx, "coop-7", 80_000); err == nil {
+		r.Settle(80_000)
+		spent += 80_000
+	}
+	assert.Assert(t, spent <= 100_000, "spent %d", spent)
+}
+
+// askAll asks all holders to return their stock, past the store's faults.
+func (s *schedule) askAll(t *testing.T) {
+	faults := s.store.SwapFaults(memory.Faults{})
+	_, err := s.store.Commit(context.Background(), rowstore.Tx{Put: []rowstore.Put{{Key: rowstore.Key{Table: "prepaid_wanted", Name: "coop-7"}, Value: []byte(`{"store_ms":99999999,"all":true}`)}}})
+	assert.NilError(t, err)
+	s.store.SetFaults(faults)
+}
+
 func ExampleHolder() {
 	h := prepaid.NewHolder(prepaid.Options{
 		Settings: prepaid.DefaultSettings(), Store: memory.New(), VM: "vm-1", Incarnation: "router-1", Clock: clock.Real{},
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -48,7 +48,8 @@
 	}
 	p := &plan{granted: wanted + max(ahead, stock), cleared: wanted + ahead}
 	uncleared := inUse > a.cleared || float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted
-	p.due = len(a.left) > 0 || uncleared || len(a.waiters) > 0
+	// A write that succeeds ends those whose outcome is not known.
+	p.due = len(a.left) > 0 || uncleared || len(a.waiters) > 0 || len(a.pending) > 0
 	free := a.granted - wanted
 	s := a.holder.options.Settings
 	low := float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -237,7 +237,7 @@
 // before the look, so that no uncleared token is taken after it.
 func (p *presence) stamp() bool {
 	p.mu.Lock()
-	before := p.stamped
+	before, storeMs := p.stamped, p.storeMsLocked()
 	p.stamped = p.holder.options.Clock.Now()
 	p.mu.Unlock()
 	over := p.holder.overdrawn()
@@ -247,7 +247,7 @@
 		p.stamped = before
 		return false
 	}
-	value, err := json.Marshal(holderRow{Incarnation: p.holder.options.Incarnation, StoreMs: p.storeMsLocked(), Connected: p.connected})
+	value, err := json.Marshal(holderRow{Incarnation: p.holder.options.Incarnation, StoreMs: storeMs, Connected: p.connected})
 	if err != nil {
 		panic(err) // the row type always encodes
 	}
--- a/coord/rowstore/memory/memory.go
+++ b/coord/rowstore/memory/memory.go
@@ -54,10 +54,15 @@
 }
 
 // SetFaults replaces the faults.
-func (s *Store) SetFaults(f Faults) {
+func (s *Store) SetFaults(f Faults) { s.SwapFaults(f) }
+
+// SwapFaults replaces the faults and returns those before.
+func (s *Store) SwapFaults(f Faults) Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.faults
 	s.faults = f
+	return before
 }
 
 // Counts returns the calls served so far.
