--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -305,7 +306,11 @@
 	}
 	a.recall = a.recall && a.granted > a.inUseLocked()
 	a.holder.stats.Writes.Add(1)
-	a.holder.options.Log.Debug("grant changed", "workspace", a.workspace, "drawn", drawn, "granted", a.granted,
+	level := slog.LevelDebug
+	if drawn != 0 {
+		level = slog.LevelInfo
+	}
+	a.holder.options.Log.Log(context.Background(), level, "grant changed", "workspace", a.workspace, "drawn", drawn, "granted", a.granted,
 		"cleared", a.cleared, "spent", a.spent, "open", a.open, "total_granted", total.Granted, "limit", total.Limit, "version", version)
 	a.serveLocked()
 }
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -14,16 +14,7 @@
 	"daisyslip.dev/daisyslip/platform/standin"
 )
 
-// first returns a behaviour whose first n requests have the fault.
-func first(n int, fault standin.Fault) func(int) standin.Fault {
-	return func(i int) standin.Fault {
-		if i < n {
-			return fault
-		}
-		return standin.None
-	}
-}
-
+// always returns a behaviour with one fault.
 func always(fault standin.Fault) func(int) standin.Fault {
 	return func(int) standin.Fault { return fault }
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,7 +48,7 @@
 		if c.Load > limit || c.Slots > 0 && c.Load >= float64(c.Slots) {
 			continue
 		}
-		if score := rendezvous(affinity, c.ID); best < 0 || score > bestScore {
+		if score := Rendezvous(affinity, c.ID); best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -91,11 +91,12 @@
 	return best
 }
 
-// rendezvous scores an endpoint for a prompt; the highest score wins, so that
-// all routers agree and few prompts move when an endpoint comes or goes.
-func rendezvous(affinity uint64, id string) uint64 {
+// Rendezvous scores an endpoint for the hash of a prompt or of its first block;
+// the highest score wins, so that all routers agree and few prompts move when an
+// endpoint comes or goes.
+func Rendezvous(prompt uint64, id string) uint64 {
 	var key [8]byte
-	binary.LittleEndian.PutUint64(key[:], affinity)
+	binary.LittleEndian.PutUint64(key[:], prompt)
 	var digest xxhash.Digest
 	digest.Reset()
 	digest.Write(key[:])
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -1,12 +1,10 @@
 package route
 
 import (
-	"encoding/binary"
 	"math/rand/v2"
 
-	"github.com/cespare/xxhash/v2"
-
 	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/placement"
 )
 
 // Candidate is an endpoint that may get an attempt.
@@ -51,7 +49,7 @@
 		if candidate.Load > limit || full(candidate) {
 			continue
 		}
-		score := rendezvous(prefixes[0], candidate.Member.Name)
+		score := placement.Rendezvous(prefixes[0], candidate.Member.Name)
 		if best < 0 || candidate.Hits > candidates[best].Hits || candidate.Hits == candidates[best].Hits && score > bestScore {
 			best, bestScore = i, score
 		}
@@ -99,14 +97,3 @@
 	}
 	return first
 }
-
-// rendezvous scores an endpoint for a block; the highest score wins.
-func rendezvous(block uint64, endpoint string) uint64 {
-	var key [8]byte
-	binary.LittleEndian.PutUint64(key[:], block)
-	var digest xxhash.Digest
-	digest.Reset()
-	digest.Write(key[:])
-	digest.WriteString(endpoint)
-	return digest.Sum64()
-}
