Holders spread what they write at the same moment

Cause: on 62 routers conflicts are three quarters of the writes of grants; first draws, answers to an asking and writes after a cut come from all holders at once. Ruled out: clearing, which leaves the total alone. Change: these are spread over some milliseconds a holder.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -57,6 +57,9 @@
 	reported    int64
 	spentBefore int64
 	use         rate
+	// born and early spread the first draws of holders that start together.
+	born  time.Time
+	early float64
 	// request is a running mean of the tokens of a reservation.
 	request float64
 
@@ -78,7 +81,8 @@
 	a := &account{holder: h, workspace: workspace, request: usualRequest}
 	a.total.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: totalName}
 	a.own.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: grantPrefix + h.options.VM + "/" + h.options.Incarnation}
-	a.use = newRate(h.options.Clock.Now())
+	a.born, a.early = h.options.Clock.Now(), rand.Float64()
+	a.use = newRate(a.born)
 	return a
 }
 
@@ -332,12 +336,16 @@
 	a.failures++
 	contact := h.presence.next()
 	a.serveLocked()
+	hasty := len(a.waiters) > 0
 	a.mu.Unlock()
 	// One duty asks whether the store answers, not each account.
 	select {
 	case <-h.options.Clock.After(pause/2 + rand.N(pause/2)):
 		return true
 	case <-contact:
+		if !hasty {
+			a.spread()
+		}
 		return true
 	case <-h.ctx.Done():
 		a.mu.Lock()
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -21,7 +21,7 @@
 const conflictPause = 300 * time.Microsecond
 
 // maxConflictPause bounds it.
-const maxConflictPause = 20 * time.Millisecond
+const maxConflictPause = 150 * time.Millisecond
 
 // change brings the grant to a plan in one transaction. The outcome of a
 // transaction whose answer was lost shows in the own row, which only this holder
@@ -30,8 +30,11 @@
 // outcomes.
 func (a *account) change(p *plan) error {
 	a.mu.Lock()
-	read := !a.totalSeen || a.reread
+	read, spread := !a.totalSeen || a.reread, a.reread && len(a.waiters) == 0
 	a.mu.Unlock()
+	if spread {
+		a.spread()
+	}
 	if read {
 		_, err := a.read()
 		return err
@@ -110,6 +113,22 @@
 	return now
 }
 
+// spreadPause is the time, a holder, over which holders that learn the same at
+// the same moment spread their writes: some times that of a transaction, of which
+// a partition does one at a time. maxSpread bounds it.
+const (
+	spreadPause = 8 * time.Millisecond
+	maxSpread   = time.Second
+)
+
+func (a *account) spread() {
+	longest := min(spreadPause*time.Duration(max(a.holder.Holders(), 1)), maxSpread)
+	select {
+	case <-a.holder.options.Clock.After(rand.N(longest)):
+	case <-a.holder.ctx.Done():
+	}
+}
+
 func (a *account) pause() {
 	longest := min(conflictPause*time.Duration(2*max(a.totalNow.Open, 1)), maxConflictPause)
 	select {
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -1,6 +1,9 @@
 package prepaid
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // plan is what a grant should become, in tokens.
 type plan struct {
@@ -52,7 +55,7 @@
 	p.due = len(a.left) > 0 || uncleared || len(a.waiters) > 0 || len(a.pending) > 0
 	free := a.granted - wanted
 	s := a.holder.options.Settings
-	low := float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request
+	low := float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request && !a.earlyLocked()
 	high := float64(free) > a.surplusLocked()*float64(stock) && float64(free-stock) >= a.request
 	switch {
 	case len(a.waiters) > 0:
@@ -72,6 +75,17 @@
 	return p
 }
 
+// firstDrawSpread is the time, a holder, over which first draws ahead of need are
+// spread: ten transactions of one partition.
+const firstDrawSpread = 50 * time.Millisecond
+
+// earlyLocked reports whether the first draw ahead of need has to wait for those
+// of other holders that started at the same time.
+func (a *account) earlyLocked() bool {
+	spread := time.Duration(a.early * float64(firstDrawSpread) * float64(a.holder.Holders()))
+	return a.own.Version == 0 && a.now().Sub(a.born) < spread
+}
+
 // scarceLocked reports whether a holder is short of tokens.
 func (a *account) scarceLocked() bool { return a.now().Before(a.scarceUntil) }
 
