--- a/internal/daemoncli/platform.go
+++ b/internal/daemoncli/platform.go
@@ -4,14 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
 	"time"
 
-	"log/slog"
-
 	"github.com/spf13/cobra"
 
 	"daisyslip.dev/daisyslip/internal/gateway"
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -32,7 +32,7 @@
 			if len(excluded) > 0 && q.runs == 0 {
 				return refuseNoEndpoint(fmt.Sprintf("%d endpoints tried, none ran it", len(excluded)))
 			}
-			if q.stream.held != nil && !alone {
+			if q.held != nil && !alone {
 				alone = true // one that failed is better than none
 				clear(excluded)
 				continue
@@ -98,7 +98,7 @@
 		q.torn = true
 		return nil
 	}
-	if held := q.stream.held; held != nil && (ended == failed || ended == broken && q.runs > 0) {
+	if held := q.held; held != nil && (ended == failed || ended == broken && q.runs > 0) {
 		q.passFailure(held)
 		return nil
 	}
@@ -268,7 +268,7 @@
 	}
 	if !success {
 		answer.Finish()
-		q.stream.held = &heldAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), signed: said.Signed}
+		q.held = &heldAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), signed: said.Signed}
 		return failed, placement.Failed, fmt.Errorf("endpoint answered %d", answer.Status)
 	}
 	q.firstAt = q.handler.duties.Clock.Now()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -42,8 +42,9 @@
 	candidates  int    // endpoints among which it was chosen
 	status      int    // told to the caller
 	stream      relay
-	torn        bool // the answer must not look complete
-	gone        bool // the caller left
+	held        *heldAnswer // a failure that no endpoint's success has replaced yet
+	torn        bool        // the answer must not look complete
+	gone        bool        // the caller left
 	billed      int64
 	firstAt     time.Time
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -24,8 +24,6 @@
 	lastID string
 	// events counts those passed on.
 	events int
-	// held is a failure that no endpoint's success has replaced yet.
-	held *heldAnswer
 	// pending are bytes of an event that is not whole yet.
 	pending []byte
 	lastAt  time.Time
