--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -41,8 +41,11 @@
 	stamped time.Time
 	// connected are predecessors whose uncleared tokens can be given back.
 	connected []string
-	looked    bool
-	row       rowstore.Row
+
+	// looked is set once the predecessor's row was read; row is the own one, with
+	// a value while its sending is not settled. Both belong to run.
+	looked bool
+	row    rowstore.Row
 }
 
 // maxConnected bounds the predecessors that are remembered.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -9,7 +9,7 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 )
 
-// Times of a planned stop.
+// Times of a planned stop, within the grace that the platform gives.
 const (
 	// balancerNotice is the time in which the balancer learns that a router is
 	// not ready: two questions a second apart, and some more.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,10 +47,10 @@
 	made     *metrics.Counter
 	reused   *metrics.Counter
 
-	mu   sync.Mutex // guards idle and closed
+	mu   sync.Mutex // guards all below
 	idle map[string][]*conn
 	shut bool
-	open int
+	open int // connections, idle and in use
 }
 
 // NewPool returns an empty pool that counts in set.
@@ -147,6 +147,7 @@
 	}
 }
 
+// gone counts a connection that was closed.
 func (p *Pool) gone(*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
