A lost peer connection is counted before it can be replaced

The connection left the table before it was counted, so that a request could replace it and the test look in between. With a pause of 300 ms at that place it fails each time. Ruled out: a connection that ends as planned. Change: it is counted first.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -258,6 +258,10 @@
 // serve runs a connection to its end.
 func (l *Link) serve(c *conn) {
 	why := c.run()
+	if !planned(why) {
+		// Counted before a request can find the connection gone and replace it.
+		l.metrics.lost.Inc()
+	}
 	l.mu.Lock()
 	if l.conns[c.peer.ID] == c {
 		delete(l.conns, c.peer.ID)
@@ -266,7 +270,6 @@
 	if planned(why) {
 		return
 	}
-	l.metrics.lost.Inc()
 	l.log.Debug("Connection lost.", "peer", c.peer.ID.String(), "err", why)
 	l.events.Record(event.Event{Duty: event.DutyPeer, Kind: event.PeerLost, Peer: c.peer.ID.String(), Detail: why.Error()})
 	if errors.Is(why, errSilent) {
