An answer to a caller that counts as gone ends with an abort

Cause: a caller that closes its sending side counts as gone; the handler then returned and the server ended the answer as if it were whole. Change: the connection is aborted. TestHalfClosedCaller fails on the code before: the stream ended after its first half without an error.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -110,8 +110,10 @@
 		q.refuse(refused)
 	}
 	q.log(refused)
-	if q.torn {
-		panic(http.ErrAbortHandler) // the only way to end an answer short
+	if q.torn || q.gone {
+		// The only way to end an answer short. A caller that counts as gone may
+		// have closed its sending side alone.
+		panic(http.ErrAbortHandler)
 	}
 }
 
