--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -19,7 +19,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"time"
 )
 
@@ -115,34 +114,46 @@
 	}
 }
 
-// Validate returns an error that lists every problem.
-func (s Settings) Validate() error {
-	var problems []error
+// Problem is a setting that is wrong.
+type Problem struct {
+	// Name is that of the setting in JSON.
+	Name  string
+	Value any
+	// Want says what would be right.
+	Want string
+}
+
+// Validate returns every problem of the settings.
+func (s Settings) Validate() []Problem {
+	var problems []Problem
 	require := func(ok bool, name string, value any, want string) {
 		if !ok {
-			problems = append(problems, fmt.Errorf("%s: %v is wrong: want %s", name, value, want))
+			problems = append(problems, Problem{Name: name, Value: value, Want: want})
 		}
 	}
-	for name, d := range map[string]time.Duration{
-		"horizon": s.Horizon, "check_every": s.CheckEvery, "wait_least": s.WaitLeast, "contact_every": s.ContactEvery,
-		"call_timeout": s.CallTimeout, "retry_after": s.RetryAfter,
-	} {
-		require(d > 0, name, d, "a duration above 0")
-	}
-	require(s.WaitMost >= s.WaitLeast, "wait_most", s.WaitMost, "at least wait_least")
-	require(s.WaitFactor >= 1, "wait_factor", s.WaitFactor, "a factor from 1")
-	require(s.ShortFor >= 0, "short_for", s.ShortFor, "a duration from 0")
-	require(s.ScarceFor >= 0, "scarce_for", s.ScarceFor, "a duration from 0")
-	require(s.ReleaseAfter >= 0 && s.ReleaseAfter < s.ReleaseWithin, "release_after", s.ReleaseAfter, "a duration from 0, below release_within")
-	require(s.ReleaseWait >= 0, "release_wait", s.ReleaseWait, "a duration from 0")
-	require(s.AskWait >= 0, "ask_wait", s.AskWait, "a duration from 0")
-	require(s.ClearShare > 0 && s.ClearShare <= 1, "clear_share", s.ClearShare, "a share above 0, at most 1")
-	require(s.ClearAhead >= 0, "clear_ahead", s.ClearAhead, "a duration from 0")
-	require(s.LowWater > 0 && s.LowWater <= 1, "low_water", s.LowWater, "a share above 0, at most 1")
-	require(s.StockShare > 0 && s.StockShare <= 1, "stock_share", s.StockShare, "a share above 0, at most 1")
+	above := func(name string, d time.Duration) { require(d > 0, name, d, "a duration above 0") }
+	from := func(name string, d time.Duration) { require(d >= 0, name, d, "a duration from 0") }
+	share := func(name string, v float64) { require(v > 0 && v <= 1, name, v, "a share above 0, at most 1") }
+	above("horizon", s.Horizon)
+	share("low_water", s.LowWater)
+	share("stock_share", s.StockShare)
 	require(s.ScarceShare >= 0 && s.ScarceShare <= s.StockShare, "scarce_share", s.ScarceShare, "a share from 0 to stock_share")
 	require(s.Surplus >= 1, "surplus", s.Surplus, "a factor from 1")
-	return errors.Join(problems...)
+	require(s.ReleaseAfter >= 0 && s.ReleaseAfter < s.ReleaseWithin, "release_after", s.ReleaseAfter, "a duration from 0, below release_within")
+	from("release_wait", s.ReleaseWait)
+	from("clear_ahead", s.ClearAhead)
+	share("clear_share", s.ClearShare)
+	above("contact_every", s.ContactEvery)
+	from("scarce_for", s.ScarceFor)
+	above("check_every", s.CheckEvery)
+	above("wait_least", s.WaitLeast)
+	require(s.WaitMost >= s.WaitLeast, "wait_most", s.WaitMost, "at least wait_least")
+	require(s.WaitFactor >= 1, "wait_factor", s.WaitFactor, "a factor from 1")
+	from("ask_wait", s.AskWait)
+	above("call_timeout", s.CallTimeout)
+	above("retry_after", s.RetryAfter)
+	from("short_for", s.ShortFor)
+	return problems
 }
 
 // The tables of the ledger.
--- a/internal/daemoncli/daemoncli.go
+++ b/internal/daemoncli/daemoncli.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os/signal"
 	"syscall"
@@ -11,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"daisyslip.dev/daisyslip/internal/daemon"
+	"daisyslip.dev/daisyslip/internal/gateway"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/settings"
 )
@@ -50,7 +52,7 @@
 }
 
 func newRun() *cobra.Command {
-	var path string
+	var path, gatewayPath string
 	cmd := &cobra.Command{
 		Use:     "run",
 		Short:   "Run the router until SIGTERM or SIGINT, then drain",
@@ -61,7 +63,11 @@
 				return err
 			}
 			if file, onPlatform := platformFile(path); onPlatform {
-				return runOnPlatform(cmd, file)
+				own, err := loadGateway(gatewayPath)
+				if err != nil {
+					return err
+				}
+				return runOnPlatform(cmd, file, own)
 			}
 			s, err := settings.Load(path)
 			if err != nil {
@@ -71,6 +77,7 @@
 		},
 	}
 	configFlag(cmd, &path)
+	gatewayFlag(cmd, &gatewayPath)
 	return cmd
 }
 
@@ -95,14 +102,18 @@
 }
 
 func newCheck() *cobra.Command {
-	var path string
+	var path, gatewayPath string
 	cmd := &cobra.Command{
 		Use:     "check",
 		Short:   "Check a settings file and list every problem",
 		Example: "  daisyslipd check --config entry-1.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := checkFile(path); err != nil {
+			_, err := loadGateway(gatewayPath)
+			if path != "" || gatewayPath == "" {
+				err = errors.Join(err, checkFile(path))
+			}
+			if err != nil {
 				return err
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -110,17 +121,21 @@
 		},
 	}
 	configFlag(cmd, &path)
+	gatewayFlag(cmd, &gatewayPath)
 	return cmd
 }
 
 func newSettings() *cobra.Command {
-	var asJSON bool
+	var asJSON, onPlatform bool
 	cmd := &cobra.Command{
 		Use:   "settings",
 		Short: "List all settings with their defaults",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			entries := settings.Default().Entries()
+			if onPlatform {
+				entries = settings.EntriesOf(gateway.DefaultSettings())
+			}
 			if asJSON {
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(entries)
 			}
@@ -131,6 +146,7 @@
 		},
 	}
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "those of a router on the users' platform, for --gateway")
 	return cmd
 }
 
--- a/internal/daemoncli/platform.go
+++ b/internal/daemoncli/platform.go
@@ -50,6 +50,20 @@
 	return nil
 }
 
+// gatewayFlag names the product's own settings of a router on the platform.
+func gatewayFlag(cmd *cobra.Command, path *string) {
+	cmd.Flags().StringVar(path, "gateway", "", "path of a JSON file with daisyslip's own settings on the users' platform; without it the defaults hold")
+}
+
+// loadGateway reads them.
+func loadGateway(path string) (gateway.Settings, error) {
+	s, err := gateway.LoadSettings(path)
+	if err != nil {
+		return s, &SettingsError{Err: err}
+	}
+	return s, nil
+}
+
 // identity maps the platform's settings.
 func identity(s platform.Settings) gateway.Identity {
 	return gateway.Identity{
@@ -59,7 +73,7 @@
 }
 
 // runOnPlatform runs a router on the users' platform.
-func runOnPlatform(cmd *cobra.Command, path string) error {
+func runOnPlatform(cmd *cobra.Command, path string, own gateway.Settings) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return &SettingsError{Err: err}
@@ -68,7 +82,7 @@
 	defer handler.Close(logFlush)
 	store := platform.NewStore(s.StoreAddr)
 	defer store.Close()
-	g := gateway.New(gateway.DefaultSettings(), identity(s), gateway.Platform{
+	g := gateway.New(own, identity(s), gateway.Platform{
 		Store: store, Codec: platform.Codec{},
 		ConfigTable: platform.OperatorTable, ConfigName: platform.ConfigName, EndpointTable: platform.EndpointTable,
 		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, ReadyPath: platform.ReadyPath,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,22 +60,6 @@
 	Retries retrybudget.Settings
 }
 
-// Settings are the product's own settings of a gateway.
-type Settings struct {
-	Ingress   ingress.Settings   `json:"ingress"`
-	Upstream  upstream.Settings  `json:"upstream"`
-	Placement placement.Settings `json:"placement"`
-	Prepaid   prepaid.Settings   `json:"prepaid"`
-}
-
-// DefaultSettings returns the defaults.
-func DefaultSettings() Settings {
-	return Settings{
-		Ingress: ingress.DefaultSettings(), Upstream: upstream.DefaultSettings(),
-		Placement: placement.DefaultSettings(), Prepaid: prepaid.DefaultSettings(),
-	}
-}
-
 // Gateway is one router.
 type Gateway struct {
 	settings Settings
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"fmt"
+	"os"
+
+	"daisyslip.dev/daisyslip/coord/prepaid"
+	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/ingress"
+	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/strictjson"
+	"daisyslip.dev/daisyslip/internal/upstream"
+)
+
+// Settings are the product's own settings of a gateway, beside those that the
+// platform gives.
+type Settings struct {
+	Ingress   ingress.Settings   `json:"ingress"`
+	Upstream  upstream.Settings  `json:"upstream"`
+	Placement placement.Settings `json:"placement"`
+	Prepaid   prepaid.Settings   `json:"prepaid"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Ingress: ingress.DefaultSettings(), Upstream: upstream.DefaultSettings(),
+		Placement: placement.DefaultSettings(), Prepaid: prepaid.DefaultSettings(),
+	}
+}
+
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List) {
+	s.Ingress.Validate(l, "ingress")
+	s.Upstream.Validate(l, "upstream")
+	s.Placement.Validate(l, "placement")
+	for _, p := range s.Prepaid.Validate() {
+		l.Add("prepaid."+p.Name, p.Value, p.Want)
+	}
+}
+
+// LoadSettings reads settings from a JSON file over the defaults and checks them.
+// The error lists every problem. Without a path it returns the defaults.
+func LoadSettings(path string) (Settings, error) {
+	s := DefaultSettings()
+	if path == "" {
+		return s, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, fmt.Errorf("read settings: %w", err)
+	}
+	var problems check.List
+	if err := strictjson.Decode(data, &s, &problems); err != nil {
+		return s, fmt.Errorf("settings %s: %w", path, err)
+	}
+	s.Validate(&problems)
+	if err := problems.Err(); err != nil {
+		return s, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/gateway/settings_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/internal/check"
+)
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "gateway.json")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestDefaultSettingsAreRight(t *testing.T) {
+	var problems check.List
+	DefaultSettings().Validate(&problems)
+	assert.NilError(t, problems.Err())
+	s, err := LoadSettings("")
+	assert.NilError(t, err)
+	assert.Equal(t, s, DefaultSettings())
+}
+
+func TestLoadSettings(t *testing.T) {
+	s, err := LoadSettings(write(t, `{"prepaid":{"horizon":"12s","clear_share":0.02},"upstream":{"max_idle":8}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Prepaid.Horizon, 12*time.Second)
+	assert.Equal(t, s.Prepaid.ClearShare, 0.02)
+	assert.Equal(t, s.Upstream.MaxIdle, 8)
+	assert.Equal(t, s.Ingress, DefaultSettings().Ingress)
+}
+
+// TestLoadSettingsListsEveryProblem: unknown fields, wrong types and wrong values
+// of all parts come in one error.
+func TestLoadSettingsListsEveryProblem(t *testing.T) {
+	_, err := LoadSettings(write(t, `{"prepaid":{"horizon":"0s","clear_share":2,"release_after":"9s","colour":"red"},
+		"ingress":{"max_in_flight":0,"max_body_bytes":"many"},"upstream":{"connect_timeout":"-1s"},
+		"placement":{"failure_share":1.5,"failure_factor":0.5},"peers":{}}`))
+	assert.Assert(t, err != nil)
+	for _, path := range []string{
+		"prepaid.horizon", "prepaid.clear_share", "prepaid.release_after", "prepaid.colour", "ingress.max_in_flight",
+		"ingress.max_body_bytes", "upstream.connect_timeout", "placement.failure_share", "placement.failure_factor", "peers",
+	} {
+		assert.Assert(t, strings.Contains(err.Error(), path), "%s is not in %v", path, err)
+	}
+}
+
+func TestLoadSettingsMalformed(t *testing.T) {
+	for _, text := range []string{"", "{", "[]", "{} {}"} {
+		_, err := LoadSettings(write(t, text))
+		assert.Assert(t, err != nil, "%q", text)
+	}
+	_, err := LoadSettings(filepath.Join(t.TempDir(), "absent.json"))
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,6 +13,7 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/prepaid"
+	"daisyslip.dev/daisyslip/internal/check"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
@@ -41,6 +42,13 @@
 	}
 }
 
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List, path string) {
+	l.Positive(path+".max_in_flight", s.MaxInFlight)
+	l.Duration(path+".default_patience", s.DefaultPatience, time.Millisecond, time.Hour)
+	l.Positive(path+".max_body_bytes", s.MaxBodyBytes)
+}
+
 // Duties are what the ingress works with.
 type Duties struct {
 	Codec     exchange.Codec
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/check"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 )
@@ -36,6 +37,17 @@
 	}
 }
 
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List, path string) {
+	l.Duration(path+".report_memory", s.ReportMemory, time.Millisecond, time.Hour)
+	l.Duration(path+".eject_for", s.EjectFor, time.Millisecond, time.Hour)
+	l.Duration(path+".eject_most", s.EjectMost, s.EjectFor, time.Hour)
+	l.Share(path+".failure_share", s.FailureShare)
+	if s.FailureFactor < 1 {
+		l.Add(path+".failure_factor", s.FailureFactor, "a factor from 1")
+	}
+}
+
 // Outcome is what became of a request at an endpoint.
 type Outcome int
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,9 +147,10 @@
 }
 
 // Entries lists all settings by JSON path.
-func (s Settings) Entries() []Entry {
-	return entriesOf(reflect.ValueOf(s), "")
-}
+func (s Settings) Entries() []Entry { return EntriesOf(s) }
+
+// EntriesOf lists the fields of any settings by JSON path.
+func EntriesOf(settings any) []Entry { return entriesOf(reflect.ValueOf(settings), "") }
 
 func entriesOf(v reflect.Value, prefix string) []Entry {
 	var entries []Entry
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/check"
 )
 
 // Settings are the settings of a pool of connections.
@@ -36,6 +37,14 @@
 	}
 }
 
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List, path string) {
+	l.Duration(path+".connect_timeout", s.ConnectTimeout, time.Millisecond, time.Minute)
+	l.Duration(path+".idle_unsaid", s.IdleUnsaid, 0, time.Hour)
+	l.Duration(path+".idle_once", s.IdleOnce, 0, time.Hour)
+	l.Positive(path+".max_idle", int64(s.MaxIdle))
+}
+
 // keepShare is the part of an endpoint's own idle timeout that is used, so that
 // a request does not cross its close.
 const keepShare = 0.8
