--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -1,8 +1,12 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"log/slog"
 	"os/signal"
 	"syscall"
 
@@ -10,12 +14,13 @@
 
 	"daisyslip.dev/daisyslip/internal/dev"
 	"daisyslip.dev/daisyslip/internal/logs"
+	"daisyslip.dev/daisyslip/platform/standin"
 )
 
 func newDev() *cobra.Command {
 	options := dev.DefaultOptions()
 	level := "warn"
-	once := false
+	once, onPlatform := false, false
 	cmd := &cobra.Command{
 		Use:   "dev",
 		Short: "Run a small fleet in one process on loopback",
@@ -24,6 +29,7 @@
 JSON line that says where everything listens, and serves until interrupted.`,
 		Example: `  daisyslip dev
   daisyslip dev --once
+  daisyslip dev --platform --once
   daisyslip dev --port 7300
   daisyslip dev --budget 5000`,
 		Args: cobra.NoArgs,
@@ -34,6 +40,9 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			if onPlatform {
+				return devSite(ctx, cmd.OutOrStdout(), options.Port, once, log)
+			}
 			fleet, err := dev.Start(ctx, options, log)
 			if err != nil {
 				return err
@@ -56,6 +65,21 @@
 	cmd.Flags().IntVar(&options.Engines, "engines", options.Engines, "number of model endpoints")
 	cmd.Flags().IntVar(&options.Port, "port", options.Port, "caller port of the first router, the others follow, operator ports are 100 above; 0 takes free ports")
 	cmd.Flags().BoolVar(&once, "once", false, "send a sample of requests, print answers and the time line, and exit")
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "run one router on a stand-in of the users' platform instead")
 	cmd.Flags().StringVar(&level, "log-level", level, "debug, info, warn or error")
 	return cmd
 }
+
+// devSite runs a router on a stand-in of the users' platform.
+func devSite(ctx context.Context, out io.Writer, port int, once bool, log *slog.Logger) error {
+	site, err := dev.StartSite(ctx, port, log)
+	if err != nil {
+		return err
+	}
+	if once {
+		return errors.Join(standin.SampleRequests(ctx, site.CallerAddr(), out), site.Close())
+	}
+	fmt.Fprintf(out, "router takes requests at %s\n", site.CallerAddr())
+	<-ctx.Done()
+	return site.Close()
+}
--- a/internal/daemoncli/platform.go
+++ b/internal/daemoncli/platform.go
@@ -15,6 +15,7 @@
 
 	"daisyslip.dev/daisyslip/internal/gateway"
 	"daisyslip.dev/daisyslip/internal/logs"
+	"daisyslip.dev/daisyslip/internal/onplatform"
 	"daisyslip.dev/daisyslip/internal/settings"
 	"daisyslip.dev/daisyslip/platform"
 )
@@ -64,33 +65,15 @@
 	return s, nil
 }
 
-// identity maps the platform's settings.
-func identity(s platform.Settings) gateway.Identity {
-	return gateway.Identity{
-		VM: s.VM, Domain: s.Domain, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, MetricsAddr: s.MetricsAddr,
-		MemoryBytes: s.MemoryBytes, Grace: s.Grace, Heartbeat: s.Heartbeat, Retries: s.Retries,
-	}
-}
-
 // runOnPlatform runs a router on the users' platform.
 func runOnPlatform(cmd *cobra.Command, path string, own gateway.Settings) error {
-	s, err := platform.LoadSettings(path)
+	handler := logs.NewBounded(cmd.OutOrStdout(), slog.LevelInfo)
+	defer handler.Close(logFlush)
+	g, err := onplatform.New(path, own, slog.New(handler))
 	if err != nil {
 		return &SettingsError{Err: err}
 	}
-	handler := logs.NewBounded(cmd.OutOrStdout(), slog.LevelInfo)
-	defer handler.Close(logFlush)
-	store := platform.NewStore(s.StoreAddr)
-	defer store.Close()
-	g := gateway.New(own, identity(s), gateway.Platform{
-		Store: store, Codec: platform.Codec{},
-		ConfigTable: platform.OperatorTable, ConfigName: platform.ConfigName, EndpointTable: platform.EndpointTable,
-		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, ReadyPath: platform.ReadyPath,
-		Reload: func() (gateway.Identity, error) {
-			s, err := platform.LoadSettings(path)
-			return identity(s), err
-		},
-	}, slog.New(handler))
+	defer g.Close()
 	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -103,7 +86,7 @@
 	return g.Run(ctx)
 }
 
-func reloadOnSignal(ctx context.Context, reload <-chan os.Signal, g *gateway.Gateway) {
+func reloadOnSignal(ctx context.Context, reload <-chan os.Signal, g *onplatform.Router) {
 	for {
 		select {
 		case <-reload:
--- /dev/null
+++ b/internal/dev/platform.go
@@ -0,0 +1,133 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"daisyslip.dev/daisyslip/internal/gateway"
+	"daisyslip.dev/daisyslip/internal/onplatform"
+	"daisyslip.dev/daisyslip/platform/standin"
+)
+
+// Site is a router on a stand-in of the users' platform, in one process.
+type Site struct {
+	site     *standin.Site
+	router   *onplatform.Router
+	settings string // the directory of the settings file
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// sitePorts is the number of listeners of a router, on consecutive ports.
+const sitePorts = 3
+
+// StartSite starts the stand-in and the router, and waits until the router is
+// ready. The first listener has the port, or a free one if that is 0.
+func StartSite(ctx context.Context, port int, log *slog.Logger) (*Site, error) {
+	if port == 0 {
+		free, err := freePorts(sitePorts)
+		if err != nil {
+			return nil, err
+		}
+		port = free
+	}
+	directory, err := os.MkdirTemp("", "daisyslip-dev")
+	if err != nil {
+		return nil, fmt.Errorf("make a directory for the settings: %w", err)
+	}
+	s := &Site{settings: directory}
+	if err := s.start(ctx, port, log); err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, port int, log *slog.Logger) error {
+	var err error
+	if s.site, err = standin.StartSite("127.0.0.1:0"); err != nil {
+		return err
+	}
+	path := filepath.Join(s.settings, "router.toml")
+	if err := os.WriteFile(path, []byte(s.site.SettingsFile("dev-1", port)), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	if s.router, err = onplatform.New(path, gateway.DefaultSettings(), log); err != nil {
+		return err
+	}
+	if err := s.router.Provision(); err != nil {
+		return fmt.Errorf("provision the router: %w", err)
+	}
+	running, stop := context.WithCancel(context.Background())
+	s.stop, s.done = stop, make(chan error, 2)
+	go func() { s.done <- s.site.Run(running) }()
+	go func() { s.done <- s.router.Run(running) }()
+	return s.waitReady(ctx)
+}
+
+func (s *Site) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !s.router.Ready() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the router to be ready: %w", ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// CallerAddr is where the router takes requests, as host:port.
+func (s *Site) CallerAddr() string { return s.router.Addresses().Callers }
+
+// Close stops the router as planned, and then the stand-in.
+func (s *Site) Close() error {
+	var err error
+	if s.stop != nil {
+		s.stop()
+		err = errors.Join(<-s.done, <-s.done)
+	}
+	if s.router != nil {
+		s.router.Close()
+	}
+	if s.site != nil {
+		err = errors.Join(err, s.site.Close())
+	}
+	return errors.Join(err, os.RemoveAll(s.settings))
+}
+
+// freePorts returns the first of n consecutive ports that are free on loopback.
+// Another process may take them before they are listened on.
+func freePorts(n int) (int, error) {
+	const tries = 50
+	for range tries {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, fmt.Errorf("find free ports: %w", err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		listeners := []net.Listener{first}
+		for i := 1; i < n; i++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
+			if err != nil {
+				break
+			}
+			listeners = append(listeners, l)
+		}
+		for _, l := range listeners {
+			if err := l.Close(); err != nil {
+				return 0, fmt.Errorf("free a port: %w", err)
+			}
+		}
+		if len(listeners) == n {
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no %d consecutive ports are free", n)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,15 +176,15 @@
 	return err
 }
 
-// isReady reports whether the balancer should send connections here.
-func (g *Gateway) isReady() bool {
+// Ready reports whether the balancer should send connections here.
+func (g *Gateway) Ready() bool {
 	return !g.draining.Load() && g.tables.Load() != nil && g.endpoints.Known()
 }
 
 func (g *Gateway) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+g.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.isReady() {
+		if !g.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
