--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -282,7 +282,7 @@
 	}
 }
 
-// check looks for something to write, and in a cut-off for waiters that can be
+// check looks for something to write, and without the store for waiters that can be
 // served now.
 func (a *account) check() {
 	a.mu.Lock()
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -671,6 +671,39 @@
 	}
 }
 
+// TestGrantOfPredecessorComesBackInPart: a process that dies without contact leaves
+// what was not released to it in that time.
+func TestGrantOfPredecessorComesBackInPart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		away   time.Duration
+		served bool
+	}{{"short outage", 3 * time.Second, true}, {"long outage", 12 * time.Second, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 1, seed())
+				s.setLimit("coop-0", 100_000)
+				for range 12 {
+					r, err := s.routers[0].Reserve(context.Background(), "coop-0", 1000)
+					assert.NilError(t, err)
+					r.Settle(1000)
+					time.Sleep(200 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				rows, _ := s.rows("prepaid", "coop-0")
+				assert.Assert(t, rows["total"].Granted > 50_000, "granted %d", rows["total"].Granted)
+				s.cutAll(true)
+				time.Sleep(c.away)
+				s.kill(0, 500*time.Millisecond)
+				time.Sleep(2 * time.Second)
+				_, err := s.routers[0].Reserve(context.Background(), "coop-0", 55_000)
+				assert.Equal(t, err == nil, c.served, "%v", err)
+				s.end()
+			})
+		})
+	}
+}
+
 // TestManyRoutersLeaveTheStoreRoom: 62 routers with 24 workspaces, most of which
 // see a request in some seconds, stay below the 1,500 writes a second that the
 // platform allows such a fleet, conflicts included.
