Holders draw before the first requests, and hear the asks of others

For 300 ms an ask of another holder counts as an own one. Test: TestFirstGrantsComeBeforeNeed failed first.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -49,6 +49,9 @@
 	scarceAll   bool
 	asked       time.Time
 	askedAll    bool
+	// heard is when another holder was heard to ask, and heardAll whether for all.
+	heard    time.Time
+	heardAll bool
 	// reread asks to read the rows before the next plan.
 	reread bool
 
@@ -296,7 +299,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.scarceAll = all || a.scarceAll && a.scarceLocked()
-	a.scarceUntil = a.now().Add(a.holder.options.Settings.ScarceFor)
+	now := a.now()
+	a.scarceUntil = now.Add(a.holder.options.Settings.ScarceFor)
+	a.heard, a.heardAll = now, all
 	a.reread = a.granted > a.inUseLocked()
 	a.wakeLocked()
 }
--- a/coord/prepaid/ask.go
+++ b/coord/prepaid/ask.go
@@ -73,12 +73,17 @@
 	return a.planLocked(), nil
 }
 
+// heardFor is how long an ask of another holder counts as an own one: the time in
+// which its answers come.
+const heardFor = 300 * time.Millisecond
+
 // ask asks the other holders to return stock, or all of it.
 func (a *account) ask(all bool) error {
 	a.mu.Lock()
 	now := a.now()
 	recent := !a.asked.IsZero() && now.Sub(a.asked) < a.holder.options.Settings.ScarceFor/2
-	needless := recent && (a.askedAll || !all)
+	heard := !a.heard.IsZero() && now.Sub(a.heard) < heardFor && (a.heardAll || !all)
+	needless := heard || recent && (a.askedAll || !all)
 	if !needless {
 		a.asked, a.askedAll = now, all
 	}
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -174,10 +174,12 @@
 }
 
 // Sweep takes up the grants of predecessors for the workspaces, so that what
-// can be given back is.
+// can be given back is, and draws first grants ahead of need.
 func (h *Holder) Sweep(workspaces []string) {
 	for _, w := range workspaces {
-		h.account(w).check()
+		a := h.account(w)
+		a.checkLimit()
+		a.check()
 	}
 }
 
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -175,7 +175,6 @@
 // start starts a process on a VM.
 func (s *site) start(vm int) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.starts++
 	l := &link{Store: s.store, chance: s.chance, later: &s.later, lateness: 3 * time.Second}
 	life, stop := context.WithCancel(context.Background())
@@ -194,6 +193,7 @@
 	for name := range s.limits {
 		names = append(names, name)
 	}
+	s.mu.Unlock()
 	r.Sweep(names)
 }
 
@@ -704,6 +704,20 @@
 	}
 }
 
+// TestFirstGrantsComeBeforeNeed: a holder draws for the workspaces that it is told
+// of before their first requests.
+func TestFirstGrantsComeBeforeNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, seed())
+		defer s.end()
+		s.setLimit("coop-0", 1_000_000)
+		time.Sleep(3 * time.Second)
+		rows, _ := s.rows("prepaid", "coop-0")
+		assert.Equal(t, len(rows), 3, "two grants and the total: %v", rows)
+		assert.Assert(t, rows["total"].Granted > 10_000, "granted %d", rows["total"].Granted)
+	})
+}
+
 // TestScatteredRestComesTogether: what is left of a total lies in parts that are
 // smaller than a request at nine holders, and still serves one.
 func TestScatteredRestComesTogether(t *testing.T) {
