Grants of predecessors are taken up only once predecessors are known

Cause: a holder that wrote before it had read its predecessor's last contact counted all of that one's grant as spent. Since the first grants are drawn at the start that happened often, before that with a request that came in the first milliseconds. Ruled out: the age of the last contact (3.1 to 3.6 s in runs that failed and that did not). Change: such grants stay as they are until the rows of the holders were read.

--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -100,13 +100,21 @@
 	return fmt.Errorf("change the grant of %s: %w", a.workspace, err)
 }
 
+// ownExpectations is the number of rows that a transaction expects beside grants of
+// predecessors: the total and the own grant.
+const ownExpectations = 2
+
 // adoptConflict takes over the rows that a transaction expected. What it did not
 // expect is not in the conflict and stays as it is known.
 func (a *account) adoptConflict(tx *rowstore.Tx, conflict *rowstore.ConflictError) error {
 	own := conflict.Row(a.own.Key)
 	for _, e := range tx.Expect {
 		if e.Key == a.total.Key {
-			return a.adopt(conflict.Row(a.total.Key), own, present(conflict, a.left))
+			left := a.left
+			if len(tx.Expect) > ownExpectations {
+				left = present(conflict, left)
+			}
+			return a.adopt(conflict.Row(a.total.Key), own, left)
 		}
 	}
 	a.mu.Lock()
@@ -233,9 +241,12 @@
 	defer a.mu.Unlock()
 	total := a.totalNow
 	tx := &rowstore.Tx{Expect: []rowstore.Expect{{Key: a.total.Key, Version: a.total.Version}, {Key: a.own.Key, Version: a.own.Version}}}
-	if err := a.reclaim(tx, &total); err != nil {
-		return nil, nil, err
+	if a.leftKnown() {
+		if err := a.reclaim(tx, &total); err != nil {
+			return nil, nil, err
+		}
 	}
+	reclaimed := len(tx.Remove)
 	inUse := a.inUseLocked()
 	draw := p.granted - a.granted
 	if draw > 0 {
@@ -278,7 +289,7 @@
 	}
 	tx.Put = append(tx.Put, rowstore.Put{Key: a.total.Key, Value: encode(total)})
 	a.addPendingLocked(grant, true)
-	return tx, func(version int64) { a.applied(total, grant, version, closed) }, nil
+	return tx, func(version int64) { a.applied(total, grant, version, reclaimed, closed) }, nil
 }
 
 // prepareOwn computes a transaction that leaves the total as it is, which no
@@ -318,16 +329,18 @@
 }
 
 // applied takes over a transaction that the store has.
-func (a *account) applied(total totalRow, grant grantRow, version int64, closed bool) {
+func (a *account) applied(total totalRow, grant grantRow, version int64, reclaimed int, closed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	drawn := grant.Granted - a.granted
-	if len(a.left) > 0 {
-		a.holder.stats.Reclaims.Add(int64(len(a.left)))
-		a.holder.options.Log.Info("grants of predecessors taken up", "workspace", a.workspace, "grants", len(a.left),
+	if reclaimed > 0 {
+		a.holder.stats.Reclaims.Add(int64(reclaimed))
+		a.holder.options.Log.Info("grants of predecessors taken up", "workspace", a.workspace, "grants", reclaimed,
 			"came_back", a.totalNow.Granted+drawn-total.Granted, "version", version)
 	}
-	a.left = nil
+	if reclaimed > 0 {
+		a.left = nil
+	}
 	a.totalNow, a.total.Version, a.own.Version = total, version, version
 	a.granted, a.cleared, a.reported = grant.Granted, grant.Cleared, grant.Spent
 	a.settlePendingLocked()
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -52,7 +52,7 @@
 	p := &plan{granted: wanted + max(ahead, stock), cleared: wanted + ahead}
 	uncleared := inUse > a.cleared || float64(a.cleared-inUse) < clearLowWater*float64(ahead) && a.cleared < a.granted
 	// A write that succeeds ends those whose outcome is not known.
-	p.due = len(a.left) > 0 || uncleared || len(a.waiters) > 0 || len(a.pending) > 0
+	p.due = a.leftKnown() || uncleared || len(a.waiters) > 0 || len(a.pending) > 0
 	free := a.granted - wanted
 	s := a.holder.options.Settings
 	low := float64(free) < s.LowWater*float64(stock) && float64(stock-free) >= a.request && !a.earlyLocked()
@@ -76,6 +76,9 @@
 	return p
 }
 
+// leftKnown reports whether grants of predecessors can be taken up.
+func (a *account) leftKnown() bool { return len(a.left) > 0 && a.holder.presence.known.Load() }
+
 // firstDrawSpread is the time, a holder, over which first draws ahead of need are
 // spread: ten transactions of one partition.
 const firstDrawSpread = 50 * time.Millisecond
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -42,6 +42,9 @@
 	// before are predecessors, of which not all has to count as spent.
 	before []deadHolder
 
+	// known is set once predecessors are known; until then nothing can be said of
+	// their grants.
+	known atomic.Bool
 	// looked is set once the predecessor's row was read; row is the own one, with
 	// a value while its sending is not settled. Both belong to run.
 	looked bool
@@ -249,6 +252,10 @@
 			p.inherit(row, snap.Now)
 		}
 	}
+	p.known.Store(true)
+	for _, a := range p.holder.all() {
+		a.check() // their grants can be taken up now
+	}
 	return nil
 }
 
