A predecessor's own settings say what was released to it

Cause: settings can be given by a file now; a successor with a slower release would have counted too little of a grant as spent. The test for it showed a second fault: a contact tried in vain put the release off by up to 3 s, since it was stamped anew after each failed count of the holders. Change: the holder's row has the times of its release; a row without them counts as all released. After a failure a read asks for the store before a new row is sent. Test: TestPredecessorsReleaseCounts failed for each of both.

--- a/coord/prepaid/plays_test.go
+++ b/coord/prepaid/plays_test.go
@@ -209,6 +209,31 @@
 	}
 }
 
+// TestPredecessorsReleaseCounts: what a process without contact was released counts
+// by its own settings, not by those of its successor.
+func TestPredecessorsReleaseCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 0, seed())
+		defer s.end()
+		s.routers = make([]*router, 1)
+		s.settings.ReleaseAfter, s.settings.ReleaseWithin = time.Second, 3*time.Second
+		s.setLimit("coop-0", 100_000)
+		s.start(0)
+		time.Sleep(3 * time.Second)
+		s.cutAll(true)
+		time.Sleep(4 * time.Second)
+		first := s.routers[0]
+		reservation, err := first.Reserve(context.Background(), "coop-0", 25_000)
+		assert.NilError(t, err, "all of the grant is released")
+		reservation.Settle(25_000)
+		s.settings.ReleaseAfter, s.settings.ReleaseWithin = time.Minute, time.Hour
+		s.kill(0, 100*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		_, err = s.routers[0].Reserve(context.Background(), "coop-0", 80_000)
+		assert.Assert(t, err != nil, "25,000 of 100,000 are spent")
+	})
+}
+
 // TestFirstGrantsComeBeforeNeed: a holder draws for the workspaces that it is told
 // of before their first requests.
 func TestFirstGrantsComeBeforeNeed(t *testing.T) {
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -208,15 +208,32 @@
 	Incarnation string `json:"incarnation"`
 	// StoreMs is a lower bound of the store's clock when the row was sent.
 	StoreMs int64 `json:"store_ms"`
+	// ReleaseAfterMs and ReleaseWithinMs are the process's settings, which a
+	// successor's may differ from.
+	ReleaseAfterMs  int64 `json:"release_after_ms"`
+	ReleaseWithinMs int64 `json:"release_within_ms"`
 	// Before are earlier incarnations on the VM.
 	Before []deadHolder `json:"before,omitempty"`
 }
 
-// deadHolder tells of a process that is dead for how long at most it was without
-// contact when it died.
+// released is the share of uncleared tokens that is released to the process after
+// a time without contact; all, if its row does not tell.
+func (r holderRow) released(away time.Duration) float64 {
+	s := Settings{
+		ReleaseAfter:  time.Duration(r.ReleaseAfterMs) * time.Millisecond,
+		ReleaseWithin: time.Duration(r.ReleaseWithinMs) * time.Millisecond,
+	}
+	if s.ReleaseWithin <= s.ReleaseAfter {
+		return 1
+	}
+	return s.Released(away)
+}
+
+// deadHolder tells of a process that is dead which share of its uncleared tokens
+// was released to it at most.
 type deadHolder struct {
-	Incarnation string `json:"incarnation"`
-	AwayMs      int64  `json:"away_ms"`
+	Incarnation string  `json:"incarnation"`
+	Released    float64 `json:"released"`
 }
 
 // wantedRow asks for the return of tokens.
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -46,7 +46,9 @@
 	// their grants.
 	known atomic.Bool
 	// looked is set once the predecessor's row was read; row is the own one, with
-	// a value while its sending is not settled. Both belong to run.
+	// a value while its sending is not settled; failed says that the last contact
+	// failed. They belong to run.
+	failed bool
 	looked bool
 	row    rowstore.Row
 }
@@ -105,14 +107,9 @@
 // Released is the share of uncleared tokens that is released after a time
 // without contact.
 func (s Settings) Released(away time.Duration) float64 {
-	part := min(max((away-s.ReleaseAfter).Seconds()/(s.ReleaseWithin-s.ReleaseAfter).Seconds(), 0), 1)
-	return math.Pow(part, releasePower)
+	return min(max((away-s.ReleaseAfter).Seconds()/(s.ReleaseWithin-s.ReleaseAfter).Seconds(), 0), 1)
 }
 
-// releasePower bends the release: little is lost if a VM loses power for some
-// seconds, and the use of an outage still fits.
-const releasePower = 1.0
-
 // untilReleased is the time until tokens of the uncleared ones are released
 // without contact.
 func (p *presence) untilReleased(tokens, uncleared int64) time.Duration {
@@ -128,7 +125,7 @@
 		return math.MaxInt64
 	}
 	s := p.holder.options.Settings
-	part := math.Pow(float64(tokens)/float64(uncleared), 1/releasePower)
+	part := float64(tokens) / float64(uncleared)
 	needs := s.ReleaseAfter + time.Duration(part*float64(s.ReleaseWithin-s.ReleaseAfter))
 	return max(needs-p.awayLocked(), 0) + releaseSlack
 }
@@ -176,8 +173,7 @@
 	defer p.mu.Unlock()
 	for _, before := range p.before {
 		if before.Incarnation == incarnation {
-			share := p.holder.options.Settings.Released(time.Duration(before.AwayMs) * time.Millisecond)
-			return min(int64(math.Ceil(share*float64(uncleared))), uncleared)
+			return min(int64(math.Ceil(before.Released*float64(uncleared))), uncleared)
 		}
 	}
 	return uncleared
@@ -190,7 +186,9 @@
 			return
 		}
 		pause = around(p.holder.options.Settings.ContactEvery)
-		if err := p.contact(ctx, n < countEvery || n%countEvery == 0); err != nil && ctx.Err() == nil {
+		err := p.contact(ctx, n < countEvery || n%countEvery == 0)
+		p.failed = err != nil
+		if err != nil && ctx.Err() == nil {
 			p.holder.options.Log.Debug("no contact with the store", "err", err.Error())
 			pause = p.holder.options.Settings.RetryAfter + rand.N(p.holder.options.Settings.RetryAfter)
 		}
@@ -201,7 +199,9 @@
 func (p *presence) contact(ctx context.Context, count bool) error {
 	ctx, cancel := context.WithTimeout(ctx, p.holder.options.Settings.CallTimeout)
 	defer cancel()
-	if count || !p.looked {
+	if count || !p.looked || p.failed {
+		// After a failure a read asks whether the store answers: a new row that is
+		// sent in vain would put the release of tokens off.
 		if err := p.look(ctx); err != nil {
 			return err
 		}
@@ -268,13 +268,13 @@
 		return
 	}
 	// The clock in rows is in whole milliseconds.
-	away := (now - time.Duration(before.StoreMs)*time.Millisecond).Milliseconds() + 1
+	away := now - time.Duration(before.StoreMs-1)*time.Millisecond
+	released := before.released(away)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.before = append(before.Before, deadHolder{Incarnation: before.Incarnation, AwayMs: away})
+	p.before = append(before.Before, deadHolder{Incarnation: before.Incarnation, Released: released})
 	p.before = p.before[max(0, len(p.before)-maxBefore):]
-	log.Info("predecessor found", "incarnation", before.Incarnation, "contact_age_ms", away,
-		"released", p.holder.options.Settings.Released(time.Duration(away)*time.Millisecond))
+	log.Info("predecessor found", "incarnation", before.Incarnation, "contact_age_ms", away.Milliseconds(), "released", released)
 }
 
 // stamp makes the next row, unless uncleared tokens are in use. The stamp comes
@@ -291,7 +291,13 @@
 		p.stamped = before
 		return false
 	}
-	value, err := json.Marshal(holderRow{Incarnation: p.holder.options.Incarnation, StoreMs: storeMs, Before: p.before})
+	settings := p.holder.options.Settings
+	value, err := json.Marshal(holderRow{
+		Incarnation: p.holder.options.Incarnation, StoreMs: storeMs, Before: p.before,
+		// Rounded so that a successor counts no less than was released.
+		ReleaseAfterMs:  settings.ReleaseAfter.Milliseconds(),
+		ReleaseWithinMs: settings.ReleaseWithin.Milliseconds(),
+	})
 	if err != nil {
 		panic(err) // the row type always encodes
 	}
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -145,6 +145,8 @@
 	store  *memory.Store
 	chance *chance
 	later  sync.WaitGroup // restarts and late commits
+	// settings are those of routers that start.
+	settings prepaid.Settings
 
 	mu      sync.Mutex // guards all below
 	routers []*router  // nil while down
@@ -162,7 +164,7 @@
 
 func newSite(t *testing.T, routers int, seed uint64) *site {
 	s := &site{
-		t: t, store: memory.New(), chance: newChance(seed), routers: make([]*router, routers), limits: map[string]int64{}, consumed: map[string]int64{},
+		t: t, store: memory.New(), chance: newChance(seed), settings: prepaid.DefaultSettings(), routers: make([]*router, routers), limits: map[string]int64{}, consumed: map[string]int64{},
 		open: map[string]int64{}, owed: map[string]int{}, served: map[string]int{}, refusals: map[string]int{},
 	}
 	for vm := range routers {
@@ -182,7 +184,7 @@
 		incarnation: fmt.Sprint("i-", s.starts), used: map[string]int64{},
 	}
 	r.Holder = prepaid.NewHolder(prepaid.Options{
-		Settings: prepaid.DefaultSettings(), Store: l, VM: r.vm, Incarnation: r.incarnation, Clock: clock.Real{},
+		Settings: s.settings, Store: l, VM: r.vm, Incarnation: r.incarnation, Clock: clock.Real{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Limit: s.limit,
 	})
 	go func() { defer close(r.ended); r.Run(life) }()
@@ -475,7 +477,7 @@
 		closed -= row.Granted
 		most := row.Granted
 		if h := holders[r.vm]; h.Incarnation == r.incarnation {
-			most = row.Cleared + int64(math.Ceil(prepaid.DefaultSettings().Released(now-time.Duration(h.StoreMs)*time.Millisecond)*float64(row.Granted-row.Cleared)))
+			most = row.Cleared + int64(math.Ceil(s.settings.Released(now-time.Duration(h.StoreMs)*time.Millisecond)*float64(row.Granted-row.Cleared)))
 		}
 		if r.used[workspace] > most {
 			fail("%s used %d, but a successor counts %d, granted %d, cleared %d", r.incarnation, r.used[workspace], most, row.Granted, row.Cleared)
