--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -202,7 +202,10 @@
 		slog.Int64("ms", now.Sub(q.started).Milliseconds()), slog.Int("sends", q.sends), slog.String("endpoint", q.endpoint),
 	}
 	if q.route != nil {
-		attrs = append(attrs, slog.String("route", q.route.Name), slog.Int64("config", q.table.Revision), slog.Int64("left_ms", q.by.Sub(now).Milliseconds()))
+		attrs = append(attrs, slog.String("route", q.route.Name), slog.Int64("config", q.table.Revision))
+	}
+	if !q.by.IsZero() {
+		attrs = append(attrs, slog.Int64("left_ms", q.by.Sub(now).Milliseconds()))
 	}
 	if q.workspace != nil {
 		attrs = append(attrs, slog.String("workspace", q.workspace.Name))
