--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -51,6 +51,8 @@
 	// ScarceShare takes its place while a holder is short of tokens that
 	// others hold.
 	ScarceShare float64 `json:"scarce_share"`
+	// ScarceFor is how long a holder counts as short after it was heard to ask.
+	ScarceFor time.Duration `json:"scarce_for"`
 	// Surplus is the factor over the stock above which a grant gives tokens
 	// back.
 	Surplus float64 `json:"surplus"`
@@ -67,8 +69,6 @@
 	ClearShare float64 `json:"clear_share"`
 	// ContactEvery is the interval of proving contact with the store.
 	ContactEvery time.Duration `json:"contact_every"`
-	// ScarceFor is how long after that.
-	ScarceFor time.Duration `json:"scarce_for"`
 	// CheckEvery is the interval of looking for surplus.
 	CheckEvery time.Duration `json:"check_every"`
 	// WaitLeast and WaitMost bound the wait of a reservation for the store,
@@ -95,6 +95,7 @@
 		LowWater:      0.7,
 		StockShare:    0.75, // what all die with that have lost the store; the rest serves after that
 		ScarceShare:   0.4,
+		ScarceFor:     5 * time.Second, // half the horizon
 		Surplus:       1.5,
 		ReleaseAfter:  1500 * time.Millisecond, // a process that is killed is back in about that
 		ReleaseWithin: 8 * time.Second,         // the usual outage
@@ -102,7 +103,6 @@
 		ClearAhead:    1500 * time.Millisecond, // the use until tokens are released
 		ClearShare:    0.015,                   // 3 in 100 may be stranded; the rest of it is in use
 		ContactEvery:  500 * time.Millisecond,  // a quarter of a restart, in which little is released
-		ScarceFor:     5 * time.Second,
 		CheckEvery:    time.Second,
 		WaitLeast:     100 * time.Millisecond, // ten usual answers, a fifth of an objective
 		WaitMost:      time.Second,
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -164,8 +164,10 @@
 
 func newSite(t *testing.T, routers int, seed uint64) *site {
 	s := &site{
-		t: t, store: memory.New(), chance: newChance(seed), settings: prepaid.DefaultSettings(), routers: make([]*router, routers), limits: map[string]int64{}, consumed: map[string]int64{},
-		open: map[string]int64{}, owed: map[string]int{}, served: map[string]int{}, refusals: map[string]int{},
+		t: t, store: memory.New(), chance: newChance(seed), settings: prepaid.DefaultSettings(),
+		routers: make([]*router, routers), limits: map[string]int64{},
+		consumed: map[string]int64{}, open: map[string]int64{},
+		owed: map[string]int{}, served: map[string]int{}, refusals: map[string]int{},
 	}
 	for vm := range routers {
 		s.start(vm)
