--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -200,6 +200,13 @@
 	r.Sweep(names)
 }
 
+// router returns the process on a VM, or nil while it is down.
+func (s *site) router(vm int) *router {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routers[vm]
+}
+
 func (s *site) limit(workspace string) (prepaid.Limit, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
