--- a/coord/prepaid/plays_test.go
+++ b/coord/prepaid/plays_test.go
@@ -67,7 +67,7 @@
 			o.served += s.served[c.workspace]
 		}
 		counts := s.store.Counts()
-		o.late, o.refusals, o.commits, o.conflicts = s.late, s.refusals, counts.Commits, counts.Conflicts
+		o.late, o.refusals, o.commits, o.conflicts = s.tardy, s.refusals, counts.Commits, counts.Conflicts
 	})
 	return o
 }
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -27,7 +27,7 @@
 type link struct {
 	rowstore.Store
 	chance    *chance
-	later     *sync.WaitGroup
+	late      *sync.WaitGroup
 	dead, cut atomic.Bool
 	// lose is the share of commits whose answer is lost, in parts of 1,000; half
 	// of these are applied up to lateness later.
@@ -87,7 +87,7 @@
 		_, _ = l.Store.Commit(ctx, tx) // its outcome is what gets lost
 		return rowstore.Result{}, fmt.Errorf("answer lost: %w", rowstore.ErrUnknown)
 	}
-	l.later.Go(func() {
+	l.late.Go(func() {
 		time.Sleep(time.Duration(l.chance.below(int64(l.lateness))))
 		_, _ = l.Store.Commit(context.Background(), tx) // nobody waits for it
 	})
@@ -144,7 +144,9 @@
 	t      *testing.T
 	store  *memory.Store
 	chance *chance
-	later  sync.WaitGroup // restarts and late commits
+	// restarts are processes that are to start again; late are commits that links
+	// hold back.
+	restarts, late sync.WaitGroup
 	// settings are those of routers that start.
 	settings prepaid.Settings
 
@@ -157,7 +159,7 @@
 	consumed, open map[string]int64
 	version        int64
 	owed, served   map[string]int
-	late           int
+	tardy          int
 	refusals       map[string]int
 	passed         bool // a total was passed
 }
@@ -179,7 +181,7 @@
 func (s *site) start(vm int) {
 	s.mu.Lock()
 	s.starts++
-	l := &link{Store: s.store, chance: s.chance, later: &s.later, lateness: 3 * time.Second}
+	l := &link{Store: s.store, chance: s.chance, late: &s.late, lateness: 3 * time.Second}
 	life, stop := context.WithCancel(context.Background())
 	r := &router{
 		link: l, life: life, stop: stop, ended: make(chan struct{}), vm: fmt.Sprint("vm-", vm),
@@ -239,7 +241,7 @@
 	}
 	r.link.dead.Store(true)
 	r.stop()
-	s.later.Go(func() {
+	s.restarts.Go(func() {
 		time.Sleep(down)
 		s.start(vm)
 	})
@@ -263,7 +265,7 @@
 	if r == nil {
 		return
 	}
-	s.later.Go(func() {
+	s.restarts.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		_ = r.Close(ctx) // with the store away it returns nothing
@@ -292,7 +294,7 @@
 
 // end ends all processes.
 func (s *site) end() {
-	s.later.Wait()
+	s.restarts.Wait()
 	done, cancel := context.WithCancel(context.Background())
 	cancel()
 	for _, r := range s.made {
@@ -301,6 +303,7 @@
 		<-r.ended
 		_ = r.Close(done) // what it cannot return is of no interest any more
 	}
+	s.late.Wait() // no process adds to them any more
 }
 
 // callers is the load of one workspace.
@@ -404,7 +407,7 @@
 			case owed && took <= objective:
 				s.served[workspace]++
 			case owed:
-				s.late++
+				s.tardy++
 			}
 			s.mu.Unlock()
 			return
