Plays count a request's use before it is settled

What was settled could be reserved again before the play had counted the settled request down. The order is turned round.

--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -451,7 +451,8 @@
 	got := used
 	select {
 	case <-time.After(running):
-		reservation.Settle(used)
+		// Counted first: what is settled may be reserved again at once.
+		defer reservation.Settle(used)
 	case <-r.life.Done():
 		got = most // nobody knows
 	}
