--- a/coord/budget/bill.go
+++ b/coord/budget/bill.go
@@ -332,7 +332,7 @@
 	}
 	b.mu.Unlock()
 	if len(holders) > 0 {
-		b.holder.spawn(func() { b.holder.forgetCopies(holders, last) })
+		b.holder.running.Go(func() { b.holder.forgetCopies(holders, last) })
 	}
 }
 
--- a/coord/budget/draw.go
+++ b/coord/budget/draw.go
@@ -22,7 +22,7 @@
 	if a.busy || a.holder.ctx.Err() != nil {
 		return
 	}
-	a.busy = a.holder.spawn(a.work)
+	a.busy = a.holder.running.Go(a.work)
 }
 
 // work does the jobs that are asked for, one at a time, until none is left.
--- a/coord/budget/holder.go
+++ b/coord/budget/holder.go
@@ -12,6 +12,8 @@
 	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/internal/keyed"
+	"daisyslip.dev/daisyslip/coord/internal/tasks"
 	"daisyslip.dev/daisyslip/coord/platform"
 )
 
@@ -38,15 +40,13 @@
 	biller  *biller
 	copies  *copyKeeper
 
-	// running counts the goroutines; stop ends them.
-	running sync.WaitGroup
-	ctx     context.Context
-	stop    context.CancelFunc
+	running *tasks.Group
+	ctx     context.Context // of running
 	closing atomic.Bool
 	fenced  atomic.Bool
 
-	mu       sync.Mutex // guards accounts and the start of goroutines; taken after an account's lock
-	accounts map[Account]*account
+	// accounts has a lock of its own, which is taken after an account's.
+	accounts keyed.Map[Account, *account]
 }
 
 var _ Holder = (*LocalHolder)(nil)
@@ -57,8 +57,8 @@
 	if o.Serve == nil {
 		o.Serve = func(string) bool { return false }
 	}
-	h := &LocalHolder{options: o, self: o.Bus.Self(), accounts: make(map[Account]*account)}
-	h.ctx, h.stop = context.WithCancel(context.Background())
+	h := &LocalHolder{options: o, self: o.Bus.Self(), running: tasks.NewGroup()}
+	h.ctx = h.running.Context()
 	h.biller = newBiller(h)
 	h.copies = newCopyKeeper(h)
 	h.handlePeers()
@@ -79,25 +79,7 @@
 
 // account returns the state of an account, made at its first use.
 func (h *LocalHolder) account(a Account) *account {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	state := h.accounts[a]
-	if state == nil {
-		state = newAccount(h, a)
-		h.accounts[a] = state
-	}
-	return state
-}
-
-// all returns the accounts in use.
-func (h *LocalHolder) all() []*account {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make([]*account, 0, len(h.accounts))
-	for _, a := range h.accounts {
-		all = append(all, a)
-	}
-	return all
+	return h.accounts.GetOrMake(a, func() *account { return newAccount(h, a) })
 }
 
 // Reserve implements Holder.
@@ -150,11 +132,7 @@
 }
 
 // forget drops the state of an account that holds nothing.
-func (h *LocalHolder) forget(a *account) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.accounts, a.name)
-}
+func (h *LocalHolder) forget(a *account) { h.accounts.Delete(a.name) }
 
 // checkKey refuses a caller's key that was used for other content, or served
 // again too often. With the platform away the check is left to the bill.
@@ -188,12 +166,12 @@
 	if err != nil {
 		h.biller.copyBacklog(0)
 	}
-	for _, a := range h.all() {
+	for _, a := range h.accounts.All() {
 		if err == nil {
 			err = a.close(ctx)
 		}
 	}
-	h.halt()
+	h.running.Stop()
 	if err = errors.Join(err, handed); err != nil {
 		return fmt.Errorf("close budgets: %w", err)
 	}
@@ -203,32 +181,13 @@
 // Kill stops the goroutines and writes nothing, as a crash does.
 func (h *LocalHolder) Kill() {
 	h.closing.Store(true)
-	h.halt()
-}
-
-// halt ends the goroutines.
-func (h *LocalHolder) halt() {
-	h.mu.Lock()
-	h.stop()
-	h.mu.Unlock()
-	h.running.Wait()
-}
-
-// spawn starts a goroutine unless the holder has stopped.
-func (h *LocalHolder) spawn(run func()) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ctx.Err() != nil {
-		return false
-	}
-	h.running.Go(run)
-	return true
+	h.running.Stop()
 }
 
 // returnIdle gives back grants that nobody uses.
 func (h *LocalHolder) returnIdle() {
 	for clock.Sleep(h.ctx, h.options.Clock, h.options.Settings.IdleCheck) == nil {
-		for _, a := range h.all() {
+		for _, a := range h.accounts.All() {
 			a.checkIdle()
 		}
 	}
--- a/coord/budget/holder_test.go
+++ b/coord/budget/holder_test.go
@@ -64,7 +64,7 @@
 		before := f.store.Counts().RowsWritten
 		pause(time.Hour)
 		assert.Equal(t, f.store.Counts().RowsWritten, before)
-		assert.Equal(t, len(f.nodes[0].all()), 0)
+		assert.Equal(t, len(f.nodes[0].accounts.All()), 0)
 		assert.NilError(t, f.serveOne(f.nodes[0], request("two", 200), 30))
 		assert.Equal(t, f.balance(t).Settled, int64(150))
 	})
--- a/coord/budget/recall.go
+++ b/coord/budget/recall.go
@@ -46,10 +46,8 @@
 
 // giveUp returns what this holder can spare of an account.
 func (h *LocalHolder) giveUp(ctx context.Context, from bus.ID, req recallRequest) (recallAnswer, error) {
-	h.mu.Lock()
-	a := h.accounts[req.Account]
-	h.mu.Unlock()
-	if a == nil {
+	a, found := h.accounts.Get(req.Account)
+	if !found {
 		return recallAnswer{}, nil
 	}
 	returned, err := a.spare(ctx, from, req.Tokens)
--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -190,7 +190,7 @@
 
 // overdrawn reports whether uncleared tokens are in use.
 func (h *Holder) overdrawn() bool {
-	for _, a := range h.all() {
+	for _, a := range h.accounts.All() {
 		a.mu.Lock()
 		_, cleared := a.leastLocked()
 		over := a.inUseLocked() > cleared
@@ -211,7 +211,7 @@
 		return
 	}
 	if !a.totalSeen || a.reread || a.planLocked() != nil {
-		a.busy = a.holder.spawn(a.work)
+		a.busy = a.holder.running.Go(a.work)
 	}
 }
 
@@ -255,7 +255,7 @@
 		a.busy = false
 		a.mu.Unlock()
 		if ask {
-			h.spawn(func() { a.askAhead() })
+			h.running.Go(func() { a.askAhead() })
 		}
 		return false
 	}
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/internal/keyed"
+	"daisyslip.dev/daisyslip/coord/internal/tasks"
 	"daisyslip.dev/daisyslip/coord/rowstore"
 )
 
@@ -51,20 +53,18 @@
 	closing  atomic.Bool
 	presence presence
 
-	ctx     context.Context
-	stop    context.CancelFunc
-	spawnMu sync.Mutex // orders the start of goroutines before the wait for them; taken last
-	running sync.WaitGroup
+	running *tasks.Group
+	ctx     context.Context // of running
 
-	mu       sync.Mutex // guards accounts; taken before an account's lock
-	accounts map[string]*account
+	// accounts has a lock of its own, which is not held over an account's.
+	accounts keyed.Map[string, *account]
 }
 
 // NewHolder returns a holder; Run has it keep contact.
 func NewHolder(o Options) *Holder {
-	h := &Holder{options: o, accounts: make(map[string]*account)}
+	h := &Holder{options: o, running: tasks.NewGroup()}
+	h.ctx = h.running.Context()
 	h.presence.init(h)
-	h.ctx, h.stop = context.WithCancel(context.Background())
 	return h
 }
 
@@ -106,17 +106,6 @@
 	return &Reservation{account: a, tokens: tokens}, nil
 }
 
-// spawn runs f unless the holder has stopped.
-func (h *Holder) spawn(f func()) bool {
-	h.spawnMu.Lock()
-	defer h.spawnMu.Unlock()
-	if h.ctx.Err() != nil {
-		return false
-	}
-	h.running.Go(f)
-	return true
-}
-
 func (h *Holder) count(err error) {
 	switch {
 	case errors.Is(err, ErrExhausted):
@@ -129,24 +118,7 @@
 }
 
 func (h *Holder) account(workspace string) *account {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	a := h.accounts[workspace]
-	if a == nil {
-		a = newAccount(h, workspace)
-		h.accounts[workspace] = a
-	}
-	return a
-}
-
-func (h *Holder) all() []*account {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make([]*account, 0, len(h.accounts))
-	for _, a := range h.accounts {
-		all = append(all, a)
-	}
-	return all
+	return h.accounts.GetOrMake(workspace, func() *account { return newAccount(h, workspace) })
 }
 
 // Run keeps contact with the store and gives back surplus until ctx ends.
@@ -155,7 +127,7 @@
 	duties.Go(func() { h.presence.run(ctx) })
 	duties.Go(func() { h.followWanted(ctx) })
 	for clock.Sleep(ctx, h.options.Clock, around(h.options.Settings.CheckEvery)) == nil {
-		for _, a := range h.all() {
+		for _, a := range h.accounts.All() {
 			a.check()
 		}
 	}
@@ -168,7 +140,7 @@
 
 // LimitsChanged has each account look at its limit.
 func (h *Holder) LimitsChanged() {
-	for _, a := range h.all() {
+	for _, a := range h.accounts.All() {
 		a.checkLimit()
 	}
 }
@@ -217,7 +189,7 @@
 // reservations that are still open stay in the grant.
 func (h *Holder) Close(ctx context.Context) error {
 	h.closing.Store(true)
-	all := h.all()
+	all := h.accounts.All()
 	for _, a := range all {
 		a.startClose()
 	}
@@ -230,9 +202,6 @@
 	if err := h.presence.withdraw(ctx, len(problems) == 0); err != nil {
 		problems = append(problems, err)
 	}
-	h.spawnMu.Lock()
-	h.stop()
-	h.spawnMu.Unlock()
-	h.running.Wait()
+	h.running.Stop()
 	return errors.Join(problems...)
 }
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -253,7 +253,7 @@
 		}
 	}
 	p.known.Store(true)
-	for _, a := range p.holder.all() {
+	for _, a := range p.holder.accounts.All() {
 		a.check() // their grants can be taken up now
 	}
 	return nil
