The adapter translates only: connections, deadlines and header hygiene move out

Of platform/ went to the product: the HTTP calls of a store and what their failures mean (internal/storehttp), the options of connections, which internal/upstream had a second time (internal/tcpalive), the deadlines of following a table (rowstore.Follower), headers of one connection (internal/exchange). Tests: calls that never left, lost answers that are not sent again, silent stores, the user timeout, a follower of a silent store.

--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -114,6 +114,12 @@
 	}
 }
 
+// Released is the share of uncleared tokens that is released after a time
+// without contact.
+func (s Settings) Released(away time.Duration) float64 {
+	return min(max((away-s.ReleaseAfter).Seconds()/(s.ReleaseWithin-s.ReleaseAfter).Seconds(), 0), 1)
+}
+
 // Problem is a setting that is wrong.
 type Problem struct {
 	// Name is that of the setting in JSON.
--- a/coord/prepaid/presence.go
+++ b/coord/prepaid/presence.go
@@ -45,12 +45,11 @@
 	// known is set once predecessors are known; until then nothing can be said of
 	// their grants.
 	known atomic.Bool
-	// looked is set once the predecessor's row was read; row is the own one, with
-	// a value while its sending is not settled; failed says that the last contact
-	// failed. They belong to run.
-	failed bool
-	looked bool
-	row    rowstore.Row
+	// The rest belongs to run: looked is set once the predecessor's row was read,
+	// failed says that the last contact failed, and row is the own one, with a value
+	// while its sending is not settled.
+	looked, failed bool
+	row            rowstore.Row
 }
 
 // maxBefore bounds the predecessors that are remembered.
@@ -104,12 +103,6 @@
 	return int64(p.holder.options.Settings.Released(p.awayLocked()) * float64(uncleared))
 }
 
-// Released is the share of uncleared tokens that is released after a time
-// without contact.
-func (s Settings) Released(away time.Duration) float64 {
-	return min(max((away-s.ReleaseAfter).Seconds()/(s.ReleaseWithin-s.ReleaseAfter).Seconds(), 0), 1)
-}
-
 // untilReleased is the time until tokens of the uncleared ones are released
 // without contact.
 func (p *presence) untilReleased(tokens, uncleared int64) time.Duration {
--- a/coord/rowstore/follow.go
+++ b/coord/rowstore/follow.go
@@ -39,14 +39,8 @@
 
 // Step makes one call. After a failure it pauses.
 func (f *Follower) Step(ctx context.Context) {
-	var snap Snapshot
-	var err error
 	first := f.since == 0
-	if first {
-		snap, err = f.Store.Read(ctx, f.Table, "")
-	} else {
-		snap, err = f.Store.Changes(ctx, f.Table, f.since, f.Wait)
-	}
+	snap, err := f.call(ctx, first)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.Log.Info("history of the store is gone, table is read anew", "table", f.Table, "since", f.since)
@@ -65,6 +59,29 @@
 	f.since = max(f.since, snap.Version)
 }
 
+// Times beyond which an answer is not waited for.
+const (
+	// readTimeout bounds a read of the table: the answer of a store takes some
+	// ms, and some hundred while it is slow.
+	readTimeout = 1500 * time.Millisecond
+	// changesSlack is how much longer than its wait a call for changes may take.
+	changesSlack = 700 * time.Millisecond
+)
+
+// call reads the table or its changes.
+func (f *Follower) call(ctx context.Context, first bool) (Snapshot, error) {
+	timeout := f.Wait + changesSlack
+	if first {
+		timeout = readTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if first {
+		return f.Store.Read(ctx, f.Table, "")
+	}
+	return f.Store.Changes(ctx, f.Table, f.since, f.Wait)
+}
+
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/onplatform/onplatform.go
+++ b/internal/onplatform/onplatform.go
@@ -12,7 +12,7 @@
 // Router is a router on the platform.
 type Router struct {
 	*gateway.Gateway
-	store *platform.Store
+	store platform.Store
 }
 
 // New reads the platform's settings file at path and returns a router of them;
@@ -25,9 +25,9 @@
 	store := platform.NewStore(s.StoreAddr)
 	reload := func() (gateway.Identity, error) {
 		s, err := platform.LoadSettings(path)
-		return identity(s), err
+		return s.Identity, err
 	}
-	return &Router{Gateway: gateway.New(own, identity(s), Platform(store, reload), log), store: store}, nil
+	return &Router{Gateway: gateway.New(own, s.Identity, Platform(store, reload), log), store: store}, nil
 }
 
 // Close closes the connections to the store.
@@ -35,7 +35,7 @@
 
 // Platform is what a gateway needs of the platform, with a store and a function
 // that reads the settings again.
-func Platform(store *platform.Store, reload func() (gateway.Identity, error)) gateway.Platform {
+func Platform(store platform.Store, reload func() (gateway.Identity, error)) gateway.Platform {
 	return gateway.Platform{
 		Store: store, Codec: platform.Codec{},
 		ConfigTable: platform.OperatorTable, ConfigName: platform.ConfigName, EndpointTable: platform.EndpointTable,
@@ -43,11 +43,3 @@
 		Reload: reload,
 	}
 }
-
-// identity maps the platform's settings.
-func identity(s platform.Settings) gateway.Identity {
-	return gateway.Identity{
-		VM: s.VM, Domain: s.Domain, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, MetricsAddr: s.MetricsAddr,
-		MemoryBytes: s.MemoryBytes, Grace: s.Grace, Heartbeat: s.Heartbeat, Retries: s.Retries,
-	}
-}
--- /dev/null
+++ b/internal/storehttp/storehttp_test.go
@@ -0,0 +1,64 @@
+package storehttp_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/rowstore"
+	"daisyslip.dev/daisyslip/internal/storehttp"
+)
+
+// TestCallThatNeverLeft is the one kind of failure after which nothing was done.
+func TestCallThatNeverLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	c := storehttp.NewClient(addr)
+	defer c.Close()
+	_, _, err = c.Call(context.Background(), http.MethodPost, "/tx", []byte("{}"))
+	assert.ErrorIs(t, err, rowstore.ErrUnavailable)
+}
+
+// TestLostAnswerIsNotSentAgain: also on a connection that was used before, where
+// the transport would take the request for one on a stale connection.
+func TestLostAnswerIsNotSentAgain(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		calls.Add(1)
+		if string(body) == `"lose"` {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	c := storehttp.NewClient(server.Listener.Addr().String())
+	defer c.Close()
+	status, _, err := c.Call(context.Background(), http.MethodPost, "/tx", []byte(`"keep"`))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	_, _, err = c.Call(context.Background(), http.MethodPost, "/tx", []byte(`"lose"`))
+	assert.ErrorIs(t, err, rowstore.ErrUnknown)
+	assert.Equal(t, calls.Load(), int64(2))
+}
+
+func TestSilentStore(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	c := storehttp.NewClient(listener.Addr().String())
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err = c.Call(ctx, http.MethodGet, "/rows", nil)
+	assert.ErrorIs(t, err, rowstore.ErrUnknown)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"iter"
 	"net"
 	"strings"
@@ -135,38 +134,9 @@
 		errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EHOSTUNREACH)
 }
 
-// tune sets the options of a new connection: one on which nothing comes back is
-// given up within silentAfter.
-func tune(c net.Conn) error {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes})
-	if err != nil {
-		return fmt.Errorf("set keep-alive: %w", err)
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("set user timeout: %w", err)
-	}
-	var set error
-	err = raw.Control(func(fd uintptr) {
-		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentAfter.Milliseconds()))
-	})
-	return errors.Join(err, set)
-}
-
-const (
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, in milliseconds.
-	tcpUserTimeout = 18
-	// silentAfter is how long sent bytes may stay unacknowledged: several
-	// retransmissions on a path of some milliseconds.
-	silentAfter = 3 * time.Second
-	// keepAliveIdle and keepAliveProbes find a silent peer within silentAfter.
-	keepAliveIdle   = time.Second
-	keepAliveProbes = 2
-)
+// silentAfter is how long sent bytes may stay unacknowledged: several
+// retransmissions on a path of some milliseconds.
+const silentAfter = 3 * time.Second
 
 // splitList yields the fields of a comma-separated header value.
 func splitList(v string) iter.Seq[string] {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/tcpalive"
 )
 
 // Settings are the settings of a pool of connections.
@@ -116,8 +116,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	dialer := net.Dialer{Timeout: p.settings.ConnectTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := tcpalive.Dialer(p.settings.ConnectTimeout, silentAfter).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
@@ -125,12 +124,7 @@
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	c := &conn{Conn: raw, pool: p, addr: addr, reader: newReader(raw)}
-	if err := tune(raw); err != nil {
-		c.close()
-		return nil, err
-	}
-	return c, nil
+	return &conn{Conn: raw, pool: p, addr: addr, reader: newReader(raw)}, nil
 }
 
 // put keeps a connection for the next exchange. keep is the endpoint's own idle
