--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/rowstore"
 )
 
@@ -15,18 +17,19 @@
 //
 // Invariants, at any moment: spent + reserved is at most granted, and at most
 // activated plus the unlocked part of granted - activated. The stored grant row has
-// at least the values of granted and activated.
+// at least the values of granted, activated and unlockRate.
 type account struct {
 	holder    *Holder
 	workspace string
 
 	mu sync.Mutex // guards all fields below; never held during a call to the store
-	// granted and activated are those of the stored grant row as last known. spent
-	// and reserved are counted locally since the grant was opened.
-	granted   int64
-	activated int64
-	spent     int64
-	reserved  int64
+	// granted, activated and unlockRate are those of the stored grant row as last
+	// known. spent and reserved are counted locally since the grant was opened.
+	granted    int64
+	activated  int64
+	unlockRate float64
+	spent      int64
+	reserved   int64
 	// pendingWrites are writes that may still be applied by the store.
 	pendingWrites []pendingWrite
 
@@ -62,6 +65,11 @@
 	lastPeerRecallAll bool
 	// rereadRows requests a read of the rows before the next plan.
 	rereadRows bool
+	// reportUse requests a write of the grant row if what it reports as in use,
+	// storedInUse, is out of date: other holders judge by it whether a recall can
+	// bring them tokens.
+	reportUse   bool
+	storedInUse int64
 
 	// reportedSpent is the part of spent that the stored grant row reports and the
 	// total includes.
@@ -103,8 +111,8 @@
 // availableLocked returns the tokens that can be reserved now. It counts only what
 // is guaranteed whatever the outcome of pending writes.
 func (a *account) availableLocked() int64 {
-	granted, activated := a.guaranteedLocked()
-	return activated + a.holder.heartbeat.unlocked(granted-activated) - a.inUseLocked()
+	g := a.guaranteedLocked()
+	return g.activated + a.holder.heartbeat.unlocked(g.granted-g.activated, g.unlockRate) - a.inUseLocked()
 }
 
 // now returns the time of the holder's clock.
@@ -113,8 +121,9 @@
 // reserve takes tokens from the grant. If too few are available, it queues behind
 // earlier waiters until tokens are available, the wait times out or ctx ends. It
 // fails at once while a shortage of that many tokens is remembered, and if the store
-// is unreachable and the tokens are not unlocked within Settings.UnlockWait.
-func (a *account) reserve(ctx context.Context, tokens int64) error {
+// is unreachable and the tokens are not unlocked within Settings.UnlockWait. With
+// noWait, it waits neither for tokens of other holders nor for tokens to be unlocked.
+func (a *account) reserve(ctx context.Context, tokens int64, noWait bool) error {
 	a.checkLimit()
 	a.mu.Lock()
 	now := a.now()
@@ -122,7 +131,8 @@
 	a.shareUsage.add(now, tokens)
 	a.lastReserve = now
 	a.meanRequest += meanRequestWeight * (float64(tokens) - a.meanRequest)
-	if len(a.waiters) == 0 && !a.returnAll && a.availableLocked() >= tokens {
+	a.orderWaitersLocked()
+	if (len(a.waiters) == 0 || a.lateLocked(a.waiters[0])) && !a.returnAll && a.availableLocked() >= tokens {
 		a.reserved += tokens
 		a.startWriterLocked()
 		a.mu.Unlock()
@@ -132,21 +142,37 @@
 		defer a.mu.Unlock()
 		return a.shortageErr
 	}
-	wait := a.holder.heartbeat.maxStoreWait()
-	if a.unreachable {
-		if wait = a.timeToUnlockLocked(tokens); wait > a.holder.options.Settings.UnlockWait {
-			defer a.mu.Unlock()
-			a.startWriterLocked()
-			return ErrUnavailable
-		}
-	}
-	w := &waiter{tokens: tokens, arrivedAt: now, deadline: now.Add(wait), result: make(chan error, 1)}
+	w := &waiter{tokens: tokens, noWait: noWait, arrivedAt: now, result: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
+	a.orderWaitersLocked()
+	wait, toUnlock := a.holder.heartbeat.maxStoreWait(), a.timeToUnlockLocked(w)
+	if a.unreachable && (noWait || toUnlock > a.holder.options.Settings.UnlockWait) {
+		defer a.mu.Unlock()
+		a.removeWaiterLocked(w)
+		a.startWriterLocked()
+		return unavailableFor(toUnlock)
+	}
+	w.deadline = now.Add(wait)
 	a.startWriterLocked()
 	a.mu.Unlock()
 	return a.awaitResult(ctx, w)
 }
 
+// unavailableFor returns ErrUnavailable with the time until enough tokens are unlocked,
+// if they ever are.
+func unavailableFor(toUnlock time.Duration) error {
+	if toUnlock == math.MaxInt64 {
+		return ErrUnavailable
+	}
+	return &RetryError{Err: ErrUnavailable, After: toUnlock}
+}
+
+// newReservation returns a reservation of tokens that reserve has taken.
+func (a *account) newReservation(tokens int64) *Reservation {
+	o := a.holder.options
+	return &Reservation{settle: func(used int64) { a.settle(tokens, used) }, tokens: tokens, lender: bus.ID{VM: o.VM, Incarnation: o.Incarnation}}
+}
+
 // meanRequestWeight is the weight of a new request in meanRequest. It is small
 // because long and short prompts alternate and the headroom must not follow each of
 // them.
@@ -170,7 +196,7 @@
 }
 
 // checkLimit reads the workspace's limit. A lower limit makes the account return
-// what is not in use; a higher one ends a remembered shortage.
+// what is not in use; a higher one ends a remembered shortage and scarcity.
 func (a *account) checkLimit() {
 	limit, ok := a.holder.options.Limit(a.workspace)
 	a.mu.Lock()
@@ -179,7 +205,7 @@
 		a.returnAll = true
 	}
 	if ok && limit.Tokens > a.lastLimit {
-		a.shortageUntil = time.Time{}
+		a.shortageUntil, a.scarceUntil, a.scarceReturnAll = time.Time{}, time.Time{}, false
 	}
 	if ok {
 		a.lastLimit = limit.Tokens
@@ -208,6 +234,7 @@
 	a.scarceUntil = now.Add(a.holder.options.Settings.ScarceFor)
 	a.lastPeerRecall, a.lastPeerRecallAll = now, all
 	a.rereadRows = a.granted > a.inUseLocked() // otherwise there is nothing to return
+	a.reportUse = true
 	a.startWriterLocked()
 }
 
@@ -216,8 +243,7 @@
 func (h *Holder) usesInactiveTokens() bool {
 	for _, a := range h.accounts.All() {
 		a.mu.Lock()
-		_, activated := a.guaranteedLocked()
-		usesInactive := a.inUseLocked() > activated
+		usesInactive := a.inUseLocked() > a.guaranteedLocked().activated
 		if usesInactive {
 			a.startWriterLocked()
 		}
@@ -237,6 +263,9 @@
 	}
 	if !a.totalRead || a.rereadRows || a.planLocked() != nil {
 		a.writing = a.holder.tasks.Go(a.writeLoop)
+		if a.granted == 0 {
+			a.holder.heartbeat.wakeUp() // a first draw needs a recent heartbeat
+		}
 	}
 }
 
@@ -273,10 +302,17 @@
 	a.mu.Lock()
 	if errors.Is(err, errShortage) {
 		if len(a.waiters) > 0 {
-			tokens := a.waiters[0].tokens
-			a.shortageSize, a.shortageErr = tokens, shortageReason(err)
+			w, reason := a.waiters[0], shortageReason(err)
+			if w.noWait && errors.Is(reason, ErrBusy) {
+				// No recall was requested, so a reservation that waits may succeed.
+				a.waiters = a.waiters[1:]
+				w.result <- reason
+				a.mu.Unlock()
+				return true
+			}
+			a.shortageSize, a.shortageErr = w.tokens, reason
 			a.shortageUntil = a.now().Add(h.options.Settings.ShortageFor)
-			a.refuseWaitersLocked(tokens, a.shortageErr)
+			a.refuseWaitersLocked(w.tokens, reason)
 			a.mu.Unlock()
 			return true
 		}
@@ -294,7 +330,6 @@
 		h.options.Log.Warn("grant writes failed, waiting for the store", "workspace", a.workspace, "err", err.Error(),
 			"granted", a.granted, "cleared", a.activated, "spent", a.spent, "open", a.reserved)
 	}
-	a.extendWaitsLocked()
 	backoff := h.options.Settings.RetryInterval
 	if a.failures > 0 {
 		backoff = unreachableRetryInterval
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -151,7 +151,7 @@
 
 // spreadWrite waits for a random time before a write that other holders make, too.
 func (a *account) spreadWrite() {
-	maxDelay := min(writeSpreadPerHolder*time.Duration(max(a.holder.HolderCount(), 1)), maxWriteSpread)
+	maxDelay := min(writeSpreadPerHolder*time.Duration(a.holder.holderCount(a.workspace)), maxWriteSpread)
 	select {
 	case <-a.holder.options.Clock.After(rand.N(maxDelay)):
 	case <-a.holder.ctx.Done():
@@ -204,7 +204,8 @@
 		a.spent = 0 // the grant was closed; the total includes what was spent
 	}
 	a.storedGrant = storedGrant
-	a.granted, a.activated, a.reportedSpent = grant.Granted, grant.Activated, grant.Spent
+	a.granted, a.activated, a.unlockRate, a.reportedSpent = grant.Granted, grant.Activated, grant.UnlockRate, grant.Spent
+	a.storedInUse, a.reportUse = grant.InUse, a.reportUse && grant.InUse != a.inUseLocked()
 	a.dropSupersededLocked()
 	a.serveWaitersLocked()
 	return nil
@@ -273,9 +274,10 @@
 		}
 	}
 	grant := grantRow{Granted: max(a.granted+drawn, inUse), Spent: a.spent, InUse: inUse, StoreMs: a.holder.heartbeat.storeMs()}
+	grant.UnlockRate = a.holder.options.Settings.UnlockFactor * a.usage.perSecond(a.now())
 	grant.Activated = max(min(p.activated, grant.Granted), inUse)
 	drawn = grant.Granted - a.granted
-	if drawn == 0 && !p.due || drawn == 0 && grant.Activated == a.activated && len(tx.Remove) == 0 && a.storedGrant.Version != 0 && !a.returnAll && len(a.pendingWrites) == 0 {
+	if drawn == 0 && !p.due || drawn == 0 && grant.Activated == a.activated && !a.reportUse && len(tx.Remove) == 0 && a.storedGrant.Version != 0 && !a.returnAll && len(a.pendingWrites) == 0 {
 		return nil, nil, errShortage // no tokens can be drawn and nothing else is to be written
 	}
 	if a.storedGrant.Version == 0 && a.returnAll && grant.Granted == 0 {
@@ -318,7 +320,8 @@
 	return tx, func(version int64) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.storedGrant.Version, a.activated = version, grant.Activated
+		a.storedGrant.Version, a.activated, a.unlockRate = version, grant.Activated, grant.UnlockRate
+		a.storedInUse, a.reportUse = grant.InUse, false
 		a.dropSupersededLocked()
 		a.holder.stats.Writes.Add(1)
 		a.serveWaitersLocked()
@@ -333,7 +336,7 @@
 		if err := decode(row, &grant); err != nil {
 			return err
 		}
-		maxSpent := grant.Activated + a.holder.heartbeat.unlockedToPredecessor(a.predecessorOf(row), grant.Granted-grant.Activated)
+		maxSpent := grant.Activated + a.holder.heartbeat.unlockedToPredecessor(a.predecessorOf(row), grant.Granted-grant.Activated, grant.UnlockRate)
 		total.Granted -= grant.Granted - maxSpent
 		total.Spent += max(maxSpent-grant.Spent, 0)
 		total.OpenGrants--
@@ -359,7 +362,8 @@
 		a.orphanedGrants = nil
 	}
 	a.total, a.storedTotal.Version, a.storedGrant.Version = total, version, version
-	a.granted, a.activated, a.reportedSpent = grant.Granted, grant.Activated, grant.Spent
+	a.granted, a.activated, a.unlockRate, a.reportedSpent = grant.Granted, grant.Activated, grant.UnlockRate, grant.Spent
+	a.storedInUse, a.reportUse = grant.InUse, false
 	a.dropSupersededLocked()
 	if closed {
 		// The total keeps what was spent; a later grant starts from zero.
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/internal/keyed"
 	"daisyslip.dev/daisyslip/coord/internal/tasks"
@@ -31,6 +32,9 @@
 	// there is none. When a limit is lowered, the holder returns what it has not
 	// spent.
 	Limit func(workspace string) (Limit, bool)
+	// Holders is the number of processes that hold grants of a workspace, unless a
+	// Pool knows it.
+	Holders int
 }
 
 // Limit is the prepaid total of a workspace.
@@ -59,6 +63,13 @@
 	tasks *tasks.Group
 	ctx   context.Context // ends when tasks stops
 
+	// lends is the pool that this holder belongs to; nil if it lends nothing.
+	lends atomic.Pointer[Pool]
+	// reclaimFor are the workspaces for which grants of predecessors are reclaimed
+	// once it is known that there is a predecessor.
+	reclaimMu  sync.Mutex // guards reclaimFor
+	reclaimFor []string
+
 	// accounts are by workspace. The map has its own lock, which is not held while
 	// an account's lock is taken.
 	accounts keyed.Map[string, *account]
@@ -75,23 +86,51 @@
 // Stats returns the holder's counters, which keep changing.
 func (h *Holder) Stats() *Stats { return &h.stats }
 
-// HolderCount returns the number of VMs with a heartbeat row, including those whose
-// process is dead, or 0 while it is unknown.
-func (h *Holder) HolderCount() int { return int(h.heartbeat.holderCount.Load()) }
+// holderCount returns the number of processes that are expected to hold grants of a
+// workspace.
+func (h *Holder) holderCount(workspace string) int {
+	if p := h.lends.Load(); p != nil {
+		return p.lenderCount(workspace)
+	}
+	return max(h.options.Holders, 1)
+}
+
+// isLender reports whether this process is expected to hold a grant of a workspace.
+func (h *Holder) isLender(workspace string) bool {
+	p := h.lends.Load()
+	return p == nil || p.isLender(workspace)
+}
+
+// holding reports whether this process has a grant.
+func (h *Holder) holding() bool {
+	for _, a := range h.accounts.All() {
+		a.mu.Lock()
+		holds := a.granted > 0 || a.writing || len(a.pendingWrites) > 0
+		a.mu.Unlock()
+		if holds {
+			return true
+		}
+	}
+	return false
+}
 
 // Reservation is the tokens set aside for one request, until Settle.
 type Reservation struct {
-	account *account
-	tokens  int64
-	once    sync.Once
+	settle func(used int64)
+	tokens int64
+	lender bus.ID
+	once   sync.Once
 }
 
 // Settle ends the reservation with the number of tokens used; later calls do
 // nothing. Tokens used beyond those reserved are counted, too.
 func (r *Reservation) Settle(used int64) {
-	r.once.Do(func() { r.account.settle(r.tokens, max(used, 0)) })
+	r.once.Do(func() { r.settle(max(used, 0)) })
 }
 
+// Lender returns the process in whose grant the tokens are reserved.
+func (r *Reservation) Lender() bus.ID { return r.lender }
+
 // Tokens returns the number of reserved tokens.
 func (r *Reservation) Tokens() int64 { return r.tokens }
 
@@ -103,11 +142,11 @@
 		return nil, fmt.Errorf("reserve for %s: %w", workspace, ErrClosed)
 	}
 	a := h.account(workspace)
-	if err := a.reserve(ctx, tokens); err != nil {
+	if err := a.reserve(ctx, tokens, false); err != nil {
 		h.countError(err)
 		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, err)
 	}
-	return &Reservation{account: a, tokens: tokens}, nil
+	return a.newReservation(tokens), nil
 }
 
 // countError counts a failed reservation.
@@ -152,10 +191,25 @@
 	}
 }
 
-// PrepareWorkspaces reclaims the orphaned grants of predecessors for the
-// workspaces, so that unspent tokens are returned, and draws first grants ahead of
-// need.
-func (h *Holder) PrepareWorkspaces(workspaces []string) {
+// ReclaimFor sets the workspaces whose orphaned grants of predecessors are reclaimed,
+// so that unspent tokens are returned. A process without predecessor reads nothing
+// for it.
+func (h *Holder) ReclaimFor(workspaces []string) {
+	h.LimitsChanged()
+	h.reclaimMu.Lock()
+	h.reclaimFor = workspaces
+	h.reclaimMu.Unlock()
+	h.reclaim()
+}
+
+// reclaim reads the rows of the workspaces of ReclaimFor if there is a predecessor.
+func (h *Holder) reclaim() {
+	if !h.heartbeat.hasPredecessor() {
+		return
+	}
+	h.reclaimMu.Lock()
+	workspaces := h.reclaimFor
+	h.reclaimMu.Unlock()
 	for _, workspace := range workspaces {
 		a := h.account(workspace)
 		a.checkLimit()
@@ -185,12 +239,20 @@
 	}
 	watcher.OnSnapshot = watcher.OnChange
 	for ctx.Err() == nil {
+		if !h.holding() {
+			_ = clock.Sleep(ctx, h.options.Clock, notHoldingInterval) // the loop condition checks ctx
+			continue
+		}
 		watcher.Step(ctx)
 		// Recall requests come in bursts; one read handles several.
 		_ = clock.Sleep(ctx, h.options.Clock, recallReadInterval) // the loop condition checks ctx
 	}
 }
 
+// notHoldingInterval is the interval at which a process without a grant checks whether
+// it has one.
+const notHoldingInterval = 200 * time.Millisecond
+
 // recallReadInterval is the least time between two reads of recall requests.
 const recallReadInterval = 10 * time.Millisecond
 
--- a/coord/prepaid/pending.go
+++ b/coord/prepaid/pending.go
@@ -1,7 +1,6 @@
 package prepaid
 
 import (
-	"math"
 	"slices"
 
 	"daisyslip.dev/daisyslip/coord/rowstore"
@@ -11,7 +10,7 @@
 // while the rows have the versions that it expects. Reading those rows unchanged
 // does not rule it out; only a newer version does.
 type pendingWrite struct {
-	granted, activated         int64
+	guarantee
 	grantVersion, totalVersion int64
 	// expectsTotal is set if the write also expects totalVersion, not only
 	// grantVersion.
@@ -30,20 +29,26 @@
 	a.pendingWrites = slices.DeleteFunc(a.pendingWrites, func(p pendingWrite) bool { return p.superseded(a.storedTotal, a.storedGrant) })
 }
 
-// guaranteedLocked returns the tokens that are granted and activated whatever the
-// outcome of the pending writes.
-func (a *account) guaranteedLocked() (granted, activated int64) {
-	granted, activated = math.MaxInt64, math.MaxInt64
+// guarantee is what a grant allows whatever the outcome of the pending writes.
+type guarantee struct {
+	granted, activated int64
+	unlockRate         float64
+}
+
+// guaranteedLocked returns the least of the stored grant and the pending writes.
+func (a *account) guaranteedLocked() guarantee {
+	g := guarantee{granted: a.granted, activated: a.activated, unlockRate: a.unlockRate}
 	for _, p := range a.pendingWrites {
-		granted, activated = min(granted, p.granted), min(activated, p.activated)
+		g.granted, g.activated, g.unlockRate = min(g.granted, p.granted), min(g.activated, p.activated), min(g.unlockRate, p.unlockRate)
 	}
-	return min(granted, a.granted), min(activated, a.activated)
+	return g
 }
 
 // addPendingWriteLocked records a write before it is sent.
 func (a *account) addPendingWriteLocked(grant grantRow, expectsTotal bool) {
 	a.pendingWrites = append(a.pendingWrites, pendingWrite{
-		granted: grant.Granted, activated: grant.Activated, grantVersion: a.storedGrant.Version, totalVersion: a.storedTotal.Version, expectsTotal: expectsTotal,
+		guarantee:    guarantee{granted: grant.Granted, activated: grant.Activated, unlockRate: grant.UnlockRate},
+		grantVersion: a.storedGrant.Version, totalVersion: a.storedTotal.Version, expectsTotal: expectsTotal,
 	})
 }
 
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -23,6 +23,10 @@
 // which more are activated.
 const activateLowWater = 0.5
 
+// activateSurplus is the multiple of that target, in addition to the mean size of a
+// request, above which tokens are deactivated.
+const activateSurplus = 1.5
+
 const (
 	// activateRequests is the number of requests for which tokens are activated
 	// beyond the use of Settings.ActivateAhead, since requests come in bursts.
@@ -37,6 +41,10 @@
 // store is unreachable.
 const headroomRequests = 6
 
+// fallbackHorizon is the time for which the headroom of a process lasts that serves
+// requests only because it reached no lender.
+const fallbackHorizon = time.Second
+
 // planLocked returns the plan of the write that is due, or nil if none is.
 func (a *account) planLocked() *plan {
 	inUse := a.inUseLocked()
@@ -53,8 +61,11 @@
 	}
 	p := &plan{granted: needed + max(activateAhead, headroom), activated: needed + activateAhead}
 	activationDue := inUse > a.activated || float64(a.activated-inUse) < activateLowWater*float64(activateAhead) && a.activated < a.granted
+	// Activated tokens that are not needed would be lost if the holder died.
+	activationSurplus := float64(a.activated-inUse) > activateSurplus*float64(activateAhead)+a.meanRequest && len(a.waiters) == 0
+	activationDue = activationDue || activationSurplus
 	// A successful write supersedes the pending ones, whose outcome is unknown.
-	p.due = a.canReclaimLocked() || activationDue || len(a.waiters) > 0 || len(a.pendingWrites) > 0
+	p.due = a.canReclaimLocked() || a.reportUse && a.storedGrant.Version != 0 && a.storedInUse != inUse || activationDue || len(a.waiters) > 0 || len(a.pendingWrites) > 0
 	unused := a.granted - needed
 	s := a.holder.options.Settings
 	// Less than the mean size of a request is neither drawn nor returned, except that
@@ -93,7 +104,7 @@
 // delaysFirstDrawLocked reports whether the first draw ahead of need is delayed, so
 // that holders that started at the same time do not draw together.
 func (a *account) delaysFirstDrawLocked() bool {
-	delay := time.Duration(a.firstDrawFraction * float64(firstDrawSpread) * float64(a.holder.HolderCount()))
+	delay := time.Duration(a.firstDrawFraction * float64(firstDrawSpread) * float64(a.holder.holderCount(a.workspace)))
 	return a.storedGrant.Version == 0 && a.now().Sub(a.createdAt) < delay
 }
 
@@ -124,7 +135,11 @@
 	usage := min(a.usage.perSecond(a.now()), a.maxLikelyUsageLocked())
 	unspent := max(a.lastLimit-a.total.Spent-(a.inUseLocked()-a.reportedSpent), 0)
 	shareOfUnspent := share * float64(unspent) * a.usageShareLocked()
-	headroom = int64(math.Min(usage*s.Horizon.Seconds()+headroomRequests*a.meanRequest, shareOfUnspent))
+	horizon, requests := s.Horizon, headroomRequests*a.meanRequest
+	if !a.holder.isLender(a.workspace) {
+		horizon, requests = fallbackHorizon, 0
+	}
+	headroom = int64(math.Min(usage*horizon.Seconds()+requests, shareOfUnspent))
 	activateAhead = min(int64(usage*s.ActivateAhead.Seconds()+activateRequests*a.meanRequest), int64(maxActivateShare*float64(headroom)),
 		int64(s.ActivateShare*float64(a.lastLimit)*a.usageShareLocked()))
 	return activateAhead, headroom
@@ -146,7 +161,7 @@
 // requests.
 func (a *account) usageShareLocked() float64 {
 	now := a.now()
-	equalShare := 1 / float64(max(a.total.OpenGrants, int64(a.holder.HolderCount()), 1))
+	equalShare := 1 / float64(max(a.total.OpenGrants, int64(a.holder.holderCount(a.workspace)), 1))
 	localUsage := min(a.shareUsage.decayedSum(now), a.maxLikelyUsageLocked()*shareTimeConstant.Seconds())
 	// The total includes what this holder has reported.
 	totalUsage := max(a.total.recentSpentAt(a.holder.heartbeat.storeMs()), localUsage)
--- /dev/null
+++ b/coord/prepaid/pool.go
@@ -0,0 +1,377 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+)
+
+// Fleet lists the routers that may lend tokens. Implementations are safe for
+// concurrent use.
+type Fleet interface {
+	// Available returns the members that can be reached as far as is known,
+	// including this one, and a number that changes with the list.
+	Available() ([]Member, int64)
+	// Suspect reports that a member did not respond in time.
+	Suspect(id bus.ID)
+}
+
+// PoolOptions are the dependencies of a Pool.
+type PoolOptions struct {
+	Holder *Holder
+	// Self is this router as a member of the fleet.
+	Self  Member
+	Bus   bus.Bus
+	Fleet Fleet
+	Clock clock.Clock
+	Log   *slog.Logger
+}
+
+// Pool spends the budgets of workspaces as one fleet. A few routers, the lenders of a
+// workspace, hold grants. The other routers reserve tokens at a lender for each
+// request and settle there. A lender that does not respond, or has too few tokens,
+// is followed by the next one; a router that reaches no lender draws a grant of its
+// own. It is safe for concurrent use.
+//
+// Invariant: tokens that a lender has lent count as reserved in its grant until they
+// are settled. So a borrower spends nothing that a lender's row does not cover,
+// whatever becomes of either of them.
+type Pool struct {
+	options PoolOptions
+	holder  *Holder
+	loans   loans
+	stats   PoolStats
+
+	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
+	// but their lenders prepare nothing.
+	mu         sync.Mutex // guards workspaces, ranks and ranksVersion
+	workspaces []string
+	ranks      map[string]workspaceRank
+	// ranksVersion is the version of the list of members from which ranks were
+	// computed.
+	ranksVersion int64
+
+	nextID  atomic.Uint64
+	settler settler
+}
+
+// workspaceRank are the lenders of one workspace as of a version of the members.
+type workspaceRank struct {
+	lenders int
+	lender  bool     // this router is one of the lenders
+	order   []Member // in which this router asks for tokens; it may contain this router
+}
+
+// PoolStats are counters of a pool's work since its start.
+type PoolStats struct {
+	// Local, Borrowed and Fallback are reservations from this router's own grant as
+	// a lender, from another lender, and from this router's own grant because no
+	// lender had tokens or responded.
+	Local, Borrowed, Fallback atomic.Int64
+	// Hedged counts reservations for which a second lender was asked because the
+	// first did not respond in time. Lent counts those made for other routers, and
+	// Abandoned settlements that could not be delivered.
+	Hedged, Lent, Abandoned atomic.Int64
+}
+
+// NewPool returns a pool and registers its handlers on the bus. Run must be called
+// for it to settle what it borrows.
+func NewPool(o PoolOptions) *Pool {
+	p := &Pool{options: o, holder: o.Holder, ranks: make(map[string]workspaceRank)}
+	p.loans.init(p)
+	p.settler.init(p)
+	o.Holder.lends.Store(p)
+	return p
+}
+
+// Stats returns the pool's counters, which keep changing.
+func (p *Pool) Stats() *PoolStats { return &p.stats }
+
+// HolderStats returns the counters of this router's own grants.
+func (p *Pool) HolderStats() *Stats { return p.holder.Stats() }
+
+// Run runs the holder and settles what this router has borrowed until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { p.holder.Run(ctx) })
+	running.Go(func() { p.runMaintenance(ctx) })
+	running.Wait()
+}
+
+const (
+	// maintenanceInterval is the interval between two rounds of runMaintenance.
+	maintenanceInterval = 500 * time.Millisecond
+	// settleMembersFor is how long after its start a pool draws no tokens ahead of
+	// need, since the members that started at the same time are not all known yet.
+	settleMembersFor = 1500 * time.Millisecond
+)
+
+// runMaintenance prepares the workspaces of which this router has become a lender,
+// and drops old loans, until ctx ends.
+func (p *Pool) runMaintenance(ctx context.Context) {
+	startedAt := p.options.Clock.Now()
+	for clock.Sleep(ctx, p.options.Clock, maintenanceInterval) == nil {
+		p.loans.prune()
+		if p.options.Clock.Now().Sub(startedAt) < settleMembersFor {
+			continue
+		}
+		for _, workspace := range p.lentWorkspaces() {
+			a := p.holder.account(workspace)
+			a.checkLimit()
+			a.check()
+		}
+	}
+}
+
+// SetWorkspaces sets the workspaces with a limit. Grants that a predecessor on this
+// VM left for them are reclaimed, and the lenders among the routers draw grants.
+func (p *Pool) SetWorkspaces(workspaces []string) {
+	p.mu.Lock()
+	p.workspaces = workspaces
+	clear(p.ranks)
+	p.mu.Unlock()
+	p.holder.ReclaimFor(workspaces)
+}
+
+// LimitsChanged makes each account check its limit. Callers call it after a change
+// of the configuration.
+func (p *Pool) LimitsChanged() {
+	p.mu.Lock()
+	clear(p.ranks)
+	p.mu.Unlock()
+	p.holder.LimitsChanged()
+}
+
+// lentWorkspaces returns the workspaces of which this router is a lender.
+func (p *Pool) lentWorkspaces() []string {
+	p.mu.Lock()
+	workspaces := p.workspaces
+	p.mu.Unlock()
+	var lent []string
+	for _, workspace := range workspaces {
+		if p.rank(workspace).lender {
+			lent = append(lent, workspace)
+		}
+	}
+	return lent
+}
+
+// rank returns the lenders of a workspace.
+func (p *Pool) rank(workspace string) workspaceRank {
+	members, version := p.options.Fleet.Available()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version != p.ranksVersion {
+		clear(p.ranks)
+		p.ranksVersion = version
+	}
+	if r, found := p.ranks[workspace]; found {
+		return r
+	}
+	limit, _ := p.holder.options.Limit(workspace)
+	ranked := RankLenders(members, workspace, len(p.workspaces))
+	domains := make(map[string]bool)
+	for _, m := range members {
+		domains[m.Domain] = true
+	}
+	lenders := LenderCount(limit.Tokens, len(domains))
+	r := workspaceRank{lenders: lenders, order: borrowingOrder(ranked, lenders, p.options.Self)}
+	for _, m := range ranked[:min(lenders, len(ranked))] {
+		r.lender = r.lender || m.ID == p.options.Self.ID
+	}
+	p.ranks[workspace] = r
+	return r
+}
+
+// isLender reports whether this router is a lender of the workspace.
+func (p *Pool) isLender(workspace string) bool { return p.rank(workspace).lender }
+
+// lenderCount returns the number of lenders of a workspace.
+func (p *Pool) lenderCount(workspace string) int { return max(p.rank(workspace).lenders, 1) }
+
+const (
+	// hedgeAfter is how long a lender may take to respond before the next one is
+	// asked, too. It is above the 99th percentile of a response of a small VM.
+	hedgeAfter = 60 * time.Millisecond
+	// lenderTimeout bounds the wait for lenders. It covers the wait for tokens that
+	// are being unlocked.
+	lenderTimeout = 3 * time.Second
+)
+
+// ask is one member that a reservation is requested from.
+type ask struct {
+	member Member
+	// noWait excludes waits for tokens that other holders have or that are still to
+	// be unlocked, since other members are asked next.
+	noWait bool
+}
+
+// answer is the outcome of an ask. If err is nil, reservation is set.
+type answer struct {
+	ask
+	reservation *Reservation
+	err         error
+}
+
+// errNoResponse reports that a lender did not respond.
+var errNoResponse = errors.New("lender did not respond")
+
+// Reserve sets tokens aside for a request of the workspace, at this router or at a
+// lender. It first asks the lenders for tokens that they have or can draw at once.
+// If none has enough, it waits for tokens at a lender that responded, and after a
+// while also at this router. The error wraps one of the errors of this package.
+func (p *Pool) Reserve(ctx context.Context, workspace string, tokens int64) (*Reservation, error) {
+	if p.holder.closing.Load() {
+		return nil, fmt.Errorf("reserve for %s: %w", workspace, ErrClosed)
+	}
+	rank := p.rank(workspace)
+	asks := make([]ask, 0, len(rank.order))
+	for _, m := range rank.order {
+		asks = append(asks, ask{member: m, noWait: true})
+	}
+	answers := p.askInOrder(ctx, workspace, tokens, asks)
+	if last := lastAnswer(answers); last.reservation == nil && !errors.Is(last.err, ErrExhausted) && ctx.Err() == nil {
+		answers = p.askInOrder(ctx, workspace, tokens, p.waitingAsks(answers, rank.lender))
+	}
+	last := lastAnswer(answers)
+	if last.reservation == nil {
+		err := last.err
+		if !isReservationError(err) {
+			err = fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		p.holder.countError(err)
+		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, err)
+	}
+	p.countServed(last.member, rank.lender)
+	return last.reservation, nil
+}
+
+// isReservationError reports whether err wraps an error that reservations return.
+func isReservationError(err error) bool {
+	for _, e := range []error{ErrExhausted, ErrBusy, ErrUnavailable, ErrUnlimited, ErrClosed} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// lastAnswer returns the last answer, or one with an error if there is none.
+func lastAnswer(answers []answer) answer {
+	if len(answers) == 0 {
+		return answer{err: ErrUnavailable}
+	}
+	return answers[len(answers)-1]
+}
+
+// waitingAsks returns the members at which a reservation waits for tokens after the
+// given answers: a lender that responded, preferably one that knows of tokens
+// elsewhere, and this router if it is no lender.
+func (p *Pool) waitingAsks(answers []answer, lender bool) []ask {
+	var asks []ask
+	for _, a := range answers {
+		switch {
+		case errors.Is(a.err, errNoResponse) || errors.Is(a.err, ErrClosed):
+		case len(asks) == 0:
+			asks = append(asks, ask{member: a.member})
+		case errors.Is(a.err, ErrBusy) && a.member.ID == p.options.Self.ID:
+			asks[0].member = a.member
+		}
+	}
+	if !lender {
+		asks = append(asks, ask{member: p.options.Self})
+	}
+	return asks
+}
+
+// askInOrder asks one member after another for tokens, and the next one early if one
+// takes long. It returns the answers in order of arrival, and stops at the first
+// reservation or ErrExhausted.
+func (p *Pool) askInOrder(ctx context.Context, workspace string, tokens int64, asks []ask) []answer {
+	ctx, cancel := context.WithTimeout(ctx, lenderTimeout)
+	defer cancel()
+	incoming := make(chan answer)
+	finished := make(chan struct{}) // closed when incoming is no longer read
+	defer close(finished)
+	var answers []answer
+	asked := 0
+	for len(answers) < len(asks) {
+		if asked == len(answers) {
+			next := asks[asked]
+			asked++
+			if next.member.ID == p.options.Self.ID && asked == len(asks) {
+				answers = append(answers, p.askOne(ctx, workspace, tokens, next)) // nobody else to wait for
+				return answers
+			}
+			p.holder.tasks.Go(func() { p.askAsync(ctx, workspace, tokens, next, incoming, finished) })
+		}
+		var hedge <-chan time.Time
+		if asked < len(asks) {
+			hedge = p.options.Clock.After(hedgeAfter)
+		}
+		select {
+		case a := <-incoming:
+			answers = append(answers, a)
+			if a.reservation != nil || errors.Is(a.err, ErrExhausted) {
+				return answers
+			}
+		case <-hedge:
+			p.stats.Hedged.Add(1)
+			next := asks[asked]
+			asked++
+			p.holder.tasks.Go(func() { p.askAsync(ctx, workspace, tokens, next, incoming, finished) })
+		case <-ctx.Done():
+			return append(answers, answer{err: fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())})
+		case <-p.holder.ctx.Done():
+			return append(answers, answer{err: ErrClosed})
+		}
+	}
+	return answers
+}
+
+// countServed counts a reservation that a member made.
+func (p *Pool) countServed(m Member, lender bool) {
+	switch {
+	case m.ID != p.options.Self.ID:
+		p.stats.Borrowed.Add(1)
+	case lender:
+		p.stats.Local.Add(1)
+	default:
+		p.stats.Fallback.Add(1)
+	}
+}
+
+// askAsync runs askOne and sends the answer. A reservation that comes after finished
+// is closed is released.
+func (p *Pool) askAsync(ctx context.Context, workspace string, tokens int64, next ask, incoming chan<- answer, finished <-chan struct{}) {
+	a := p.askOne(ctx, workspace, tokens, next)
+	select {
+	case incoming <- a:
+		return
+	case <-finished:
+	}
+	if a.reservation != nil {
+		a.reservation.Settle(0)
+	}
+}
+
+// askOne reserves tokens at one member.
+func (p *Pool) askOne(ctx context.Context, workspace string, tokens int64, next ask) answer {
+	a := answer{ask: next}
+	if next.member.ID == p.options.Self.ID {
+		account := p.holder.account(workspace)
+		if a.err = account.reserve(ctx, tokens, next.noWait); a.err == nil {
+			a.reservation = account.newReservation(tokens)
+		}
+		return a
+	}
+	a.reservation, a.err = p.borrow(ctx, next.member.ID, workspace, tokens, next.noWait)
+	return a
+}
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -5,16 +5,18 @@
 //
 // A holder may spend the part of its grant that it has activated by a write. The
 // remaining, inactive part is unlocked gradually while the holder does not reach
-// the store, and completely after Settings.UnlockWithin. A process that starts on
-// the same VM, where its predecessor is certainly dead, therefore knows from the
-// time of the last heartbeat how much of the orphaned grant can have been spent at
-// most, and returns what is above that.
+// the store: as fast as the workspace used tokens before, and completely after
+// Settings.UnlockWithin. A process that starts on the same VM, where its predecessor
+// is certainly dead, therefore knows from the time of the last heartbeat how much of
+// the orphaned grant can have been spent at most, and returns what is above that.
+//
+// Pool makes the grants of a few processes, the lenders, serve a whole fleet.
 //
 // Rows, each in the partition of its workspace except for the last two:
 //
 //	prepaid/WORKSPACE/total      the sum of all grants
 //	prepaid/WORKSPACE/grant/...  one grant, written by its holder only
-//	prepaid_holders//VM          the last heartbeat of a VM's process
+//	prepaid_heartbeats/VM/last   the last heartbeat of a VM's process
 //	prepaid_wanted//WORKSPACE    a recall request: holders return what they do not need
 package prepaid
 
@@ -39,6 +41,28 @@
 	ErrClosed = errors.New("prepaid holder closed")
 )
 
+// RetryError adds to an error when a retry can succeed.
+type RetryError struct {
+	Err   error
+	After time.Duration
+}
+
+// Error implements error.
+func (e *RetryError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error without the time.
+func (e *RetryError) Unwrap() error { return e.Err }
+
+// RetryAfter returns the time after which a reservation that failed with err can
+// succeed, and false if that is not known.
+func RetryAfter(err error) (time.Duration, bool) {
+	var retry *RetryError
+	if errors.As(err, &retry) {
+		return retry.After, true
+	}
+	return 0, false
+}
+
 // Settings are the settings of a holder.
 type Settings struct {
 	// Horizon is the time for which the headroom of a grant, its tokens beyond those
@@ -63,9 +87,16 @@
 	// holder may start to spend its inactive tokens, and may spend all of them.
 	UnlockAfter  time.Duration `json:"release_after"`
 	UnlockWithin time.Duration `json:"release_within"`
+	// UnlockFactor is the rate at which tokens are unlocked from UnlockAfter on, as a
+	// multiple of the rate of use when the grant was last written.
+	UnlockFactor float64 `json:"release_factor"`
 	// UnlockWait is the longest time that a reservation waits for tokens to be
 	// unlocked.
 	UnlockWait time.Duration `json:"release_wait"`
+	// InTimeFor is how long after its arrival a reservation counts as in time. Those
+	// in time are served before the others, so that a backlog does not delay all
+	// later reservations.
+	InTimeFor time.Duration `json:"in_time_for"`
 	// ActivateAhead is the time for which the activated tokens should last at the
 	// current rate of use.
 	ActivateAhead time.Duration `json:"clear_ahead"`
@@ -103,12 +134,14 @@
 		ScarceShare:       0.4,
 		ScarceFor:         5 * time.Second, // half the horizon
 		Surplus:           1.5,
-		UnlockAfter:       1500 * time.Millisecond, // about the restart time of a killed process
-		UnlockWithin:      8 * time.Second,         // a typical store outage
-		UnlockWait:        400 * time.Millisecond,  // a typical latency objective
+		UnlockAfter:       1500 * time.Millisecond, // about the restart time of a killed process and the age of its last heartbeat
+		UnlockWithin:      30 * time.Second,        // several times a typical store outage, since the rest of a grant is lost with its holder
+		UnlockFactor:      1.4,                     // use varies by about this much in a few seconds
+		UnlockWait:        2000 * time.Millisecond, // callers give up a stream without a first event after 2 s or more
+		InTimeFor:         400 * time.Millisecond,  // a typical latency objective
 		ActivateAhead:     1500 * time.Millisecond, // covers the use until tokens are unlocked
-		ActivateShare:     0.015,                   // at most 3% of the limit may be stranded, which includes the tokens in use
-		HeartbeatInterval: 500 * time.Millisecond,  // a quarter of a restart's duration, in which few tokens are unlocked
+		ActivateShare:     0.01,                    // at most 3% of the limit may be stranded, which includes the tokens in use
+		HeartbeatInterval: 250 * time.Millisecond,  // a quarter of a restart's duration, in which few tokens are unlocked
 		CheckInterval:     time.Second,
 		MinStoreWait:      100 * time.Millisecond, // ten typical response times, a fifth of a typical latency objective
 		MaxStoreWait:      time.Second,
@@ -120,10 +153,16 @@
 	}
 }
 
-// UnlockedShare returns the share of inactive tokens that is unlocked a given time
-// after the last heartbeat, from 0 to 1.
-func (s Settings) UnlockedShare(sinceHeartbeat time.Duration) float64 {
-	return min(max((sinceHeartbeat-s.UnlockAfter).Seconds()/(s.UnlockWithin-s.UnlockAfter).Seconds(), 0), 1)
+// Unlocked returns how many of the inactive tokens of a grant are unlocked a given
+// time after the last heartbeat. unlockRate is that of the grant, in tokens per second.
+func (s Settings) Unlocked(sinceHeartbeat time.Duration, inactive int64, unlockRate float64) int64 {
+	return min(int64(s.unlockSpeed(inactive, unlockRate)*max(sinceHeartbeat-s.UnlockAfter, 0).Seconds()), inactive)
+}
+
+// unlockSpeed returns the tokens per second that are unlocked of a grant after
+// UnlockAfter.
+func (s Settings) unlockSpeed(inactive int64, unlockRate float64) float64 {
+	return unlockRate + float64(inactive)/(s.UnlockWithin-s.UnlockAfter).Seconds()
 }
 
 // Problem describes an invalid setting.
@@ -152,7 +191,9 @@
 	require(s.ScarceShare >= 0 && s.ScarceShare <= s.HeadroomShare, "scarce_share", s.ScarceShare, "a share from 0 to stock_share")
 	require(s.Surplus >= 1, "surplus", s.Surplus, "a factor from 1")
 	require(s.UnlockAfter >= 0 && s.UnlockAfter < s.UnlockWithin, "release_after", s.UnlockAfter, "a duration from 0, below release_within")
+	require(s.UnlockFactor >= 0, "release_factor", s.UnlockFactor, "a factor from 0")
 	requireNonNegative("release_wait", s.UnlockWait)
+	requireNonNegative("in_time_for", s.InTimeFor)
 	requireNonNegative("clear_ahead", s.ActivateAhead)
 	requireShare("clear_share", s.ActivateShare)
 	requirePositive("contact_every", s.HeartbeatInterval)
@@ -171,10 +212,13 @@
 // The tables of the ledger.
 const (
 	ledgerTable  = "prepaid"
-	holdersTable = "prepaid_holders"
+	holdersTable = "prepaid_heartbeats"
 	recallTable  = "prepaid_wanted"
 )
 
+// heartbeatName is the name of the heartbeat row in the partition of its VM.
+const heartbeatName = "last"
+
 // totalName is the name of the row that all holders of a workspace share.
 const totalName = "total"
 
@@ -209,6 +253,9 @@
 	Spent int64 `json:"spent"`
 	// InUse is what was spent or reserved when the row was written.
 	InUse int64 `json:"used"`
+	// UnlockRate is the rate at which inactive tokens are unlocked, in tokens per
+	// second, apart from what Settings.UnlockWithin adds.
+	UnlockRate float64 `json:"release_rate"`
 	// StoreMs is a lower bound of the store's clock when the row was written, in
 	// milliseconds.
 	StoreMs int64 `json:"store_ms"`
@@ -232,25 +279,28 @@
 	Predecessors []predecessor `json:"before,omitempty"`
 }
 
-// unlockedShare returns the share of inactive tokens that is unlocked for the
-// process a given time after this heartbeat. It is 1 if the row has no valid
-// settings.
-func (r heartbeatRow) unlockedShare(sinceHeartbeat time.Duration) float64 {
+// predecessor is a dead process on a VM.
+type predecessor struct {
+	Incarnation string `json:"incarnation"`
+	// SilentMs is the longest time for which it can have lived after its last
+	// heartbeat, in milliseconds. The unlock settings are those that it had.
+	SilentMs       int64 `json:"silent_ms"`
+	UnlockAfterMs  int64 `json:"release_after_ms"`
+	UnlockWithinMs int64 `json:"release_within_ms"`
+}
+
+// unlocked returns how many of the inactive tokens of a grant can have been unlocked
+// for the process at most: all if it has no valid settings.
+func (p predecessor) unlocked(inactive int64, unlockRate float64) int64 {
 	s := Settings{
-		UnlockAfter:  time.Duration(r.UnlockAfterMs) * time.Millisecond,
-		UnlockWithin: time.Duration(r.UnlockWithinMs) * time.Millisecond,
+		UnlockAfter:  time.Duration(p.UnlockAfterMs) * time.Millisecond,
+		UnlockWithin: time.Duration(p.UnlockWithinMs) * time.Millisecond,
 	}
 	if s.UnlockWithin <= s.UnlockAfter {
-		return 1
+		return inactive
 	}
-	return s.UnlockedShare(sinceHeartbeat)
-}
-
-// predecessor is a dead process on a VM, with the greatest share of its inactive
-// tokens that can have been unlocked for it.
-type predecessor struct {
-	Incarnation   string  `json:"incarnation"`
-	UnlockedShare float64 `json:"released"`
+	const roundingTokens = 1
+	return min(s.Unlocked(time.Duration(p.SilentMs)*time.Millisecond, inactive, unlockRate)+roundingTokens, inactive)
 }
 
 // recallRow requests that other holders return tokens of a workspace. StoreMs is
--- a/coord/prepaid/recall.go
+++ b/coord/prepaid/recall.go
@@ -57,7 +57,14 @@
 		return nil, errShortage
 	}
 	a.mu.Lock()
+	if len(a.waiters) > 0 && a.waiters[0].noWait {
+		a.mu.Unlock()
+		return nil, fmt.Errorf("%w: %w", errShortage, ErrBusy)
+	}
 	for _, w := range a.waiters {
+		if w.noWait {
+			continue
+		}
 		w.recallRequested = true
 		w.deadline = later(w.deadline, w.arrivedAt.Add(a.holder.options.Settings.RecallWait))
 	}
--- a/coord/prepaid/waiting.go
+++ b/coord/prepaid/waiting.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 )
 
 // waiter is a reservation that waits for tokens. The account's lock guards deadline
 // and recallRequested.
 type waiter struct {
-	tokens    int64
+	tokens int64
+	// noWait excludes waits for tokens of other holders and for tokens to be
+	// unlocked, since the caller will ask another holder.
+	noWait    bool
 	arrivedAt time.Time
 	// deadline is when the wait ends. It is extended while a recall from other
 	// holders is under way, or if enough tokens will be unlocked soon.
@@ -18,10 +22,16 @@
 	result          chan error // receives exactly one value; has a buffer of one
 }
 
-// awaitResult waits for the waiter's result, until its deadline or the end of ctx.
+// unlockPollInterval is the interval at which waiters check for tokens that were
+// unlocked.
+const unlockPollInterval = 20 * time.Millisecond
+
+// awaitResult waits for the waiter's result, until it gives up or the end of ctx.
 func (a *account) awaitResult(ctx context.Context, w *waiter) error {
 	for {
 		a.mu.Lock()
+		a.serveWaitersLocked()
+		a.extendWaitLocked(w)
 		remaining := w.deadline.Sub(a.now())
 		a.mu.Unlock()
 		if remaining <= 0 {
@@ -32,11 +42,46 @@
 			return err
 		case <-ctx.Done():
 			return a.endWait(w, ctx.Err())
-		case <-a.holder.options.Clock.After(remaining):
+		case <-a.holder.options.Clock.After(min(remaining, unlockPollInterval)):
 		}
 	}
 }
 
+// extendWaitLocked extends the wait of a waiter whose tokens will be unlocked, without
+// the store, within Settings.UnlockWait of its arrival.
+func (a *account) extendWaitLocked(w *waiter) {
+	if w.noWait || !slices.Contains(a.waiters, w) {
+		return
+	}
+	if expected := a.now().Add(a.timeToUnlockLocked(w)); !expected.After(w.arrivedAt.Add(a.holder.options.Settings.UnlockWait)) {
+		w.deadline = later(w.deadline, expected)
+	}
+}
+
+// lateLocked reports whether a waiter can no longer be served in time.
+func (a *account) lateLocked(w *waiter) bool {
+	return a.now().Sub(w.arrivedAt) > a.holder.options.Settings.InTimeFor
+}
+
+// orderWaitersLocked sorts the waiters in the order in which they are served: those in
+// time before the late ones, and otherwise by arrival.
+func (a *account) orderWaitersLocked() {
+	slices.SortStableFunc(a.waiters, func(x, y *waiter) int {
+		if late := a.lateLocked(x); late != a.lateLocked(y) {
+			if late {
+				return 1
+			}
+			return -1
+		}
+		return x.arrivedAt.Compare(y.arrivedAt)
+	})
+}
+
+// removeWaiterLocked removes a waiter if it still waits.
+func (a *account) removeWaiterLocked(w *waiter) {
+	a.waiters = slices.DeleteFunc(a.waiters, func(other *waiter) bool { return other == w })
+}
+
 // endWait removes a waiter from the queue after its deadline or the end of its
 // context, which is cause. If the waiter was served in the meantime, it keeps its
 // tokens unless its caller is disconnected, that is, cause is not nil.
@@ -54,12 +99,8 @@
 		return err
 	default:
 	}
-	for i, other := range a.waiters {
-		if other == w {
-			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
-			break
-		}
-	}
+	toUnlock := a.timeToUnlockLocked(w)
+	a.removeWaiterLocked(w)
 	a.serveWaitersLocked()
 	switch {
 	case cause != nil:
@@ -67,11 +108,12 @@
 	case w.recallRequested && !a.unreachable:
 		return ErrBusy
 	}
-	return ErrUnavailable
+	return unavailableFor(toUnlock)
 }
 
-// serveWaitersLocked reserves available tokens for waiters in order of arrival.
+// serveWaitersLocked reserves available tokens for waiters in their order.
 func (a *account) serveWaitersLocked() {
+	a.orderWaitersLocked()
 	for len(a.waiters) > 0 && !a.returnAll && a.availableLocked() >= a.waiters[0].tokens {
 		w := a.waiters[0]
 		a.waiters = a.waiters[1:]
@@ -96,20 +138,6 @@
 	a.waiters = remaining
 }
 
-// extendWaitsLocked extends the deadline of each waiter whose tokens will be
-// unlocked, without the store, within Settings.UnlockWait of its arrival.
-func (a *account) extendWaitsLocked() {
-	waiters, now := a.waiters, a.now()
-	a.waiters = nil // timeToUnlockLocked counts the waiters before w, which are added one by one
-	for _, w := range waiters {
-		toUnlock := a.timeToUnlockLocked(w.tokens)
-		a.waiters = append(a.waiters, w)
-		if toUnlock <= w.arrivedAt.Add(a.holder.options.Settings.UnlockWait).Sub(now) {
-			w.deadline = later(w.deadline, now.Add(toUnlock))
-		}
-	}
-}
-
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
@@ -119,11 +147,14 @@
 }
 
 // timeToUnlockLocked returns the time until enough tokens are unlocked, without the
-// store, for all waiters and a further reservation of tokens.
-func (a *account) timeToUnlockLocked(tokens int64) time.Duration {
-	granted, activated := a.guaranteedLocked()
-	for _, w := range a.waiters {
-		tokens += w.tokens
+// store, for a waiter and those that are served before it.
+func (a *account) timeToUnlockLocked(w *waiter) time.Duration {
+	g, tokens := a.guaranteedLocked(), int64(0)
+	for _, other := range a.waiters {
+		tokens += other.tokens
+		if other == w {
+			break
+		}
 	}
-	return a.holder.heartbeat.timeToUnlock(a.inUseLocked()+tokens-activated, granted-activated)
+	return a.holder.heartbeat.timeToUnlock(a.inUseLocked()+tokens-g.activated, g.granted-g.activated, g.unlockRate)
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -61,7 +61,7 @@
 		&cobra.Group{ID: groupTry, Title: "Try it out:"},
 	)
 	addCommands(root, groupOperate, a.newWorkspace(), a.newPool(), a.newEndpoint(), a.newRule(), a.newLabel(), a.newBudget(), a.newApply(), a.newOrder(), newToken(), a.newCertificate())
-	addCommands(root, groupObserve, a.newConfig(), a.newStatus(), a.newMembers(), a.newEvents(), newExplain())
+	addCommands(root, groupObserve, a.newConfig(), a.newStatus(), a.newMembers(), a.newEvents(), newExplain(), newJournal())
 	addCommands(root, groupTry, newDev(), newStandin(), a.newLoad(), a.newExperiment(), a.newCapacity())
 	root.AddCommand(newVersion())
 	markUsageErrors(root)
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -25,7 +25,7 @@
 }
 
 // routerPorts is the number of listeners of a router. They use consecutive ports.
-const routerPorts = 3
+const routerPorts = 4
 
 // StartSite starts the stand-in and the router, and waits until the router is ready. The
 // first of the router's listeners uses port, or a free port if that is 0. ctx bounds the
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -41,9 +41,10 @@
 	g.handler.Drain(time.Now().Add(grace - stopReserve))
 	g.log.Info("drain started", "in_flight", g.handler.InFlight(), "grace_ms", grace.Milliseconds())
 	startedAt := time.Now()
+	go g.members.Leave(context.Background()) // it has a timeout of its own
 	ctx, cancel := context.WithTimeout(context.Background(), max(grace-stopReserve, minDrainTime))
 	defer cancel()
-	for ctx.Err() == nil && (time.Since(startedAt) < balancerNoticeTime || g.handler.InFlight() > 0) {
+	for ctx.Err() == nil && (time.Since(startedAt) < balancerNoticeTime || g.handler.InFlight() > 0 || g.prepaid.OutstandingLoans() > 0) {
 		if clock.Sleep(ctx, g.clock, drainPoll) != nil {
 			break
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,13 +18,18 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/event"
+	"daisyslip.dev/daisyslip/coord/hlc"
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/coord/rowstore"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/ingress"
 	"daisyslip.dev/daisyslip/internal/logs"
+	"daisyslip.dev/daisyslip/internal/members"
+	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/retrybudget"
 	"daisyslip.dev/daisyslip/internal/routetable"
@@ -54,6 +59,11 @@
 	// CallerAddr, ReadyAddr and MetricsAddr are the addresses to listen on, as
 	// host:port.
 	CallerAddr, ReadyAddr, MetricsAddr string
+	// PeerAddr is the address at which other routers connect, as host:port. If it
+	// is empty, this router uses only grants of its own.
+	PeerAddr string
+	// Weight is the relative processing capacity of the VM.
+	Weight float64
 	// MemoryBytes is the memory limit above which the platform kills the
 	// process; 0 if there is none.
 	MemoryBytes int64
@@ -82,7 +92,9 @@
 	endpoints *endpoints.Registry
 	balancer  *placement.Balancer
 	retries   *retrybudget.Budget
-	prepaid   *prepaid.Holder
+	prepaid   *prepaid.Pool
+	members   *members.Directory
+	link      *peer.Link // nil without PlatformSettings.PeerAddr
 	upstream  *upstream.Pool
 	handler   *ingress.Handler
 	draining  atomic.Bool
@@ -100,11 +112,8 @@
 	g.platform.Store = meteredStore{Store: p.Store, set: g.metrics}
 	g.endpoints = endpoints.NewRegistry(ps.Heartbeat, g.clock, g.componentLog("endpoints"))
 	g.balancer = placement.NewBalancer(s.Placement, ps.Domain, g.clock, g.componentLog("placement"))
-	g.prepaid = prepaid.NewHolder(prepaid.Options{
-		Settings: s.Prepaid, Store: g.platform.Store, VM: ps.VM + "@" + ps.CallerAddr, Incarnation: g.incarnation, Clock: g.clock,
-		Log: g.componentLog("prepaid"), Limit: g.prepaidLimit,
-	})
 	g.retries = retrybudget.New(g.clock, ps.Retries, g.countRouters)
+	g.newPool(ps)
 	g.upstream = upstream.NewPool(s.Upstream, g.clock, g.metrics)
 	g.handler = ingress.NewHandler(s.Ingress, ingress.Dependencies{
 		Codec: p.Codec, Tables: g.tables, Endpoints: g.endpoints, Balancer: g.balancer, Retries: g.retries,
@@ -114,6 +123,32 @@
 	return g
 }
 
+// newPool creates the budgets of the fleet and the peer link that they use.
+func (g *Gateway) newPool(ps PlatformSettings) {
+	self := prepaid.Member{ID: bus.ID{VM: ps.VM + "@" + ps.CallerAddr, Incarnation: g.incarnation}, Domain: ps.Domain, Weight: ps.Weight}
+	g.members = members.New(self, g.platform.Store, g.clock, g.componentLog("members"), func(secret string) {
+		if g.link != nil {
+			g.link.SetSecret(secret)
+		}
+	})
+	peers := bus.Bus(bus.NewNetwork().Join(bus.Peer{ID: self.ID, Domain: ps.Domain}))
+	if ps.PeerAddr != "" {
+		settings := peer.DefaultSettings()
+		settings.Listen = ps.PeerAddr
+		g.link = peer.New(settings, bus.Peer{ID: self.ID, Domain: ps.Domain}, peer.Dependencies{
+			Directory: g.members, Clock: hlc.New(g.clock), Events: event.Discard{}, Metrics: g.metrics, Log: g.componentLog("peer"),
+		})
+		peers = g.link
+	}
+	holder := prepaid.NewHolder(prepaid.Options{
+		Settings: g.settings.Prepaid, Store: g.platform.Store, VM: self.ID.VM, Incarnation: g.incarnation, Clock: g.clock,
+		Log: g.componentLog("prepaid"), Limit: g.prepaidLimit,
+	})
+	g.prepaid = prepaid.NewPool(prepaid.PoolOptions{
+		Holder: holder, Self: self, Bus: peers, Fleet: g.members, Clock: g.clock, Log: g.componentLog("prepaid"),
+	})
+}
+
 // componentLog returns the log of one component, whose lines carry its name.
 func (g *Gateway) componentLog(name string) *slog.Logger { return logs.WithPrefix(g.log, name) }
 
@@ -141,6 +176,10 @@
 	g.readyServer = newServer("the balancer", g.readyHandler(), g.componentLog("ready"))
 	g.metricsServer = newServer("metrics", g.metricsHandler(), g.componentLog("metrics"))
 	err := errors.Join(g.callerServer.listen(ps.CallerAddr), g.readyServer.listen(ps.ReadyAddr), g.metricsServer.listen(ps.MetricsAddr))
+	if g.link != nil {
+		err = errors.Join(err, g.link.Provision())
+		g.members.SetAddr(g.link.Self().Addr)
+	}
 	if err != nil {
 		return errors.Join(err, g.Cleanup())
 	}
@@ -155,6 +194,11 @@
 // more than once.
 func (g *Gateway) Cleanup() error {
 	g.upstream.Close()
+	if g.link != nil {
+		if err := g.link.Cleanup(); err != nil {
+			g.log.Warn("peer link not closed properly", "err", err.Error())
+		}
+	}
 	return errors.Join(g.callerServer.close(), g.readyServer.close(), g.metricsServer.close())
 }
 
@@ -164,10 +208,13 @@
 	componentCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, runComponent := range []func(context.Context){g.watchConfig, g.watchEndpoints, g.prepaid.Run, g.runMaintenance} {
+	for _, runComponent := range []func(context.Context){g.watchConfig, g.watchEndpoints, g.prepaid.Run, g.members.Run, g.runMaintenance} {
 		running.Go(func() { runComponent(componentCtx) })
 	}
-	serveErrs := make(chan error, 3)
+	serveErrs := make(chan error, 4)
+	if g.link != nil {
+		go func() { serveErrs <- g.link.Run() }()
+	}
 	for _, s := range []*server{g.callerServer, g.readyServer, g.metricsServer} {
 		go func() { serveErrs <- s.run() }()
 	}
@@ -218,8 +265,9 @@
 func (g *Gateway) registerGauges() {
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
 	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
-	stats := g.prepaid.Stats()
+	stats, pool := g.prepaid.HolderStats(), g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
+		"local": &pool.Local, "borrowed": &pool.Borrowed, "fallback": &pool.Fallback, "hedged": &pool.Hedged, "lent": &pool.Lent, "abandoned": &pool.Abandoned,
 		"writes": &stats.Writes, "reclaims": &stats.Reclaims, "conflicts": &stats.Conflicts, "failures": &stats.Failures,
 		"exhausted": &stats.Exhausted, "busy": &stats.Busy, "unavailable": &stats.Unavailable,
 	} {
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -20,8 +20,8 @@
 // divided. A router that has died still counts: shares are then too small, which
 // is safe.
 func (g *Gateway) countRouters() int {
-	if n := g.prepaid.HolderCount(); n > 0 {
-		return n
+	if g.members.Synced() {
+		return g.members.Count()
 	}
 	return assumedRouters
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -65,7 +65,7 @@
 	}
 	g.log.Info("configuration applied", "config", table.Revision, "row_version", row.Version, "routes", table.RouteCount())
 	g.prepaid.LimitsChanged()
-	g.prepaid.PrepareWorkspaces(table.PrepaidWorkspaces())
+	g.prepaid.SetWorkspaces(table.PrepaidWorkspaces())
 }
 
 // watchEndpoints keeps the endpoint registry in line with the endpoint table
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -57,7 +57,7 @@
 	Endpoints *endpoints.Registry
 	Balancer  *placement.Balancer
 	Retries   *retrybudget.Budget
-	Prepaid   *prepaid.Holder
+	Prepaid   *prepaid.Pool
 	Upstream  *upstream.Pool
 	Clock     clock.Clock
 	Log       *slog.Logger
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -37,6 +37,9 @@
 	// once: one that does not drain, or one that has a grant while the store is
 	// unavailable.
 	otherRouterRetryDelay = 40 * time.Millisecond
+	// maxBudgetRetryDelay bounds the delay until tokens are unlocked, since the store
+	// may be reached again at any time.
+	maxBudgetRetryDelay = 5 * time.Second
 	// budgetBusyRetryDelay is the time in which other routers settle requests or
 	// return tokens.
 	budgetBusyRetryDelay = time.Second
@@ -93,6 +96,10 @@
 	default:
 		r.status, r.code, r.retryAfter = http.StatusServiceUnavailable, string(failure.StoreUnavailable), withJitter(otherRouterRetryDelay)
 	}
+	if after, known := prepaid.RetryAfter(err); known && r.retryAfter > 0 {
+		r.retryAfter = min(max(after, otherRouterRetryDelay), maxBudgetRetryDelay)
+		r.retryAfter += time.Duration(rand.Int64N(int64(r.retryAfter)/4 + 1))
+	}
 	return r
 }
 
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,377 @@
+// Package members keeps a list of the routers of a fleet in a row store: a row for
+// each VM, which its process writes when it starts and removes when it stops. Whether
+// a router can be reached is judged by the peer link, not by the store.
+package members
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/prepaid"
+	"daisyslip.dev/daisyslip/coord/rowstore"
+)
+
+// The rows of the fleet: the row of each VM, and the secret of the peer link.
+const (
+	table      = "fleet"
+	rowPrefix  = "vm/"
+	secretName = "secret"
+)
+
+const (
+	// feedWait is the longest time that one call waits for changes.
+	feedWait = 3 * time.Second
+	// feedInterval is the least time between two calls. Routers start and stop in
+	// groups; one call returns several changes.
+	feedInterval = 250 * time.Millisecond
+	// writeTimeout bounds one write, and writeRetryInterval is the mean wait after a
+	// failed one.
+	writeTimeout       = time.Second
+	writeRetryInterval = 200 * time.Millisecond
+	// minSuspicion is how long a member that did not respond is not used. It doubles
+	// with each further time, up to maxSuspicion.
+	minSuspicion = 500 * time.Millisecond
+	maxSuspicion = 4 * time.Second
+	// suspicionMemory is the time after a suspicion in which a further one lasts
+	// longer.
+	suspicionMemory = 10 * time.Second
+)
+
+// row is the value of a VM's row.
+type row struct {
+	Incarnation string  `json:"incarnation"`
+	Domain      string  `json:"domain"`
+	Addr        string  `json:"addr"` // host:port of the peer listener
+	Weight      float64 `json:"weight"`
+}
+
+// member is another router, or this one.
+type member struct {
+	prepaid.Member
+	addr           string
+	suspectedUntil time.Time
+	suspicions     int // without a response in between
+}
+
+// Directory is the list of routers as one of them sees it. It implements
+// prepaid.Fleet and peer.Directory, and is safe for concurrent use.
+type Directory struct {
+	store rowstore.Store
+	clock clock.Clock
+	log   *slog.Logger
+	// onSecret receives the secret of the peer link once it is known.
+	onSecret    func(secret string)
+	secretKnown atomic.Bool
+	synced      atomic.Bool
+	leaving     atomic.Bool
+	// rewrite makes Run write the row of this router again.
+	rewrite chan struct{}
+
+	mu      sync.Mutex // guards all below; never held during a call to the store
+	self    member
+	members map[string]*member // other routers by VM
+	// available caches Available until validUntil, when a suspicion ends; nil if it
+	// must be computed.
+	available  []prepaid.Member
+	version    int64
+	validUntil time.Time
+}
+
+// New returns the directory of a router. onSecret is called with the secret of the
+// peer link once that is known.
+func New(self prepaid.Member, store rowstore.Store, c clock.Clock, log *slog.Logger, onSecret func(secret string)) *Directory {
+	return &Directory{
+		store: store, clock: c, log: log, onSecret: onSecret, rewrite: make(chan struct{}, 1),
+		self: member{Member: self}, members: make(map[string]*member),
+	}
+}
+
+// SetAddr sets the host:port at which this router listens for its peers. It is called
+// before Run.
+func (d *Directory) SetAddr(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.self.addr = addr
+}
+
+// Run writes the row of this router and follows the rows of the others until ctx
+// ends.
+func (d *Directory) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { d.writeRows(ctx) })
+	running.Go(func() { d.watch(ctx) })
+	running.Wait()
+}
+
+// writeRows writes the row of this router, again when it is missing.
+func (d *Directory) writeRows(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.writeRow(ctx); err != nil {
+			d.log.Debug("member row not written", "err", err.Error())
+			_ = clock.Sleep(ctx, d.clock, writeRetryInterval/2+rand.N(writeRetryInterval)) // the loop condition checks ctx
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.rewrite:
+		}
+	}
+}
+
+// writeRow writes the row of this router, unless it is leaving.
+func (d *Directory) writeRow(ctx context.Context) error {
+	if d.leaving.Load() {
+		return nil
+	}
+	d.mu.Lock()
+	value, err := json.Marshal(row{Incarnation: d.self.ID.Incarnation, Domain: d.self.Domain, Addr: d.self.addr, Weight: d.self.Weight})
+	d.mu.Unlock()
+	if err != nil {
+		panic(err) // the row type always encodes
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if _, err := d.store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{{Key: d.key(), Value: value}}}); err != nil {
+		return fmt.Errorf("write member row: %w", err)
+	}
+	return nil
+}
+
+// key returns the key of this router's row.
+func (d *Directory) key() rowstore.Key {
+	return rowstore.Key{Table: table, Name: rowPrefix + d.self.ID.VM}
+}
+
+// Leave removes the row of this router, so that others stop using it. A failure only
+// means that they notice later.
+func (d *Directory) Leave(ctx context.Context) {
+	d.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if _, err := d.store.Commit(ctx, rowstore.Tx{Remove: []rowstore.Key{d.key()}}); err != nil {
+		d.log.Info("member row not removed, peers notice the stop by themselves", "err", err.Error())
+	}
+}
+
+// watch follows the table until ctx ends.
+func (d *Directory) watch(ctx context.Context) {
+	watcher := rowstore.Watcher{Store: d.store, Table: table, Wait: feedWait, Clock: d.clock, Log: d.log}
+	watcher.OnSnapshot, watcher.OnChange = d.replace, d.update
+	for ctx.Err() == nil {
+		watcher.Step(ctx)
+		if !d.secretKnown.Load() {
+			d.createSecret(ctx)
+		}
+		_ = clock.Sleep(ctx, d.clock, feedInterval) // the loop condition checks ctx
+	}
+}
+
+// createSecret stores a new secret of the peer link, unless another router was first.
+func (d *Directory) createSecret(ctx context.Context) {
+	key := rowstore.Key{Table: table, Name: secretName}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := d.store.Commit(ctx, rowstore.Tx{Expect: []rowstore.Expect{{Key: key}}, Put: []rowstore.Put{{Key: key, Value: []byte(uuid.NewString())}}})
+	var conflict *rowstore.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		d.log.Info("secret of the peer link not created, another router's is awaited", "err", err.Error())
+	}
+}
+
+// replace sets the members from all rows.
+func (d *Directory) replace(rows []rowstore.Row) {
+	present := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		present[r.Key.Name] = true
+	}
+	d.mu.Lock()
+	for vm := range d.members {
+		if !present[rowPrefix+vm] {
+			delete(d.members, vm)
+		}
+	}
+	d.available = nil
+	d.mu.Unlock()
+	if !present[d.key().Name] {
+		d.requestRewrite()
+	}
+	d.update(rows)
+	d.synced.Store(true)
+}
+
+// update applies changed rows. If the row of this router is another one's or missing,
+// it is written again.
+func (d *Directory) update(rows []rowstore.Row) {
+	for _, r := range rows {
+		switch {
+		case r.Key.Name == secretName:
+			if !r.Removed {
+				d.secretKnown.Store(true)
+				d.onSecret(string(r.Value))
+			}
+		case len(r.Key.Name) <= len(rowPrefix) || r.Key.Name[:len(rowPrefix)] != rowPrefix:
+			d.log.Warn("row of the fleet ignored, its name is unknown", "row", r.Key.String())
+		default:
+			d.updateMember(r.Key.Name[len(rowPrefix):], r)
+		}
+	}
+}
+
+// updateMember applies the row of one VM.
+func (d *Directory) updateMember(vm string, r rowstore.Row) {
+	var decoded row
+	if !r.Removed {
+		if err := json.Unmarshal(r.Value, &decoded); err != nil {
+			d.log.Error("cannot decode member row, the router is not used", "row", r.Key.String(), "err", err.Error())
+			r.Removed = true
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if vm == d.self.ID.VM {
+		if r.Removed || decoded.Incarnation != d.self.ID.Incarnation {
+			d.requestRewrite()
+		}
+		return
+	}
+	d.available = nil
+	if r.Removed {
+		delete(d.members, vm)
+		return
+	}
+	if known := d.members[vm]; known != nil && known.ID.Incarnation == decoded.Incarnation {
+		return
+	}
+	d.members[vm] = &member{addr: decoded.Addr, Member: prepaid.Member{
+		ID: bus.ID{VM: vm, Incarnation: decoded.Incarnation}, Domain: decoded.Domain, Weight: decoded.Weight,
+	}}
+	d.log.Info("router joined or restarted", "vm", vm, "incarnation", decoded.Incarnation, "domain", decoded.Domain, "addr", decoded.Addr, "row_version", r.Version)
+}
+
+// requestRewrite makes writeRows write the row of this router again.
+func (d *Directory) requestRewrite() {
+	select {
+	case d.rewrite <- struct{}{}:
+	default:
+	}
+}
+
+// Synced reports whether all rows were read at least once.
+func (d *Directory) Synced() bool { return d.synced.Load() }
+
+// Count returns the number of routers with a row, this one included.
+func (d *Directory) Count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members) + 1
+}
+
+// Available implements prepaid.Fleet.
+func (d *Directory) Available() ([]prepaid.Member, int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	if d.available == nil || !d.validUntil.IsZero() && !now.Before(d.validUntil) {
+		d.computeAvailableLocked(now)
+	}
+	return d.available, d.version
+}
+
+// computeAvailableLocked sets the fields that Available returns.
+func (d *Directory) computeAvailableLocked(now time.Time) {
+	d.validUntil = time.Time{}
+	available := make([]prepaid.Member, 0, len(d.members)+1)
+	if !d.leaving.Load() {
+		available = append(available, d.self.Member)
+	}
+	for _, m := range d.members {
+		if now.Before(m.suspectedUntil) {
+			if d.validUntil.IsZero() || m.suspectedUntil.Before(d.validUntil) {
+				d.validUntil = m.suspectedUntil
+			}
+			continue
+		}
+		available = append(available, m.Member)
+	}
+	slices.SortFunc(available, func(a, b prepaid.Member) int { return cmp.Compare(a.ID.VM, b.ID.VM) })
+	digest := fnv.New64a()
+	for _, m := range available {
+		fmt.Fprintf(digest, "%s\n", m.ID)
+	}
+	d.available, d.version = available, int64(digest.Sum64())
+}
+
+// Live implements peer.Directory.
+func (d *Directory) Live() []bus.Peer {
+	available, _ := d.Available()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var live []bus.Peer
+	for _, m := range available {
+		if other := d.members[m.ID.VM]; other != nil && m.ID != d.self.ID {
+			live = append(live, other.peer())
+		}
+	}
+	return live
+}
+
+// peer returns the member as the peer link addresses it.
+func (m *member) peer() bus.Peer { return bus.Peer{ID: m.ID, Domain: m.Domain, Addr: m.addr} }
+
+// Lookup implements peer.Directory.
+func (d *Directory) Lookup(id bus.ID) (bus.Peer, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[id.VM]
+	if m == nil || m.ID != id {
+		return bus.Peer{}, false
+	}
+	return m.peer(), true
+}
+
+// MarkReachable implements peer.Directory.
+func (d *Directory) MarkReachable(p bus.Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m := d.members[p.ID.VM]; m != nil && m.ID == p.ID && m.suspicions > 0 {
+		m.suspicions, m.suspectedUntil = 0, time.Time{}
+		d.available = nil
+	}
+}
+
+// Suspect implements prepaid.Fleet and peer.Directory: the member is not used for a
+// while.
+func (d *Directory) Suspect(id bus.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, now := d.members[id.VM], d.clock.Now()
+	if m == nil || m.ID != id || now.Before(m.suspectedUntil) {
+		return
+	}
+	if now.Sub(m.suspectedUntil) > suspicionMemory {
+		m.suspicions = 0
+	}
+	duration := min(minSuspicion<<min(m.suspicions, maxSuspicionDoublings), maxSuspicion)
+	m.suspicions++
+	m.suspectedUntil = now.Add(duration)
+	d.available = nil
+	d.log.Info("router does not respond", "vm", id.VM, "incarnation", id.Incarnation, "for_ms", duration.Milliseconds(), "streak", m.suspicions)
+}
+
+// maxSuspicionDoublings bounds how often the duration of a suspicion is doubled, so
+// that its computation does not overflow.
+const maxSuspicionDoublings = 8
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -23,6 +23,7 @@
 	errReplaced    = errors.New("replaced by a newer connection")
 	errPingTimeout = errors.New("no answer to a ping")
 	errStopped     = errors.New("the link stops")
+	errNoSecret    = errors.New("the secret of the fleet is not known yet")
 )
 
 // conn is one authenticated connection, over which both sides send requests.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -235,13 +235,16 @@
 // dialAndAuthenticate dials an address, runs the handshake and installs the
 // connection.
 func (l *Link) dialAndAuthenticate(ctx context.Context, addr string) (*conn, error) {
+	if l.currentSecret() == "" {
+		return nil, errNoSecret
+	}
 	l.metrics.dials.Inc()
 	ws, _, err := websocket.Dial(ctx, l.scheme+addr+linkPath, &websocket.DialOptions{HTTPClient: l.client})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
 	ws.SetReadLimit(maxHandshakeBytes)
-	peer, err := clientHandshake(ctx, ws, l.settings.Secret, l.Self())
+	peer, err := clientHandshake(ctx, ws, l.currentSecret(), l.Self())
 	if err != nil {
 		ws.CloseNow()
 		return nil, fmt.Errorf("handshake with %s: %w", addr, err)
@@ -302,6 +305,21 @@
 		websocket.CloseStatus(cause) == websocket.StatusNormalClosure
 }
 
+// SetSecret sets the secret of the fleet. A link without a secret neither dials nor
+// accepts connections.
+func (l *Link) SetSecret(secret string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settings.Secret = secret
+}
+
+// currentSecret returns the secret of the fleet, or "" before it is known.
+func (l *Link) currentSecret() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settings.Secret
+}
+
 // SetOperatorURL sets the base URL of this member's operator API, which the
 // handshake sends to other members. It is called before Provision.
 func (l *Link) SetOperatorURL(url string) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -60,6 +60,10 @@
 		http.Error(w, errStopped.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	if l.currentSecret() == "" {
+		http.Error(w, errNoSecret.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		l.log.Debug("peer connection could not be upgraded to WebSocket", "from", r.RemoteAddr, "err", err)
@@ -68,7 +72,7 @@
 	ws.SetReadLimit(maxHandshakeBytes)
 	ctx, cancel := context.WithTimeout(l.ctx, l.settings.DialTimeout)
 	defer cancel()
-	peer, err := serverHandshake(ctx, ws, l.settings.Secret, l.Self())
+	peer, err := serverHandshake(ctx, ws, l.currentSecret(), l.Self())
 	if err != nil {
 		l.metrics.handshakesRefused.Inc()
 		l.log.Warn("peer handshake failed, connection closed", "from", r.RemoteAddr, "err", err)
