Bound what is read from an endpoint before its answer

Cause: the reader of a response had no limit on its head, on interim responses and on answers to other requests. An endpoint that sends such bytes until its caller closes filled the memory: the new test ended the process for lack of memory on the code before (limit 4 GB).

Change: 512 KiB may be read until the head is complete; then the exchange fails as malformed, the connection is closed and the endpoint counts a failure. Bodies were bounded already: by the deadline and a buffer of 256 KiB, events by 1 MiB, chunk lines and trailers by the HTTP library; the test covers them.

Also: waits of the configuration feed and reads of the endpoint list follow the platform's bounds (2 s and 1 s where 4 s are allowed), and a grant is unlocked completely after 60 s instead of 30 s.

--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -135,7 +135,7 @@
 		ScarceFor:         5 * time.Second, // half the horizon
 		Surplus:           1.5,
 		UnlockAfter:       1500 * time.Millisecond, // about the restart time of a killed process and the age of its last heartbeat
-		UnlockWithin:      30 * time.Second,        // several times a typical store outage, since the rest of a grant is lost with its holder
+		UnlockWithin:      60 * time.Second,        // several times a typical store outage, since the rest of a grant is lost with its holder
 		UnlockFactor:      1.4,                     // use varies by about this much in a few seconds
 		UnlockWait:        2000 * time.Millisecond, // callers give up a stream without a first event after 2 s or more
 		InTimeFor:         400 * time.Millisecond,  // a typical latency objective
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,9 @@
 	MemoryBytes int64
 	// Grace is the time between the signal to stop and the kill of the process.
 	Grace time.Duration
+	// ConfigWithin is the time within which a new configuration must be applied, and
+	// LeaveWithin that within which a leaving endpoint must get no more requests.
+	ConfigWithin, LeaveWithin time.Duration
 	// Heartbeat is the interval in which endpoints write their rows.
 	Heartbeat time.Duration
 	// Retries bound the retries of all routers together.
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -44,7 +44,7 @@
 // TestLoadSettingsReportsEveryProblem guards against an error that names only some of
 // the unknown fields, wrong types and invalid values in a file.
 func TestLoadSettingsReportsEveryProblem(t *testing.T) {
-	_, err := LoadSettings(writeSettings(t, `{"prepaid":{"horizon":"0s","clear_share":2,"release_after":"40s","colour":"red"},
+	_, err := LoadSettings(writeSettings(t, `{"prepaid":{"horizon":"0s","clear_share":2,"release_after":"90s","colour":"red"},
 		"ingress":{"max_in_flight":0,"max_body_bytes":"many"},"upstream":{"connect_timeout":"-1s"},
 		"placement":{"failure_share":1.5,"failure_factor":0.5},"peers":{}}`))
 	assert.Assert(t, err != nil)
@@ -66,3 +66,19 @@
 	_, err := LoadSettings(filepath.Join(t.TempDir(), "absent.json"))
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
+
+// TestWatchIntervalsFollowBounds checks that the waits and intervals of the watched
+// tables follow the platform's bounds, within limits: a fleet whose bounds are longer
+// makes fewer calls.
+func TestWatchIntervalsFollowBounds(t *testing.T) {
+	for _, test := range []struct{ config, leave, feedWait, interval time.Duration }{
+		{0, 0, time.Second, 500 * time.Millisecond},
+		{2 * time.Second, 2 * time.Second, time.Second, 500 * time.Millisecond},
+		{4 * time.Second, 4 * time.Second, 2 * time.Second, time.Second},
+		{time.Minute, time.Minute, 3 * time.Second, time.Second},
+	} {
+		ps := PlatformSettings{ConfigWithin: test.config, LeaveWithin: test.leave}
+		assert.Equal(t, ps.configFeedWait(), test.feedWait)
+		assert.Equal(t, ps.endpointReadInterval(), test.interval)
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -11,21 +11,33 @@
 
 // Waits and intervals of the watched tables.
 const (
-	// configFeedWait is the maximum time that one call for changes of the
-	// configuration waits for a change. It is short enough that a connection on
-	// which the store no longer responds is noticed well within the 2 s in which
-	// a new configuration must be applied.
-	configFeedWait = time.Second
-	// endpointReadInterval is the time between two reads of the endpoint table:
-	// a quarter of the 2 s after which a leaving endpoint must get no more work.
-	// The rows change with every heartbeat, so a call that waits for a change
-	// would return at once.
-	endpointReadInterval = 500 * time.Millisecond
+	// minConfigFeedWait and maxConfigFeedWait bound the time that one call for
+	// changes of the configuration waits for a change. It is half of the time in
+	// which a configuration must be applied, so that a connection on which the store
+	// no longer responds is noticed before.
+	minConfigFeedWait = time.Second
+	maxConfigFeedWait = 3 * time.Second
+	// minEndpointReadInterval and maxEndpointReadInterval bound the time between two
+	// reads of the endpoint table, which is a quarter of the time in which a leaving
+	// endpoint must get no more requests. The rows change with every heartbeat, so a
+	// call that waits for a change would return at once.
+	minEndpointReadInterval = 500 * time.Millisecond
+	maxEndpointReadInterval = time.Second
 	// startupInterval is the time between two reads while there is no
 	// configuration yet.
 	startupInterval = 50 * time.Millisecond
 )
 
+// configFeedWait returns how long one call for changes of the configuration waits.
+func (ps *PlatformSettings) configFeedWait() time.Duration {
+	return min(max(ps.ConfigWithin/2, minConfigFeedWait), maxConfigFeedWait)
+}
+
+// endpointReadInterval returns the time between two reads of the endpoint table.
+func (ps *PlatformSettings) endpointReadInterval() time.Duration {
+	return min(max(ps.LeaveWithin/4, minEndpointReadInterval), maxEndpointReadInterval)
+}
+
 // newWatcher returns a watcher of a table of the platform's store, whose calls
 // for changes wait for up to wait.
 func (g *Gateway) newWatcher(table string, wait time.Duration) *rowstore.Watcher {
@@ -41,7 +53,7 @@
 			}
 		}
 	}
-	watcher := g.newWatcher(g.platform.ConfigTable, configFeedWait)
+	watcher := g.newWatcher(g.platform.ConfigTable, g.platformSettings.Load().configFeedWait())
 	watcher.OnSnapshot, watcher.OnChange = apply, apply
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
@@ -97,7 +109,7 @@
 	}
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
-		_ = clock.Sleep(ctx, g.clock, endpointReadInterval) // the loop condition checks ctx
+		_ = clock.Sleep(ctx, g.clock, g.platformSettings.Load().endpointReadInterval()) // the loop condition checks ctx
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,7 +17,8 @@
 	net.Conn
 	pool   *Pool
 	addr   string
-	reader *bufio.Reader
+	reader *bufio.Reader // reads from limit
+	limit  *limitedReader
 	// An idle connection may be reused until maxIdle after idleSince.
 	idleSince time.Time
 	maxIdle   time.Duration
@@ -29,6 +30,40 @@
 	bytesWritten atomic.Int64 // bytes of the current request that were written to the socket
 }
 
+// newConn returns a connection that belongs to p.
+func newConn(p *Pool, addr string, raw net.Conn) *conn {
+	limit := &limitedReader{conn: raw, remaining: unlimited}
+	return &conn{Conn: raw, pool: p, addr: addr, limit: limit, reader: bufio.NewReaderSize(limit, readerBytes)}
+}
+
+// limitedReader reads from a connection until a number of bytes is reached, so that an
+// endpoint that sends bytes without end does not fill the memory.
+type limitedReader struct {
+	conn      net.Conn
+	remaining int64 // bytes that may still be read, or unlimited
+}
+
+// unlimited is the value of limitedReader.remaining without a limit.
+const unlimited = -1
+
+// errTooManyBytes is returned by a limitedReader at its limit.
+var errTooManyBytes = errors.New("endpoint sent too many bytes before its answer")
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(b []byte) (int, error) {
+	if r.remaining == 0 {
+		return 0, errTooManyBytes
+	}
+	if r.remaining > 0 {
+		b = b[:min(int64(len(b)), r.remaining)]
+	}
+	n, err := r.conn.Read(b)
+	if r.remaining > 0 {
+		r.remaining -= int64(n)
+	}
+	return n, err
+}
+
 // interrupt closes the connection, which ends all reads and writes. It is called
 // when the context of the exchange ends.
 func (c *conn) interrupt() {
--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -12,7 +12,7 @@
 
 // ExchangeOn makes one exchange on an open connection. It is used for fuzzing.
 func ExchangeOn(raw net.Conn, r *Request, headDeadline time.Time, idOf func(http.Header) string) (*Response, error) {
-	c := &conn{Conn: raw, pool: NewPool(DefaultSettings(), clock.Real{}, metrics.NewSet()), reader: newReader(raw)}
+	c := newConn(NewPool(DefaultSettings(), clock.Real{}, metrics.NewSet()), "", raw)
 	resp := &Response{conn: c, detachContext: func() bool { return true }}
 	c.writeRequest(r)
 	if err := resp.readHead(r, headDeadline, idOf); err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -127,7 +127,7 @@
 	p.mu.Lock()
 	p.openConns++
 	p.mu.Unlock()
-	return &conn{Conn: raw, pool: p, addr: addr, reader: newReader(raw)}, nil
+	return newConn(p, addr, raw), nil
 }
 
 // release makes a connection available for the next exchange, or closes it if the
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -72,6 +71,10 @@
 // responses and responses to other requests are skipped, but count.
 const maxResponseHeads = 4
 
+// maxBytesBeforeResponse bounds the bytes that are read from an endpoint until the head
+// of the response is complete: a large head, and late responses to other requests.
+const maxBytesBeforeResponse = 512 << 10
+
 // Do sends a request to addr and reads the head of the response. It waits for the
 // head until headDeadline. The end of ctx interrupts the exchange, also while the
 // body is read. The function idOf returns the request id in a response header, or "".
@@ -103,6 +106,9 @@
 	if err := resp.conn.setReadDeadline(headDeadline); err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	// The limit covers the heads and everything that is skipped before the response.
+	resp.conn.limit.remaining = maxBytesBeforeResponse
+	defer func() { resp.conn.limit.remaining = unlimited }()
 	for range maxResponseHeads {
 		httpResponse, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -212,6 +218,3 @@
 // readerBytes is the size of a connection's read buffer. An event of a stream or a
 // typical response fits into it.
 const readerBytes = 4 << 10
-
-// newReader returns the buffered reader of a connection.
-func newReader(c net.Conn) *bufio.Reader { return bufio.NewReaderSize(c, readerBytes) }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -227,6 +227,71 @@
 	}
 }
 
+// TestBytesWithoutEndAreNotRead guards against an endpoint that sends bytes that are no
+// answer until its caller closes the connection: in a line or the lines of a head, in
+// interim responses, in the answer to another request, in a chunk or its extension, or
+// in a trailer. They would fill the memory, or keep the caller waiting until its
+// deadline.
+func TestBytesWithoutEndAreNotRead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: a\r\n"
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, response := range map[string]struct{ start, repeat string }{
+		"status line":                {"HTTP/1.1 200 ", "OK"},
+		"header line":                {head + "X: ", "xxxxxxxx"},
+		"header lines":               {head, "X: y\r\n"},
+		"no protocol":                {"", "zzzzzzzz"},
+		"interim responses":          {"", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		"header of interim response": {"HTTP/1.1 103 Early Hints\r\n", "X: y\r\n"},
+		"answer to another request":  {"HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"chunk size":                 {chunked, "0"},
+		"chunk extension":            {chunked + "5;", "xxxxxxxx"},
+		"trailer":                    {chunked + "0\r\n", "X: y\r\n"},
+		"trailer line":               {chunked + "0\r\nX: ", "yyyyyyyy"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newFakeEndpoint(t, func(c net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(c, response.start)
+				block := strings.Repeat(response.repeat, 1000)
+				for err == nil {
+					_, err = io.WriteString(c, block)
+				}
+				return false
+			})
+			const deadline = time.Minute
+			started := time.Now()
+			_, err := exchange(newPool(t), e.Addr().String(), getRequest("a"), deadline)
+			assert.Assert(t, errors.Is(err, upstream.ErrMalformed), "%v", err)
+			assert.Assert(t, time.Since(started) < deadline, "read until the deadline")
+		})
+	}
+}
+
+// TestBytesAfterResponseEndConnection guards against bytes without end after a complete
+// response: the response is delivered, and its connection is not used again.
+func TestBytesAfterResponseEndConnection(t *testing.T) {
+	closed := make(chan struct{})
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, responseFor(r, completeResponse))
+		for err == nil {
+			_, err = io.WriteString(c, strings.Repeat("x", 10_000))
+		}
+		closed <- struct{}{}
+		return false
+	})
+	pool := newPool(t)
+	for range 3 {
+		body, err := exchange(pool, e.Addr().String(), getRequest("a"), time.Minute)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "hello")
+	}
+	assert.Equal(t, e.conns.Load(), int64(3))
+	pool.Close()
+	for range 3 {
+		<-closed
+	}
+}
+
 // TestFailedConnectIsNotSent checks that a refused connection is reported as
 // ErrNotSent, so that the caller may retry.
 func TestFailedConnectIsNotSent(t *testing.T) {
