--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -51,12 +51,15 @@
 
 	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
 	// but their lenders prepare nothing.
-	mu         sync.Mutex // guards workspaces, ranks and ranksVersion
+	mu         sync.Mutex // guards the fields up to exhausted
 	workspaces []string
 	ranks      map[string]workspaceRank
 	// ranksVersion is the version of the list of members from which ranks were
 	// computed.
 	ranksVersion int64
+	// exhausted are the workspaces whose lenders have lately refused a reservation
+	// because the total is exhausted.
+	exhausted map[string]exhaustion
 
 	nextID  atomic.Uint64
 	settler settler
@@ -69,6 +72,13 @@
 	order   []Member // in which this router asks for tokens; it may contain this router
 }
 
+// exhaustion is a total that had too few tokens for a reservation. Until a time,
+// reservations of as many tokens or more are refused without asking a lender.
+type exhaustion struct {
+	tokens int64
+	until  time.Time
+}
+
 // PoolStats are counters of a pool's work since its start.
 type PoolStats struct {
 	// Local, Borrowed and Fallback are reservations from this router's own grant as
@@ -84,7 +94,7 @@
 // NewPool returns a pool and registers its handlers on the bus. Run must be called
 // for it to settle what it borrows.
 func NewPool(o PoolOptions) *Pool {
-	p := &Pool{options: o, holder: o.Holder, ranks: make(map[string]workspaceRank)}
+	p := &Pool{options: o, holder: o.Holder, ranks: make(map[string]workspaceRank), exhausted: make(map[string]exhaustion)}
 	p.loans.init(p)
 	p.settler.init(p)
 	o.Holder.lends.Store(p)
@@ -145,6 +155,7 @@
 func (p *Pool) LimitsChanged() {
 	p.mu.Lock()
 	clear(p.ranks)
+	clear(p.exhausted)
 	p.mu.Unlock()
 	p.holder.LimitsChanged()
 }
@@ -231,6 +242,10 @@
 	if p.holder.closing.Load() {
 		return nil, fmt.Errorf("reserve for %s: %w", workspace, ErrClosed)
 	}
+	if p.knownExhausted(workspace, tokens) {
+		p.holder.countError(ErrExhausted)
+		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, ErrExhausted)
+	}
 	rank := p.rank(workspace)
 	asks := make([]ask, 0, len(rank.order))
 	for _, m := range rank.order {
@@ -246,6 +261,9 @@
 		if !isReservationError(err) {
 			err = fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
+		if errors.Is(err, ErrExhausted) {
+			p.rememberExhausted(workspace, tokens)
+		}
 		p.holder.countError(err)
 		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, err)
 	}
@@ -253,6 +271,22 @@
 	return last.reservation, nil
 }
 
+// knownExhausted reports whether a reservation is refused without asking a lender.
+func (p *Pool) knownExhausted(workspace string, tokens int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, found := p.exhausted[workspace]
+	return found && tokens >= e.tokens && p.options.Clock.Now().Before(e.until)
+}
+
+// rememberExhausted records that a total had too few tokens. It is remembered for as
+// long as a lender remembers it.
+func (p *Pool) rememberExhausted(workspace string, tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.exhausted[workspace] = exhaustion{tokens: tokens, until: p.options.Clock.Now().Add(p.holder.options.Settings.ShortageFor)}
+}
+
 // isReservationError reports whether err wraps an error that reservations return.
 func isReservationError(err error) bool {
 	for _, e := range []error{ErrExhausted, ErrBusy, ErrUnavailable, ErrUnlimited, ErrClosed} {
--- a/coord/prepaid/pool_test.go
+++ b/coord/prepaid/pool_test.go
@@ -282,6 +282,30 @@
 	})
 }
 
+// TestExhaustedTotalIsRefusedAtOnce guards against callers of an exhausted workspace
+// that wait for a lender each time, which a slow link makes long. A raised limit and
+// smaller reservations are not affected.
+func TestExhaustedTotalIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPoolSimulation(t, 100_000)
+		defer s.shutdown()
+		_, borrower := s.lenderOf("coop-0")
+		_, err := borrower.Reserve(context.Background(), "coop-0", 150_000)
+		assert.ErrorIs(t, err, prepaid.ErrExhausted)
+		started := time.Now()
+		_, err = borrower.Reserve(context.Background(), "coop-0", 160_000)
+		assert.ErrorIs(t, err, prepaid.ErrExhausted)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		reservation, err := borrower.Reserve(context.Background(), "coop-0", 20_000)
+		assert.NilError(t, err)
+		reservation.Settle(0)
+		s.setLimit("coop-0", 1_000_000)
+		reservation, err = borrower.Reserve(context.Background(), "coop-0", 150_000)
+		assert.NilError(t, err)
+		reservation.Settle(0)
+	})
+}
+
 // TestBacklogDoesNotDelayLaterReservations: without the store no tokens are unlocked
 // at first, and then hardly faster than they are used. The reservations that come
 // after that are in time; those that waited from before are served after them.
