--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -268,6 +268,9 @@
 		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, err)
 	}
 	p.countServed(last.member, rank.lender)
+	if last.member.ID == p.options.Self.ID && !rank.lender {
+		p.options.Log.Info("no lender had tokens or responded, own grant used", "workspace", workspace, "tokens", tokens, "asked", len(answers))
+	}
 	return last.reservation, nil
 }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -219,7 +219,7 @@
 		attrs = append(attrs, slog.String("workspace", q.workspace.Name))
 	}
 	if q.reservation != nil {
-		attrs = append(attrs, slog.Int64("reserved", q.reservation.Tokens()), slog.Int64("billed", q.billedTokens))
+		attrs = append(attrs, slog.Int64("reserved", q.reservation.Tokens()), slog.Int64("billed", q.billedTokens), slog.String("lender", q.reservation.Lender().VM))
 	}
 	if q.stream.forwardedEvents > 0 {
 		attrs = append(attrs, slog.Int("events", q.stream.forwardedEvents), slog.String("last_event", q.stream.lastEventID))
