Bill no request of which the caller got nothing

Cause: a prompt was billed when an endpoint may have executed the request, also if no event reached the caller. Change: a request is billed if an event or a successful response reached the caller. Reservations wait for 1.7 s instead of 2 s, since callers of the large site give up at 2 s.

--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -137,7 +137,7 @@
 		UnlockAfter:       1500 * time.Millisecond, // about the restart time of a killed process and the age of its last heartbeat
 		UnlockWithin:      60 * time.Second,        // several times a typical store outage, since the rest of a grant is lost with its holder
 		UnlockFactor:      1.4,                     // use varies by about this much in a few seconds
-		UnlockWait:        2000 * time.Millisecond, // callers give up a stream without a first event after 2 s or more
+		UnlockWait:        1700 * time.Millisecond, // callers give up a stream without a first event after 2 s or more
 		InTimeFor:         400 * time.Millisecond,  // a typical latency objective
 		ActivateAhead:     1500 * time.Millisecond, // covers the use until tokens are unlocked
 		ActivateShare:     0.01,                    // at most 3% of the limit may be stranded, which includes the tokens in use
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -155,12 +155,14 @@
 // settle bills the tokens of the prompt and of the events that were forwarded. Each
 // event is billed at the pool's MaxEventTokens, at least 1, and all events together
 // at no more than the request's MaxOutputTokens. A request that no endpoint can have
-// executed is free.
+// executed is free, and so is one of which the caller got nothing: neither an event nor
+// a successful response.
 func (q *request) settle() {
 	if q.reservation == nil {
 		return
 	}
-	if q.executions > 0 {
+	delivered := q.stream.forwardedEvents > 0 || q.status >= http.StatusOK && q.status < http.StatusMultipleChoices
+	if q.executions > 0 && delivered {
 		g := q.params.Generation
 		perEvent := max(q.table.Pools[q.pool].MaxEventTokens, 1)
 		q.billedTokens = g.PromptTokens + min(g.MaxOutputTokens, perEvent*int64(q.stream.forwardedEvents))
