Resume streams that send bytes but no events, refuse invalid loans

Causes: the gap of a stream was measured from the last byte, so an endpoint that sent a byte now and then was never given up for another one; and a peer's message with a negative number of tokens was granted, which added tokens to the total. Change: the gap counts from the last event, with one late read in case the router itself was suspended. Reservations of peers are checked: a workspace with a limit, 0 to 2^42 tokens. Tests that failed before: TestBrokenStreamResumesAtOtherEndpoint/trickle, TestInvalidLoanRequestsAreRefused.

--- a/coord/prepaid/loans.go
+++ b/coord/prepaid/loans.go
@@ -120,11 +120,20 @@
 	bus.Handle(p.options.Bus, kindSettle, l.settle)
 }
 
+// maxLoanTokens bounds the tokens of one reservation, so that sums do not overflow.
+const maxLoanTokens = 1 << 42
+
 // errLoanSettled reports a reservation that its borrower has already given up.
 var errLoanSettled = failure.New(failure.Conflict, string(kindReserve), "", "the reservation was settled before it was made")
 
 // reserve handles a request for tokens.
 func (l *loans) reserve(ctx context.Context, from bus.ID, r reserveRequest) (reserveResponse, error) {
+	if _, limited := l.pool.holder.options.Limit(r.Workspace); !limited {
+		return reserveResponse{Outcome: outcomeUnlimited}, nil
+	}
+	if r.Tokens < 0 || r.Tokens > maxLoanTokens {
+		return reserveResponse{}, failure.New(failure.BadRequest, string(kindReserve), "", fmt.Sprintf("%d tokens requested", r.Tokens))
+	}
 	key := loanKey{from, r.ID}
 	if !l.begin(key, r.Tokens) {
 		return reserveResponse{}, errLoanSettled
--- a/coord/prepaid/pool_test.go
+++ b/coord/prepaid/pool_test.go
@@ -218,6 +218,32 @@
 	})
 }
 
+// TestInvalidLoanRequestsAreRefused guards against messages that would add tokens to a
+// total, or open an account of any name: they are refused and change nothing.
+func TestInvalidLoanRequestsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPoolSimulation(t, 100_000)
+		defer s.shutdown()
+		lender, borrower := s.lenderOf("coop-0")
+		ctx := context.Background()
+		for id, r := range []rawReserve{{Workspace: "coop-0", Tokens: -50_000}, {Workspace: "coop-0", Tokens: 1 << 60}, {Workspace: "", Tokens: 5}, {Workspace: "unknown", Tokens: 5}} {
+			r.ID = uint64(5000 + id)
+			response, err := bus.Call[rawReserve, rawOutcome](ctx, borrower.peers, lender.id, "prepaid.reserve", r)
+			assert.Assert(t, err != nil || response.Outcome != 0, "%+v was granted", r)
+		}
+		_, err := bus.Call[rawSettle, struct{}](ctx, borrower.peers, lender.id, "prepaid.settle", rawSettle{Loans: []rawLoan{{5000, -50_000}, {7777, -1}}})
+		assert.NilError(t, err)
+		for _, body := range [][]byte{nil, {0xff}, []byte("no CBOR"), {0xa1, 0x01, 0x61, 0x78}} {
+			for _, kind := range []bus.Kind{"prepaid.reserve", "prepaid.settle"} {
+				_, err := borrower.peers.Request(ctx, lender.id, kind, body)
+				assert.Assert(t, err != nil, "%s %x was accepted", kind, body)
+			}
+		}
+		_, err = lender.Reserve(ctx, "coop-0", 100_001)
+		assert.ErrorIs(t, err, prepaid.ErrExhausted)
+	})
+}
+
 // TestSuccessorOfLenderCountsLoans: tokens that a lender lent, and whose settlement
 // comes after its death, count as spent; they are not granted again.
 func TestSuccessorOfLenderCountsLoans(t *testing.T) {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -32,6 +32,8 @@
 	// lastEventAt is when the last events were forwarded, or when the current
 	// endpoint's response began if that is later.
 	lastEventAt time.Time
+	// readLate is set once a read was given lateReadTime since the last event.
+	readLate bool
 }
 
 // maxEventBytes bounds the bytes of an incomplete event.
@@ -51,7 +53,7 @@
 		q.handler.stats.resumed.Inc()
 		q.handler.deps.Log.Info("stream resumed", "request", q.params.ID, "endpoint", e.ID, "after_event", q.stream.lastEventID, "events", q.stream.forwardedEvents)
 	}
-	q.stream.pending = nil
+	q.stream.pending, q.stream.readLate = nil, false
 	q.stream.lastEventAt = q.handler.deps.Clock.Now()
 	buffer := make([]byte, streamReadBytes)
 	suspectTimer := time.AfterFunc(suspectAfter, func() { q.handler.deps.Balancer.Suspect(e) })
@@ -63,11 +65,14 @@
 		}
 		n, err := response.Read(buffer)
 		if n > 0 {
-			suspectTimer.Reset(suspectAfter)
+			forwarded := q.stream.forwardedEvents
 			if forwardErr := q.forwardEvents(response, buffer[:n]); forwardErr != nil {
 				response.Abort()
 				return q.classifyForwardError(ctx, forwardErr)
 			}
+			if q.stream.forwardedEvents > forwarded {
+				suspectTimer.Reset(suspectAfter)
+			}
 		}
 		switch {
 		case err == nil:
@@ -80,7 +85,11 @@
 	}
 }
 
-// readDeadline returns until when to wait for the next bytes of the stream. If no
+// lateReadTime is the time for one more read of a stream whose next event is overdue.
+const lateReadTime = 50 * time.Millisecond
+
+// readDeadline returns until when to wait for the next event of the stream. Bytes that
+// complete no event do not extend it. If no
 // other endpoint can serve or resume the stream, it is the deadline of the request
 // plus responseGrace, however long the endpoint sends nothing.
 func (q *request) readDeadline() time.Time {
@@ -89,7 +98,13 @@
 	case q.mayRetryElsewhere() && q.stream.forwardedEvents == 0:
 		return earlier(deadline, q.stream.lastEventAt.Add(headTimeout(q.route)))
 	case q.mayRetryElsewhere():
-		return earlier(deadline, q.handler.deps.Clock.Now().Add(gapTimeout(q.route)))
+		next, now := q.stream.lastEventAt.Add(gapTimeout(q.route)), q.handler.deps.Clock.Now()
+		if !q.stream.readLate && !now.Before(next) {
+			// The router itself may have been suspended; events may have arrived.
+			q.stream.readLate = true
+			next = now.Add(lateReadTime)
+		}
+		return earlier(deadline, next)
 	}
 	return deadline
 }
@@ -173,7 +188,7 @@
 	if q.stream.forwardedEvents > 0 {
 		q.handler.stats.eventGap.Update(now.Sub(q.stream.lastEventAt).Seconds())
 	}
-	q.stream.lastEventAt = now
+	q.stream.lastEventAt, q.stream.readLate = now, false
 	q.stream.forwardedEvents += count
 	if _, err := q.writer.Write(ready); err != nil {
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
