A panic in the handling of a peer's request ends only that request

Change: it is logged with kind, peer, request id and stack, counted, and answered as an internal failure with unknown outcome. Also: daisyslip dev reports invalid numbers of routers, engines, tokens and ports instead of a panic.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -15,6 +15,7 @@
 	"daisyslip.dev/daisyslip/coord/budget"
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/catalog"
+	"daisyslip.dev/daisyslip/internal/check"
 	"daisyslip.dev/daisyslip/internal/client"
 	"daisyslip.dev/daisyslip/internal/daemon"
 	"daisyslip.dev/daisyslip/internal/fleetconfig"
@@ -62,6 +63,31 @@
 	return Options{Routers: 3, Engines: 2, BudgetTokens: 1_000_000, Engine: standin.DefaultEngineSettings("", ModelName)}
 }
 
+// maxProcesses bounds the routers and the engines of a development fleet, which share
+// one process.
+const maxProcesses = 100
+
+// maxPort is the largest port number.
+const maxPort = 65535
+
+// validate returns an error that lists every invalid option.
+func (o Options) validate() error {
+	var problems check.List
+	if o.Routers < 1 || o.Routers > maxProcesses {
+		problems.Add("routers", o.Routers, fmt.Sprintf("a number from 1 to %d", maxProcesses))
+	}
+	if o.Engines < 0 || o.Engines > maxProcesses {
+		problems.Add("engines", o.Engines, fmt.Sprintf("a number from 0 to %d", maxProcesses))
+	}
+	if o.BudgetTokens < 0 {
+		problems.Add("budget", o.BudgetTokens, "a number of tokens from 0")
+	}
+	if o.FirstPort < 0 || o.FirstPort > maxPort-operatorPortOffset-maxProcesses {
+		problems.Add("port", o.FirstPort, "a port below the operator ports, or 0")
+	}
+	return problems.Err()
+}
+
 // WorkspaceInfo describes a workspace of the fleet.
 type WorkspaceInfo struct {
 	Name         string `json:"name"`
@@ -99,6 +125,9 @@
 // Start starts a fleet and waits until all routers are ready. ctx bounds the start only;
 // the fleet runs until Close.
 func Start(ctx context.Context, o Options, log *slog.Logger) (*Fleet, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
 	f := &Fleet{Platform: standin.NewPlatform(), Service: standin.NewService(ServiceName, true)}
 	if err := f.start(ctx, o, log); err != nil {
 		return nil, errors.Join(err, f.Close())
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,11 +156,24 @@
 		return
 	}
 	started := time.Now()
-	body, err := handler(ctx, c.peer.ID, e.Body)
+	body, err := c.runHandler(ctx, handler, e)
 	c.recordHandled(e, time.Since(started), err)
 	c.respond(e, body, err)
 }
 
+// runHandler runs a handler. A panic ends only this request, with failure.Internal.
+func (c *conn) runHandler(ctx context.Context, handler bus.Handler, e *envelope) (body []byte, err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			c.link.metrics.handlerPanics.Inc()
+			c.link.log.Error("handler of a peer's request panicked", "kind", string(e.Kind), "peer", c.peer.ID.String(),
+				"request", e.Request, "reason", fmt.Sprint(reason), "stack", string(debug.Stack()))
+			err = failure.New(failure.Internal, string(e.Kind), "", "the handler of the request panicked").WithRan(failure.RanUnknown)
+		}
+	}()
+	return handler(ctx, c.peer.ID, e.Body)
+}
+
 // recordHandled records the handling of e on the timeline if another router sent
 // it on behalf of a caller's request.
 func (c *conn) recordHandled(e *envelope, duration time.Duration, err error) {
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -8,7 +8,7 @@
 	bytesSent, bytesReceived                           *metrics.Counter
 	pings, dials, dialsFailed                          *metrics.Counter
 	connectionsLost, requestsRefused, responsesDropped *metrics.Counter
-	handshakesRefused                                  *metrics.Counter
+	handshakesRefused, handlerPanics                   *metrics.Counter
 }
 
 func newLinkMetrics(set *metrics.Set) *linkMetrics {
@@ -24,6 +24,7 @@
 		requestsRefused:   set.NewCounter("daisyslip_peer_requests_refused_total"),
 		responsesDropped:  set.NewCounter("daisyslip_peer_answers_dropped_total"),
 		handshakesRefused: set.NewCounter("daisyslip_peer_handshakes_refused_total"),
+		handlerPanics:     set.NewCounter("daisyslip_peer_handler_panics_total"),
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -129,6 +129,42 @@
 	assert.Equal(t, failure.As(err).Ran, failure.RanNo)
 }
 
+// TestPanicOfHandlerEndsOneRequest guards against an unexpected state in the handling of
+// one peer's request that takes the whole process down.
+func TestPanicOfHandlerEndsOneRequest(t *testing.T) {
+	dir := newFakeDirectory()
+	one, two := startLink(t, "one", testSettings(), dir), startLink(t, "two", testSettings(), dir)
+	two.Handle("panic", func(context.Context, bus.ID, []byte) ([]byte, error) { panic("unexpected") })
+	for range 3 {
+		_, err := one.Request(t.Context(), two.Self().ID, "panic", nil)
+		assert.Equal(t, failure.CodeOf(err), failure.Internal)
+		assert.Equal(t, failure.As(err).Ran, failure.RanUnknown)
+	}
+	response, err := one.Request(t.Context(), two.Self().ID, "echo", []byte("hi"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(response), "one:hi")
+	assert.Equal(t, two.metrics.handlerPanics.Get(), uint64(3))
+}
+
+// TestLinkWithoutSecretConnectsToNobody guards against routers that trust any process
+// before they know the secret of their fleet.
+func TestLinkWithoutSecretConnectsToNobody(t *testing.T) {
+	dir := newFakeDirectory()
+	settings := testSettings()
+	settings.Secret = ""
+	one, two := startLink(t, "one", settings, dir), startLink(t, "two", settings, dir)
+	for _, way := range []struct{ from, to *Link }{{one, two}, {two, one}} {
+		_, err := way.from.Request(t.Context(), way.to.Self().ID, "echo", nil)
+		assert.Equal(t, failure.CodeOf(err), failure.PeerUnavailable)
+	}
+	one.SetSecret(testSecret)
+	_, err := one.Request(t.Context(), two.Self().ID, "echo", nil)
+	assert.Equal(t, failure.CodeOf(err), failure.PeerUnavailable)
+	two.SetSecret(testSecret)
+	_, err = one.Request(t.Context(), two.Self().ID, "echo", nil)
+	assert.NilError(t, err)
+}
+
 // TestHandshakeRejectsWrongSecretInBothDirections guards against a connection between
 // routers with different secrets, whichever of them dials.
 func TestHandshakeRejectsWrongSecretInBothDirections(t *testing.T) {
