--- a/coord/prepaid/pool_test.go
+++ b/coord/prepaid/pool_test.go
@@ -244,6 +244,37 @@
 	})
 }
 
+// TestUnansweredReservationsAreReleased guards against tokens that stay reserved at a
+// lender because its response was lost, or came after another lender had served the
+// request.
+func TestUnansweredReservationsAreReleased(t *testing.T) {
+	for _, kind := range []string{"response lost", "response late"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPoolSimulation(t, 100_000)
+				defer s.shutdown()
+				lender, borrower := s.lenderOf("coop-0")
+				if kind == "response lost" {
+					borrower.peers.loses.Store(1000)
+				} else {
+					lender.peers.delay.Store(int64(200 * time.Millisecond))
+				}
+				for range 5 {
+					if reservation, err := borrower.Reserve(context.Background(), "coop-0", 15_000); err == nil {
+						reservation.Settle(0)
+					}
+				}
+				borrower.peers.loses.Store(0)
+				lender.peers.delay.Store(0)
+				time.Sleep(4 * time.Second)
+				reservation, err := lender.Reserve(context.Background(), "coop-0", 100_000)
+				assert.NilError(t, err)
+				reservation.Settle(0)
+			})
+		})
+	}
+}
+
 // TestSuccessorOfLenderCountsLoans: tokens that a lender lent, and whose settlement
 // comes after its death, count as spent; they are not granted again.
 func TestSuccessorOfLenderCountsLoans(t *testing.T) {
@@ -281,6 +312,9 @@
 			}
 		}
 		time.Sleep(2 * time.Second)
+		rows, _ := s.readRows("prepaid", "coop-0")
+		_, found := rows["grant/"+open.Lender().VM+"/"+open.Lender().Incarnation]
+		assert.Assert(t, !found, "the grant of the stopped lender is still open")
 		open.Settle(20_000)
 		reservation, err := borrower.Reserve(context.Background(), "coop-0", 80_000)
 		assert.NilError(t, err)
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -145,6 +145,7 @@
 	cut   atomic.Bool
 	dead  *atomic.Bool
 	loses *atomic.Int64 // requests in 1,000 whose response is lost
+	delay atomic.Int64  // of requests to this process, in addition to peerDelay
 }
 
 func (l *peerLink) Request(ctx context.Context, to bus.ID, kind bus.Kind, body []byte) ([]byte, error) {
@@ -160,7 +161,8 @@
 	if l.cut.Load() || other.peers.cut.Load() {
 		return lost()
 	}
-	response, err := l.Bus.Request(ctx, to, kind, body)
+	time.Sleep(time.Duration(other.peers.delay.Load()))
+	response, err := l.Bus.Request(context.WithoutCancel(ctx), to, kind, body)
 	time.Sleep(peerDelay)
 	if l.cut.Load() || other.peers.cut.Load() || other.link.dead.Load() || l.s.random.int64n(1000) < l.loses.Load() {
 		return lost()
