--- a/coord/prepaid/pool_test.go
+++ b/coord/prepaid/pool_test.go
@@ -311,10 +311,11 @@
 				s.stopGracefully(vm)
 			}
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(150 * time.Millisecond) // before the next process on the VM starts
 		rows, _ := s.readRows("prepaid", "coop-0")
 		_, found := rows["grant/"+open.Lender().VM+"/"+open.Lender().Incarnation]
 		assert.Assert(t, !found, "the grant of the stopped lender is still open")
+		time.Sleep(2 * time.Second)
 		open.Settle(20_000)
 		reservation, err := borrower.Reserve(context.Background(), "coop-0", 80_000)
 		assert.NilError(t, err)
