--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -270,9 +270,11 @@
 // TestBytesAfterResponseEndConnection guards against bytes without end after a complete
 // response: the response is delivered, and its connection is not used again.
 func TestBytesAfterResponseEndConnection(t *testing.T) {
-	closed := make(chan struct{})
+	closed := make(chan struct{}, 3)
 	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
-		_, err := io.WriteString(c, responseFor(r, completeResponse))
+		// The first surplus bytes come in one segment with the response, so that they
+		// have arrived when the response is complete.
+		_, err := io.WriteString(c, responseFor(r, completeResponse)+"xxxxx")
 		for err == nil {
 			_, err = io.WriteString(c, strings.Repeat("x", 10_000))
 		}
@@ -292,6 +294,30 @@
 	}
 }
 
+// TestLateBytesReachNoCaller guards against bytes without end that come only when their
+// connection is in use again: the next exchange fails, and its caller gets none of them.
+func TestLateBytesReachNoCaller(t *testing.T) {
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Id") == "first" {
+			_, err := io.WriteString(c, responseFor(r, completeResponse))
+			return err == nil
+		}
+		var err error
+		for err == nil {
+			_, err = io.WriteString(c, strings.Repeat("x", 10_000))
+		}
+		return false
+	})
+	pool := newPool(t)
+	body, err := exchange(pool, e.Addr().String(), getRequest("first"), time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "hello")
+	body, err = exchange(pool, e.Addr().String(), getRequest("second"), time.Minute)
+	assert.ErrorIs(t, err, upstream.ErrMalformed)
+	assert.Equal(t, body, "")
+	assert.Equal(t, e.conns.Load(), int64(1))
+}
+
 // TestFailedConnectIsNotSent checks that a refused connection is reported as
 // ErrNotSent, so that the caller may retry.
 func TestFailedConnectIsNotSent(t *testing.T) {
