--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -119,10 +119,11 @@
 func (a *account) now() time.Time { return a.holder.options.Clock.Now() }
 
 // reserve takes tokens from the grant. If too few are available, it queues behind
-// earlier waiters until tokens are available, the wait times out or ctx ends. It
-// fails at once while a shortage of that many tokens is remembered, and if the store
-// is unreachable and the tokens are not unlocked within Settings.UnlockWait. With
-// noWait, it waits neither for tokens of other holders nor for tokens to be unlocked.
+// earlier waiters that are in time until tokens are available, the wait times out or
+// ctx ends. It fails at once while a shortage of that many tokens is remembered, and if
+// the store is unreachable and the tokens are not unlocked within Settings.UnlockWait.
+// With noWait, it waits neither for tokens of other holders nor for tokens to be
+// unlocked.
 func (a *account) reserve(ctx context.Context, tokens int64, noWait bool) error {
 	a.checkLimit()
 	a.mu.Lock()
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -67,8 +67,8 @@
 
 // workspaceRank are the lenders of one workspace as of a version of the members.
 type workspaceRank struct {
-	lenders int
-	lender  bool     // this router is one of the lenders
+	lenders int      // number of lenders
+	lender  bool     // this router is one of them
 	order   []Member // in which this router asks for tokens; it may contain this router
 }
 
@@ -300,7 +300,8 @@
 	return false
 }
 
-// lastAnswer returns the last answer, or one with an error if there is none.
+// lastAnswer returns the last answer, which decides since askInOrder stops at the first
+// reservation, or one with an error if there is none.
 func lastAnswer(answers []answer) answer {
 	if len(answers) == 0 {
 		return answer{err: ErrUnavailable}
