--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -65,8 +65,8 @@
 
 	// lends is the pool that this holder belongs to; nil if it lends nothing.
 	lends atomic.Pointer[Pool]
-	// reclaimFor are the workspaces for which grants of predecessors are reclaimed
-	// once it is known that there is a predecessor.
+	// reclaimFor are the workspaces that ReclaimFor has set. Their rows are read only
+	// once the heartbeat row shows that there was an earlier process on this VM.
 	reclaimMu  sync.Mutex // guards reclaimFor
 	reclaimFor []string
 
@@ -202,7 +202,8 @@
 	h.reclaim()
 }
 
-// reclaim reads the rows of the workspaces of ReclaimFor if there is a predecessor.
+// reclaim looks for grants that an earlier process on this VM left in the workspaces
+// that ReclaimFor has set. It does nothing if there was no earlier process.
 func (h *Holder) reclaim() {
 	if !h.heartbeat.hasPredecessor() {
 		return
--- a/coord/prepaid/lenders.go
+++ b/coord/prepaid/lenders.go
@@ -14,11 +14,20 @@
 type Member struct {
 	ID     bus.ID
 	Domain string // failure domain
-	// Weight is the relative processing capacity of the VM. Members with a greater
-	// weight are lenders more often.
+	// Weight is how often the member is a lender, relative to the others.
 	Weight float64
 }
 
+// LenderWeight returns the weight of a member with a processing capacity, in cores; 0
+// means that the capacity is unknown. It grows with the square of the capacity, so that
+// the lenders of a fleet of unequal VMs are mostly large ones.
+func LenderWeight(cores float64) float64 {
+	if cores <= 0 {
+		return 1
+	}
+	return cores * cores
+}
+
 const (
 	// tokensPerLender is the limit, in tokens, for which a workspace has one
 	// lender: about 60 requests with long prompts. With fewer tokens per lender,
--- a/coord/prepaid/loans.go
+++ b/coord/prepaid/loans.go
@@ -47,7 +47,7 @@
 	RetryAfterMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// outcomeErrors are the errors of the outcomes.
+// outcomeErrors has the error that the borrower returns for each outcome.
 var outcomeErrors = map[reserveOutcome]error{
 	outcomeReserved: nil, outcomeExhausted: ErrExhausted, outcomeBusy: ErrBusy,
 	outcomeUnavailable: ErrUnavailable, outcomeUnlimited: ErrUnlimited, outcomeClosed: ErrClosed,
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -209,7 +209,8 @@
 
 const (
 	// hedgeAfter is how long a lender may take to respond before the next one is
-	// asked, too. It is above the 99th percentile of a response of a small VM.
+	// asked, too. Most responses take a few milliseconds; a VM with a small share of a
+	// core may pause for some tens.
 	hedgeAfter = 60 * time.Millisecond
 	// lenderTimeout bounds the wait for lenders. It covers the wait for tokens that
 	// are being unlocked.
--- a/coord/prepaid/pool_test.go
+++ b/coord/prepaid/pool_test.go
@@ -404,3 +404,26 @@
 		assert.Assert(t, served.Load() > 250 && late.Load() < served.Load()/20, "%d served of 275, %d of them late", served.Load(), late.Load())
 	})
 }
+
+// TestLenderWeightPrefersLargeVMs: a VM with four times the capacity lends far more often
+// than a small one, and an unknown capacity counts as one core.
+func TestLenderWeightPrefersLargeVMs(t *testing.T) {
+	assert.Equal(t, prepaid.LenderWeight(0.8), 16*prepaid.LenderWeight(0.2))
+	assert.Equal(t, prepaid.LenderWeight(0), prepaid.LenderWeight(1))
+	members := fleetOf(40, 1)
+	for i := range members {
+		members[i].Weight = prepaid.LenderWeight(0.2)
+	}
+	for i := range 4 {
+		members[i].Weight = prepaid.LenderWeight(0.8)
+	}
+	large := 0
+	for w := range 200 {
+		for i := range 4 {
+			if prepaid.RankLenders(members, fmt.Sprint("coop-", w), 320)[0].ID == members[i].ID {
+				large++
+			}
+		}
+	}
+	assert.Assert(t, large > 100, "the 4 large ones of 40 lend %d of 200 workspaces", large)
+}
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -19,8 +19,9 @@
 	RoleTimeline Role = "time line"
 )
 
-// Parameters of the plans, which are not implemented. In the plans each budget has a
-// home: one daemon that holds its grant and to which the others forward its requests.
+// Parameters of the alternative design that the tables show in the column "planned". No
+// code implements it. Each budget has a home there: one daemon that holds its grant and
+// to which the others forward its requests.
 const (
 	// planLingerSeconds is how long a bill waits for others that share its row.
 	// planBillBytes is the size of a bill in a row that names each account once and
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,8 +62,8 @@
 	// PeerAddr is the address at which other routers connect, as host:port. If it
 	// is empty, this router uses only grants of its own.
 	PeerAddr string
-	// Weight is the relative processing capacity of the VM.
-	Weight float64
+	// Cores is the processing capacity of the VM in cores, or 0 if it is unknown.
+	Cores float64
 	// MemoryBytes is the memory limit above which the platform kills the
 	// process; 0 if there is none.
 	MemoryBytes int64
@@ -128,7 +128,7 @@
 
 // newPool creates the budgets of the fleet and the peer link that they use.
 func (g *Gateway) newPool(ps PlatformSettings) {
-	self := prepaid.Member{ID: bus.ID{VM: ps.VM + "@" + ps.CallerAddr, Incarnation: g.incarnation}, Domain: ps.Domain, Weight: ps.Weight}
+	self := prepaid.Member{ID: bus.ID{VM: ps.VM + "@" + ps.CallerAddr, Incarnation: g.incarnation}, Domain: ps.Domain, Weight: prepaid.LenderWeight(ps.Cores)}
 	g.members = members.New(self, g.platform.Store, g.clock, g.componentLog("members"), func(secret string) {
 		if g.link != nil {
 			g.link.SetSecret(secret)
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -67,9 +67,8 @@
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
 
-// TestWatchIntervalsFollowBounds checks that the waits and intervals of the watched
-// tables follow the platform's bounds, within limits: a fleet whose bounds are longer
-// makes fewer calls.
+// TestWatchIntervalsFollowBounds guards against reads of the store that are more frequent
+// than the platform's bounds need, and against ones that are too rare to keep them.
 func TestWatchIntervalsFollowBounds(t *testing.T) {
 	for _, test := range []struct{ config, leave, feedWait, interval time.Duration }{
 		{0, 0, time.Second, 500 * time.Millisecond},
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -213,8 +213,8 @@
 	d.synced.Store(true)
 }
 
-// update applies changed rows. If the row of this router is another one's or missing,
-// it is written again.
+// update applies changed rows. If this router's own row was removed, or an earlier
+// process on its VM has overwritten it, the row is written again.
 func (d *Directory) update(rows []rowstore.Row) {
 	for _, r := range rows {
 		switch {
