Draw own grants only if no lender reaches the store

Change: a router draws a grant of its own only if no lender that responded reaches the store, and only what its requests need; an account without waiters, grant or predecessor reads nothing. The round without waiting ends after 600 ms, and a router without any response serves itself for a second.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -63,8 +63,9 @@
 	// received, and lastPeerRecallAll whether that asked for all headroom.
 	lastPeerRecall    time.Time
 	lastPeerRecallAll bool
-	// rereadRows requests a read of the rows before the next plan.
-	rereadRows bool
+	// rereadRows requests a read of the rows before the next plan. reclaiming requests
+	// the first one for the grants of predecessors.
+	rereadRows, reclaiming bool
 	// reportUse requests a write of the grant row if what it reports as in use,
 	// storedInUse, is out of date: other holders judge by it whether a recall can
 	// bring them tokens.
@@ -151,7 +152,10 @@
 		defer a.mu.Unlock()
 		a.removeWaiterLocked(w)
 		a.startWriterLocked()
-		return unavailableFor(toUnlock)
+		return unavailableFor(errStoreNotReached, toUnlock)
+	}
+	if noWait {
+		wait = min(wait, maxQuickWait)
 	}
 	w.deadline = now.Add(wait)
 	a.startWriterLocked()
@@ -159,13 +163,17 @@
 	return a.awaitResult(ctx, w)
 }
 
-// unavailableFor returns ErrUnavailable with the time until enough tokens are unlocked,
-// if they ever are.
-func unavailableFor(toUnlock time.Duration) error {
+// maxQuickWait bounds the wait for the store of a reservation that is also requested
+// elsewhere. It covers the response of a slow store.
+const maxQuickWait = 400 * time.Millisecond
+
+// unavailableFor returns err with the time until enough tokens are unlocked, if they
+// ever are.
+func unavailableFor(err error, toUnlock time.Duration) error {
 	if toUnlock == math.MaxInt64 {
-		return ErrUnavailable
+		return err
 	}
-	return &RetryError{Err: ErrUnavailable, After: toUnlock}
+	return &RetryError{Err: err, After: toUnlock}
 }
 
 // newReservation returns a reservation of tokens that reserve has taken.
@@ -225,6 +233,14 @@
 	a.startWriterLocked()
 }
 
+// reclaim reads the rows, so that grants of predecessors are found and reclaimed.
+func (a *account) reclaim() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reclaiming = !a.totalRead
+	a.startWriterLocked()
+}
+
 // recallReceived handles a recall request of another holder: for Settings.ScarceFor
 // the account keeps less headroom, or none if all is set.
 func (a *account) recallReceived(all bool) {
@@ -262,7 +278,7 @@
 	if a.writing || a.holder.ctx.Err() != nil {
 		return
 	}
-	if !a.totalRead || a.rereadRows || a.planLocked() != nil {
+	if a.readDueLocked() || a.planLocked() != nil {
 		a.writing = a.holder.tasks.Go(a.writeLoop)
 		if a.granted == 0 {
 			a.holder.heartbeat.wakeUp() // a first draw needs a recent heartbeat
@@ -270,6 +286,15 @@
 	}
 }
 
+// readDueLocked reports whether the rows must be read. A process that is expected to hold
+// no grant reads them only for waiters, or for a grant that it or a predecessor has.
+func (a *account) readDueLocked() bool {
+	if a.totalRead && !a.rereadRows {
+		return false
+	}
+	return a.reclaiming || a.granted > 0 || a.returnAll || len(a.waiters) > 0 || len(a.pendingWrites) > 0 || a.holder.isLender(a.workspace)
+}
+
 // errShortage reports that the total has too few tokens for a plan, or that the
 // plan has nothing to write.
 var errShortage = errors.New("too few tokens unspent")
@@ -279,7 +304,7 @@
 	for {
 		a.mu.Lock()
 		p := a.planLocked()
-		if p == nil && a.totalRead && !a.rereadRows || a.holder.ctx.Err() != nil {
+		if p == nil && !a.readDueLocked() || a.holder.ctx.Err() != nil {
 			a.writing = false
 			a.mu.Unlock()
 			return
--- a/coord/prepaid/borrow.go
+++ b/coord/prepaid/borrow.go
@@ -44,7 +44,7 @@
 
 // suspectAfter is the time without a response after which a lender is suspected even
 // if the borrower gave up the wait.
-const suspectAfter = 500 * time.Millisecond
+const suspectAfter = 450 * time.Millisecond
 
 // settler delivers settlements to lenders, those of one moment in one message. It
 // repeats a message until the lender confirms it.
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -189,7 +189,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.storedTotal, a.total, a.orphanedGrants = storedTotal, total, orphans
-	a.totalRead, a.rereadRows = true, false
+	a.totalRead, a.rereadRows, a.reclaiming = true, false, false
 	return a.updateGrantLocked(storedGrant)
 }
 
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -214,7 +214,7 @@
 	for _, workspace := range workspaces {
 		a := h.account(workspace)
 		a.checkLimit()
-		a.check()
+		a.reclaim()
 	}
 }
 
--- a/coord/prepaid/loans.go
+++ b/coord/prepaid/loans.go
@@ -37,6 +37,7 @@
 	outcomeUnavailable
 	outcomeUnlimited
 	outcomeClosed
+	outcomeStoreNotReached
 )
 
 // reserveResponse is the response to a reserveRequest.
@@ -51,10 +52,14 @@
 var outcomeErrors = map[reserveOutcome]error{
 	outcomeReserved: nil, outcomeExhausted: ErrExhausted, outcomeBusy: ErrBusy,
 	outcomeUnavailable: ErrUnavailable, outcomeUnlimited: ErrUnlimited, outcomeClosed: ErrClosed,
+	outcomeStoreNotReached: errStoreNotReached,
 }
 
 // outcomeOf returns the outcome that stands for err.
 func outcomeOf(err error) reserveOutcome {
+	if errors.Is(err, errStoreNotReached) {
+		return outcomeStoreNotReached // which also is ErrUnavailable
+	}
 	for outcome, e := range outcomeErrors {
 		if e == nil && err == nil || e != nil && errors.Is(err, e) {
 			return outcome
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -41,10 +41,6 @@
 // store is unreachable.
 const headroomRequests = 6
 
-// fallbackHorizon is the time for which the headroom of a process lasts that serves
-// requests only because it reached no lender.
-const fallbackHorizon = time.Second
-
 // planLocked returns the plan of the write that is due, or nil if none is.
 func (a *account) planLocked() *plan {
 	inUse := a.inUseLocked()
@@ -135,11 +131,10 @@
 	usage := min(a.usage.perSecond(a.now()), a.maxLikelyUsageLocked())
 	unspent := max(a.lastLimit-a.total.Spent-(a.inUseLocked()-a.reportedSpent), 0)
 	shareOfUnspent := share * float64(unspent) * a.usageShareLocked()
-	horizon, requests := s.Horizon, headroomRequests*a.meanRequest
 	if !a.holder.isLender(a.workspace) {
-		horizon, requests = fallbackHorizon, 0
+		return 0, 0 // a fallback draws what its waiters need
 	}
-	headroom = int64(math.Min(usage*horizon.Seconds()+requests, shareOfUnspent))
+	headroom = int64(math.Min(usage*s.Horizon.Seconds()+headroomRequests*a.meanRequest, shareOfUnspent))
 	activateAhead = min(int64(usage*s.ActivateAhead.Seconds()+activateRequests*a.meanRequest), int64(maxActivateShare*float64(headroom)),
 		int64(s.ActivateShare*float64(a.lastLimit)*a.usageShareLocked()))
 	return activateAhead, headroom
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -51,7 +51,7 @@
 
 	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
 	// but their lenders prepare nothing.
-	mu         sync.Mutex // guards the fields up to exhausted
+	mu         sync.Mutex // guards the fields up to isolatedUntil
 	workspaces []string
 	ranks      map[string]workspaceRank
 	// ranksVersion is the version of the list of members from which ranks were
@@ -60,6 +60,8 @@
 	// exhausted are the workspaces whose lenders have lately refused a reservation
 	// because the total is exhausted.
 	exhausted map[string]exhaustion
+	// isolatedUntil is until when this router takes its peers to be out of reach.
+	isolatedUntil time.Time
 
 	nextID  atomic.Uint64
 	settler settler
@@ -212,9 +214,14 @@
 	// asked, too. Most responses take a few milliseconds; a VM with a small share of a
 	// core may pause for some tens.
 	hedgeAfter = 60 * time.Millisecond
-	// lenderTimeout bounds the wait for lenders. It covers the wait for tokens that
-	// are being unlocked.
+	// quickTimeout bounds the wait for lenders that are asked without waiting for
+	// tokens. lenderTimeout bounds it otherwise; it covers the wait for tokens that are
+	// being unlocked.
+	quickTimeout  = 600 * time.Millisecond
 	lenderTimeout = 3 * time.Second
+	// isolatedFor is how long a router that got no response from any lender asks none
+	// of them again.
+	isolatedFor = time.Second
 )
 
 // ask is one member that a reservation is requested from.
@@ -238,7 +245,7 @@
 // Reserve sets tokens aside for a request of the workspace, at this router or at a
 // lender. It first asks the lenders for tokens that they have or can draw at once.
 // If none has enough, it waits for tokens at a lender that responded, and after a
-// while also at this router. The error wraps one of the errors of this package.
+// while also at this router if no lender reaches the store. The error wraps one of the errors of this package.
 func (p *Pool) Reserve(ctx context.Context, workspace string, tokens int64) (*Reservation, error) {
 	if p.holder.closing.Load() {
 		return nil, fmt.Errorf("reserve for %s: %w", workspace, ErrClosed)
@@ -248,13 +255,17 @@
 		return nil, fmt.Errorf("reserve %d tokens for %s: %w", tokens, workspace, ErrExhausted)
 	}
 	rank := p.rank(workspace)
-	asks := make([]ask, 0, len(rank.order))
-	for _, m := range rank.order {
-		asks = append(asks, ask{member: m, noWait: true})
+	var answers []answer
+	if !p.isolated() {
+		asks := make([]ask, 0, len(rank.order))
+		for _, m := range rank.order {
+			asks = append(asks, ask{member: m, noWait: true})
+		}
+		answers = p.askInOrder(ctx, workspace, tokens, asks, quickTimeout)
+		p.noteIsolation(answers)
 	}
-	answers := p.askInOrder(ctx, workspace, tokens, asks)
 	if last := lastAnswer(answers); last.reservation == nil && !errors.Is(last.err, ErrExhausted) && ctx.Err() == nil {
-		answers = p.askInOrder(ctx, workspace, tokens, p.waitingAsks(answers, rank.lender))
+		answers = p.askInOrder(ctx, workspace, tokens, p.waitingAsks(answers, rank.lender), lenderTimeout)
 	}
 	last := lastAnswer(answers)
 	if last.reservation == nil {
@@ -275,6 +286,25 @@
 	return last.reservation, nil
 }
 
+// isolated reports whether no lender has responded lately.
+func (p *Pool) isolated() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.options.Clock.Now().Before(p.isolatedUntil)
+}
+
+// noteIsolation records that none of the lenders that were asked has responded.
+func (p *Pool) noteIsolation(answers []answer) {
+	for _, a := range answers {
+		if !errors.Is(a.err, errNoResponse) {
+			return
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isolatedUntil = p.options.Clock.Now().Add(isolatedFor)
+}
+
 // knownExhausted reports whether a reservation is refused without asking a lender.
 func (p *Pool) knownExhausted(workspace string, tokens int64) bool {
 	p.mu.Lock()
@@ -311,11 +341,16 @@
 }
 
 // waitingAsks returns the members at which a reservation waits for tokens after the
-// given answers: a lender that responded, preferably one that knows of tokens
-// elsewhere, and this router if it is no lender.
+// given answers: a lender that responded, preferably this router, and this router with
+// a grant of its own if it is no lender. The latter only if no lender is known to reach
+// the store: the writes of many routers would conflict with those of the lenders.
 func (p *Pool) waitingAsks(answers []answer, lender bool) []ask {
 	var asks []ask
+	lendersReachStore := false
 	for _, a := range answers {
+		if !errors.Is(a.err, errNoResponse) && !errors.Is(a.err, ErrClosed) && !errors.Is(a.err, errStoreNotReached) {
+			lendersReachStore = true
+		}
 		switch {
 		case errors.Is(a.err, errNoResponse) || errors.Is(a.err, ErrClosed):
 		case len(asks) == 0:
@@ -324,7 +359,7 @@
 			asks[0].member = a.member
 		}
 	}
-	if !lender {
+	if len(asks) == 0 || !lender && !lendersReachStore {
 		asks = append(asks, ask{member: p.options.Self})
 	}
 	return asks
@@ -333,8 +368,8 @@
 // askInOrder asks one member after another for tokens, and the next one early if one
 // takes long. It returns the answers in order of arrival, and stops at the first
 // reservation or ErrExhausted.
-func (p *Pool) askInOrder(ctx context.Context, workspace string, tokens int64, asks []ask) []answer {
-	ctx, cancel := context.WithTimeout(ctx, lenderTimeout)
+func (p *Pool) askInOrder(ctx context.Context, workspace string, tokens int64, asks []ask, timeout time.Duration) []answer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	incoming := make(chan answer)
 	finished := make(chan struct{}) // closed when incoming is no longer read
@@ -367,7 +402,7 @@
 			asked++
 			p.holder.tasks.Go(func() { p.askAsync(ctx, workspace, tokens, next, incoming, finished) })
 		case <-ctx.Done():
-			return append(answers, answer{err: fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())})
+			return append(answers, answer{err: fmt.Errorf("%w: %w", errNoResponse, ctx.Err())})
 		case <-p.holder.ctx.Done():
 			return append(answers, answer{err: ErrClosed})
 		}
--- a/coord/prepaid/pool_test.go
+++ b/coord/prepaid/pool_test.go
@@ -153,10 +153,16 @@
 		defer s.shutdown()
 		_, borrower := s.lenderOf("coop-0")
 		s.forEachRouter(func(_ int, r *router) { r.peers.cut.Store(true) })
-		reservation, err := borrower.Reserve(context.Background(), "coop-0", 5000)
-		assert.NilError(t, err)
-		assert.Equal(t, reservation.Lender(), borrower.id)
-		reservation.Settle(5000)
+		for n := range 20 {
+			started := time.Now()
+			reservation, err := borrower.Reserve(context.Background(), "coop-0", 5000)
+			assert.NilError(t, err)
+			assert.Equal(t, reservation.Lender(), borrower.id)
+			reservation.Settle(5000)
+			// Only the first request waits for the lenders.
+			assert.Assert(t, n == 0 || time.Since(started) < 100*time.Millisecond, "request %d took %v", n, time.Since(started))
+			time.Sleep(20 * time.Millisecond)
+		}
 	})
 }
 
@@ -427,3 +433,61 @@
 	}
 	assert.Assert(t, large > 100, "the 4 large ones of 40 lend %d of 200 workspaces", large)
 }
+
+// TestStoreReturnsWithoutFallbackGrants guards against a fleet whose routers all draw
+// grants of their own when the store returns, because their lenders had too few tokens
+// during the outage. Their writes conflict with those of the lenders, whose borrowers then
+// fall back again, so that the fleet stays overloaded long after the outage.
+func TestStoreReturnsWithoutFallbackGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 0, randomSeed())
+		defer s.shutdown()
+		s.partitionTurn = make(chan struct{}, 1)
+		const routers = 60
+		s.routers = make([]*router, routers)
+		for vm := range routers {
+			s.start(vm)
+		}
+		s.setLimit("coop-0", 60_000_000)
+		time.Sleep(4 * time.Second)
+		var requests sync.WaitGroup
+		var due, inTime atomic.Int64
+		mostGrants := 0
+		start := time.Now()
+		outageEnd := 11 * time.Second
+		for n := 0; time.Since(start) < 16*time.Second; n++ {
+			now := time.Since(start)
+			s.partitionAll(now > 4*time.Second && now < outageEnd)
+			interval := 10 * time.Millisecond
+			if now > 4*time.Second {
+				interval = 4 * time.Millisecond // more than is unlocked in the outage
+			}
+			time.Sleep(interval)
+			if now > outageEnd+time.Second && n%50 == 0 {
+				rows, _ := s.readRows("prepaid", "coop-0")
+				mostGrants = max(mostGrants, len(rows)-1)
+			}
+			requests.Go(func() {
+				arrived := time.Now()
+				reservation, err := s.router(n%routers).Reserve(context.Background(), "coop-0", 5000)
+				counts := now > outageEnd+time.Second
+				if counts {
+					due.Add(1)
+				}
+				if err != nil {
+					return
+				}
+				if counts && time.Since(arrived) <= latencyObjective {
+					inTime.Add(1)
+				}
+				time.Sleep(100 * time.Millisecond)
+				reservation.Settle(5000)
+			})
+		}
+		requests.Wait()
+		lenders := prepaid.LenderCount(60_000_000, 3)
+		t.Logf("%d of %d in time, %d grants open", inTime.Load(), due.Load(), mostGrants)
+		assert.Assert(t, inTime.Load() >= due.Load()*98/100, "%d of %d in time", inTime.Load(), due.Load())
+		assert.Assert(t, mostGrants <= 2*lenders, "%d grants open for %d lenders", mostGrants, lenders)
+	})
+}
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -22,6 +22,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -41,6 +42,10 @@
 	ErrClosed = errors.New("prepaid holder closed")
 )
 
+// errStoreNotReached is ErrUnavailable of a holder that does not reach the store: another
+// process that does may have more tokens.
+var errStoreNotReached = fmt.Errorf("%w: not reached", ErrUnavailable)
+
 // RetryError adds to an error when a retry can succeed.
 type RetryError struct {
 	Err   error
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -37,6 +37,9 @@
 	// of these are applied at once, the others up to maxCommitDelay later.
 	lossPerMille   atomic.Int64
 	maxCommitDelay time.Duration
+	// partitionTurn admits one commit at a time if it is set, like a partition of the
+	// users' store. All links share it.
+	partitionTurn chan struct{}
 }
 
 // lockedRand is a seeded source of random numbers for all goroutines of a scenario.
@@ -85,6 +88,11 @@
 const storeDelay = 4 * time.Millisecond
 
 func (l *storeLink) Commit(ctx context.Context, tx rowstore.Tx) (rowstore.Result, error) {
+	endTurn, err := l.takeTurn(ctx)
+	if err != nil {
+		return rowstore.Result{}, err
+	}
+	defer endTurn()
 	if err := l.roundTrip(ctx); err != nil {
 		return rowstore.Result{}, err
 	}
@@ -116,6 +124,20 @@
 	return l.Store.Changes(ctx, table, since, wait)
 }
 
+// takeTurn waits until no other commit is being made, if there is one partition only. It
+// returns a function that lets the next one be made.
+func (l *storeLink) takeTurn(ctx context.Context) (end func(), err error) {
+	if l.partitionTurn == nil || l.partitioned.Load() {
+		return func() {}, nil
+	}
+	select {
+	case l.partitionTurn <- struct{}{}:
+		return func() { <-l.partitionTurn }, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for the partition: %w", rowstore.ErrUnavailable)
+	}
+}
+
 // roundTrip takes the time of a call. It fails if the process is dead, and after
 // the caller's timeout if it is partitioned.
 func (l *storeLink) roundTrip(ctx context.Context) error {
@@ -232,13 +254,15 @@
 	// settings apply to routers started from now on.
 	settings prepaid.Settings
 
-	mu         sync.Mutex       // guards all fields below
-	routers    []*router        // nil while down
-	members    []prepaid.Member // by VM, the last process that started there
-	network    *bus.Network
-	starts     int
-	allRouters []*router
-	limits     map[string]int64
+	mu      sync.Mutex       // guards all fields below
+	routers []*router        // nil while down
+	members []prepaid.Member // by VM, the last process that started there
+	network *bus.Network
+	// partitionTurn is that of all links.
+	partitionTurn chan struct{}
+	starts        int
+	allRouters    []*router
+	limits        map[string]int64
 	// By workspace: consumed is what callers have received, and reserved what they
 	// may still receive.
 	consumed, reserved map[string]int64
@@ -266,7 +290,7 @@
 func (s *simulation) start(vm int) {
 	s.mu.Lock()
 	s.starts++
-	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second}
+	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn}
 	lifetime, stop := context.WithCancel(context.Background())
 	r := &router{
 		link: l, lifetime: lifetime, stop: stop, done: make(chan struct{}), vm: fmt.Sprint("vm-", vm),
--- a/coord/prepaid/waiting.go
+++ b/coord/prepaid/waiting.go
@@ -108,7 +108,10 @@
 	case w.recallRequested && !a.unreachable:
 		return ErrBusy
 	}
-	return unavailableFor(toUnlock)
+	if a.unreachable {
+		return unavailableFor(errStoreNotReached, toUnlock)
+	}
+	return unavailableFor(ErrUnavailable, toUnlock)
 }
 
 // serveWaitersLocked reserves available tokens for waiters in their order.
