A router that stops is no lender from the start of its drain

Cause: Leave did not drop the cached list of members, so a draining router still ranked itself as a lender and kept headroom until it closed. Test: TestMembersFindEachOther, which failed before. The surplus now returns while the requests in flight end.

--- a/coord/prepaid/lenders.go
+++ b/coord/prepaid/lenders.go
@@ -87,7 +87,7 @@
 // sortByScore sorts members by descending weighted rendezvous score for a subject.
 func sortByScore(members []Member, subject string) {
 	score := func(m Member) float64 {
-		// The first 53 bits as a number between 0 and 1, excluding both.
+		// The hash as a number between 0 and 1, excluding both. A float64 holds 53 bits.
 		uniform := (float64(hashOf(subject, m.ID.VM)>>11) + 0.5) / (1 << 53)
 		return -max(m.Weight, minWeight) / math.Log(uniform)
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -160,6 +160,9 @@
 // means that they notice later.
 func (d *Directory) Leave(ctx context.Context) {
 	d.leaving.Store(true)
+	d.mu.Lock()
+	d.available = nil // this router is no lender any more
+	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if _, err := d.store.Commit(ctx, rowstore.Tx{Remove: []rowstore.Key{d.key()}}); err != nil {
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -71,6 +71,7 @@
 		fleet[2].stop()
 		fleet[2] = start(store, "vm-2", "2")
 		fleet[1].Leave(context.Background())
+		assert.DeepEqual(t, availableVMs(fleet[1]), []string{"vm-0/1", "vm-2/1"}) // it lends no more itself
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, availableVMs(fleet[0]), []string{"vm-0/1", "vm-2/2"})
 		_, found := fleet[0].Lookup(bus.ID{VM: "vm-2", Incarnation: "1"})
