--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -31,6 +31,15 @@
 // MaxTokens returns the most tokens that the request can consume.
 func (g Generation) MaxTokens() int64 { return g.PromptTokens + g.MaxOutputTokens }
 
+// SharedSegments returns the segments that can occur in other prompts, too: all but
+// the last. It returns nil if g is nil.
+func (g *Generation) SharedSegments() []Segment {
+	if g == nil || len(g.Segments) == 0 {
+		return nil
+	}
+	return g.Segments[:len(g.Segments)-1]
+}
+
 // Request is the metadata of a caller's request.
 type Request struct {
 	// ID is unique to this attempt of the caller: a retry by the caller has
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -90,7 +90,9 @@
 		h.stats.retries.Inc()
 		reason = ""
 	}
+	h.stats.countFailedAttempt(outcome, q.progress)
 	h.deps.Log.Info("attempt failed", "request", q.params.ID, "endpoint", q.endpointID, "end", outcome.String(), "err", errorText(cause),
+		"progress", q.progress.String(), "segments", q.loggedSegments(),
 		"again", retry, "denied_by", reason, "runs", q.executions, "sends", q.attempts, "left_ms", remaining.Milliseconds(), "last_event", q.stream.lastEventID)
 	return retry
 }
@@ -140,6 +142,7 @@
 // if the outcome is not completed.
 func (q *request) attempt(ctx context.Context, e endpoints.Endpoint) (attemptOutcome, placement.Observation, error) {
 	h := q.handler
+	q.progress = noResponse
 	now := h.deps.Clock.Now()
 	remaining := q.deadline.Sub(now)
 	if remaining <= 0 {
@@ -159,6 +162,7 @@
 		return q.classifyNoResponse(ctx, err)
 	}
 	suspectTimer.Stop()
+	q.progress = responseStarted
 	metadata := h.deps.Codec.DecodeResponse(response.Status, response.Header)
 	if metadata.Load != nil {
 		h.deps.Balancer.Report(e.ID, *metadata.Load)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -40,9 +40,10 @@
 	// attempts counts all attempts, and executions those that may have executed
 	// the request.
 	attempts, executions int
-	endpointID           string // endpoint of the last attempt
-	candidates           int    // endpoints among which it was chosen
-	status               int    // HTTP status written to the caller; 0 before
+	endpointID           string           // endpoint of the last attempt
+	progress             responseProgress // how far its response has come
+	candidates           int              // endpoints among which it was chosen
+	status               int              // HTTP status written to the caller; 0 before
 	stream               streamState
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
 	truncated            bool             // the response is incomplete, and the caller must notice
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -190,6 +190,7 @@
 	}
 	q.stream.lastEventAt, q.stream.readLate = now, false
 	q.stream.forwardedEvents += count
+	q.progress = eventsForwarded
 	if _, err := q.writer.Write(ready); err != nil {
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
