Add gossip, which spreads observations among routers

Change: a package that publishes small observations with origin, number and age. Each router sends what it keeps to the members at distances 1, 2, 4 and so on of the member list, which pass it on; messages are acknowledged and sent again, a router that joins gets what is kept. While a neighbour can't be reached, or on request, a router writes the observations to a row of the table 'fleet', which all routers follow already, so that nothing is read in addition. Nothing is sent while nothing is kept. Bounds: 512 observations of an origin, 8192 in all, 4 KiB each, 64 KiB a message, 32 KiB a row.

--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,491 @@
+// Package gossip spreads observations that one router makes about something that all
+// routers share, such as an endpoint. An observation is small, has an origin, and is
+// passed on with its age instead of a time, so that routers need no common clock.
+//
+// Each router sends what it knows to a few neighbours on a ring of all members, which
+// pass it on. An observation that a neighbour did not acknowledge is sent again, and a
+// router that joins gets all that are still kept. While a neighbour can't be reached,
+// the observations are also written to the store, which every router follows.
+package gossip
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/bits"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fxamacker/cbor/v2"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/rowstore"
+)
+
+// Topic is a type of observation. Each topic has one handler.
+type Topic string
+
+// Observation is what one router has observed.
+type Observation struct {
+	// Origin is the router that made it.
+	Origin bus.ID
+	Topic  Topic
+	// Subject is what it is about. A later observation of the same origin, topic and
+	// subject replaces an earlier one.
+	Subject string
+	// At is when it was made, on this router's clock. The time that a message was
+	// underway is not known, so At can be late by that.
+	At   time.Time
+	Body []byte
+}
+
+// Handler receives an observation of another router. It is called at most once for
+// each, without a lock held, from several goroutines.
+type Handler func(Observation)
+
+// Members lists the routers of the fleet. Implementations are safe for concurrent use.
+type Members interface {
+	// Listed returns the ids of all members, this one included, in the same order at
+	// all routers that know of the same members.
+	Listed() []bus.ID
+}
+
+// Bounds on what is kept and sent.
+const (
+	// maxPerOrigin bounds the observations of one origin, and maxKept those of all.
+	// The oldest ones are dropped.
+	maxPerOrigin = 512
+	maxKept      = 8192
+	// MaxBodyBytes bounds the body of an observation, and maxSubjectBytes its subject.
+	// Larger ones are refused.
+	MaxBodyBytes    = 4 << 10
+	maxSubjectBytes = 512
+	// maxBatchBytes bounds the bodies of one message.
+	maxBatchBytes = 64 << 10
+)
+
+// Times of the exchange between routers.
+const (
+	// sendTimeout bounds one message and its acknowledgement.
+	sendTimeout = 300 * time.Millisecond
+	// minRetryDelay is the wait after a failed message. It doubles with each further
+	// one, up to maxRetryDelay.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = 2 * time.Second
+	// memberInterval is the time between two looks at the list of members while
+	// observations are kept.
+	memberInterval = 250 * time.Millisecond
+)
+
+// kindSpread is the bus kind of messages with observations.
+const kindSpread bus.Kind = "gossip.spread"
+
+// key identifies what an observation replaces.
+type key struct {
+	origin  bus.ID
+	topic   Topic
+	subject string
+}
+
+// entry is one observation that is kept.
+type entry struct {
+	Observation
+	// number orders the observations of one origin.
+	number uint64
+	// arrival orders the entries of this router, with the newest last.
+	arrival uint64
+	// from is the router that sent it; zero for own observations and for those that
+	// were read from the store.
+	from bus.ID
+}
+
+// neighbour is the state of the exchange with one neighbour.
+type neighbour struct {
+	acked    uint64 // it has all entries up to this arrival
+	inFlight bool
+	failures int // since the last acknowledgement
+	retryAt  time.Time
+}
+
+// topicState is the handler of a topic and how long its observations are kept.
+type topicState struct {
+	handler   Handler
+	retention time.Duration
+}
+
+// Options are what a Spreader uses.
+type Options struct {
+	Bus     bus.Bus
+	Members Members
+	Clock   clock.Clock
+	Log     *slog.Logger
+	Metrics *metrics.Set
+	// Store is where observations are written while neighbours can't be reached, at
+	// Row. If it is nil, nothing is written.
+	Store rowstore.Store
+	Row   rowstore.Key
+}
+
+// Spreader exchanges observations with the other routers. It is safe for concurrent
+// use.
+type Spreader struct {
+	options Options
+	self    bus.ID
+	wake    chan struct{}
+	store   *storeWriter
+	stats   stats
+
+	mu         sync.Mutex // guards all below; never held over a call
+	topics     map[Topic]topicState
+	entries    map[key]*entry
+	numbers    uint64 // of the newest own observation
+	arrivals   uint64 // of the newest entry
+	neighbours map[bus.ID]*neighbour
+	stopped    bool
+	sending    sync.WaitGroup // messages and writes in progress
+}
+
+// stats are the counters of a Spreader.
+type stats struct{ sent, failed, received, refused, written *metrics.Counter }
+
+// New returns a Spreader and registers its handler at the bus. Topics are subscribed
+// before Run.
+func New(o Options) *Spreader {
+	s := &Spreader{
+		options: o, self: o.Bus.Self().ID, wake: make(chan struct{}, 1), topics: make(map[Topic]topicState),
+		entries: make(map[key]*entry), neighbours: make(map[bus.ID]*neighbour),
+		stats: stats{
+			sent: o.Metrics.NewCounter("daisyslip_gossip_messages_sent_total"), failed: o.Metrics.NewCounter("daisyslip_gossip_messages_failed_total"),
+			received: o.Metrics.NewCounter("daisyslip_gossip_observations_received_total"), refused: o.Metrics.NewCounter("daisyslip_gossip_observations_refused_total"),
+			written: o.Metrics.NewCounter("daisyslip_gossip_rows_written_total"),
+		},
+	}
+	s.store = &storeWriter{spreader: s}
+	o.Metrics.NewGauge("daisyslip_gossip_observations", func() float64 { return float64(s.kept()) })
+	bus.Handle(o.Bus, kindSpread, s.handleSpread)
+	return s
+}
+
+// Subscribe sets the handler of a topic. Observations of the topic are kept, and passed
+// on to routers that join, for the time retention.
+func (s *Spreader) Subscribe(topic Topic, retention time.Duration, handler Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = topicState{handler: handler, retention: retention}
+}
+
+// Publish spreads an observation of this router that is made now. The handler of the
+// topic is not called. An observation that exceeds the bounds is logged and dropped.
+func (s *Spreader) Publish(topic Topic, subject string, body []byte) {
+	if len(body) > MaxBodyBytes || len(subject) > maxSubjectBytes {
+		s.stats.refused.Inc()
+		s.options.Log.Error("observation not published, it is too large", "topic", string(topic), "subject_bytes", len(subject), "body_bytes", len(body))
+		return
+	}
+	s.mu.Lock()
+	s.numbers++
+	s.keepLocked(&entry{
+		Observation: Observation{Origin: s.self, Topic: topic, Subject: subject, At: s.options.Clock.Now(), Body: body},
+		number:      s.numbers,
+	})
+	s.mu.Unlock()
+	s.signal()
+}
+
+// kept returns the number of observations that are kept.
+func (s *Spreader) kept() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries)
+}
+
+// signal wakes Run.
+func (s *Spreader) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// keepLocked keeps an entry, unless a newer one of the same key is kept. It reports
+// whether the entry is new.
+func (s *Spreader) keepLocked(e *entry) bool {
+	k := key{origin: e.Origin, topic: e.Topic, subject: e.Subject}
+	if known := s.entries[k]; known != nil && known.number >= e.number {
+		return false
+	}
+	s.arrivals++
+	e.arrival = s.arrivals
+	s.entries[k] = e
+	s.dropExcessLocked(e.Origin)
+	return true
+}
+
+// dropExcessLocked drops the oldest entries beyond maxPerOrigin and maxKept.
+func (s *Spreader) dropExcessLocked(origin bus.ID) {
+	n := 0
+	for k := range s.entries {
+		if k.origin == origin {
+			n++
+		}
+	}
+	if n > maxPerOrigin {
+		s.dropOldestLocked(func(k key) bool { return k.origin == origin })
+	}
+	if len(s.entries) > maxKept {
+		s.dropOldestLocked(func(key) bool { return true })
+	}
+}
+
+// dropOldestLocked drops the entry that arrived first of those that match.
+func (s *Spreader) dropOldestLocked(matches func(key) bool) {
+	var oldest key
+	first := uint64(0)
+	for k, e := range s.entries {
+		if matches(k) && (first == 0 || e.arrival < first) {
+			oldest, first = k, e.arrival
+		}
+	}
+	delete(s.entries, oldest)
+}
+
+// pruneLocked drops the entries whose retention has passed.
+func (s *Spreader) pruneLocked(now time.Time) {
+	for k, e := range s.entries {
+		if now.Sub(e.At) > s.topics[k.topic].retention {
+			delete(s.entries, k)
+		}
+	}
+}
+
+// Run sends observations to the neighbours until ctx ends.
+func (s *Spreader) Run(ctx context.Context) {
+	defer s.stop()
+	for {
+		var timer <-chan time.Time
+		if s.step(ctx) {
+			timer = s.options.Clock.After(memberInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-timer:
+		}
+	}
+}
+
+// stop waits for the messages and writes in progress and prevents further ones.
+func (s *Spreader) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.sending.Wait()
+}
+
+// step starts a message to each neighbour that lacks observations, and a write to the
+// store if one can't be reached. It reports whether observations are kept, so that a
+// router that joins must be noticed.
+func (s *Spreader) step(ctx context.Context) bool {
+	now := s.options.Clock.Now()
+	ids := neighboursOf(s.self, s.options.Members.Listed())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pruneLocked(now)
+	if len(s.entries) == 0 {
+		clear(s.neighbours)
+		return false
+	}
+	s.updateNeighboursLocked(ids)
+	unreached := false
+	for id, n := range s.neighbours {
+		unreached = unreached || n.failures > 0 && n.acked < s.arrivals
+		if n.inFlight || now.Before(n.retryAt) {
+			continue
+		}
+		batch, upTo := s.batchLocked(id, n.acked, now)
+		if len(batch) == 0 {
+			n.acked = upTo
+			continue
+		}
+		n.inFlight = true
+		s.sending.Go(func() { s.send(ctx, id, batch, upTo) })
+	}
+	if unreached {
+		s.store.requestLocked(ctx, now)
+	}
+	return true
+}
+
+// updateNeighboursLocked adds new neighbours and forgets those that are none any more.
+func (s *Spreader) updateNeighboursLocked(ids []bus.ID) {
+	for id := range s.neighbours {
+		if !slices.Contains(ids, id) {
+			delete(s.neighbours, id)
+		}
+	}
+	for _, id := range ids {
+		if s.neighbours[id] == nil {
+			s.neighbours[id] = &neighbour{}
+		}
+	}
+}
+
+// neighboursOf returns the members to which self sends: those at the distances 1, 2, 4
+// and so on behind it in the list.
+func neighboursOf(self bus.ID, listed []bus.ID) []bus.ID {
+	i := slices.Index(listed, self)
+	if i < 0 {
+		return nil
+	}
+	ids := make([]bus.ID, 0, bits.Len(uint(len(listed))))
+	for distance := 1; distance < len(listed); distance *= 2 {
+		ids = append(ids, listed[(i+distance)%len(listed)])
+	}
+	return ids
+}
+
+// wireObservation is the encoded form of an observation.
+type wireObservation struct {
+	Origin  bus.ID `cbor:"1,keyasint"`
+	Number  uint64 `cbor:"2,keyasint"`
+	Topic   Topic  `cbor:"3,keyasint"`
+	Subject string `cbor:"4,keyasint"`
+	// AgeMS is the time since the observation was made, in milliseconds.
+	AgeMS int64  `cbor:"5,keyasint"`
+	Body  []byte `cbor:"6,keyasint"`
+}
+
+// message is what is sent to a neighbour.
+type message struct {
+	Observations []wireObservation `cbor:"1,keyasint"`
+}
+
+// acknowledgement is the response to a message.
+type acknowledgement struct{}
+
+// batchLocked returns the entries after the arrival acked for a neighbour, oldest
+// first, and the arrival up to which the neighbour then has all. Entries that it has
+// sent or made itself are left out.
+func (s *Spreader) batchLocked(to bus.ID, acked uint64, now time.Time) ([]wireObservation, uint64) {
+	var pending []*entry
+	for _, e := range s.entries {
+		if e.arrival > acked {
+			pending = append(pending, e)
+		}
+	}
+	slices.SortFunc(pending, func(a, b *entry) int { return cmp.Compare(a.arrival, b.arrival) })
+	var batch []wireObservation
+	size := 0
+	for _, e := range pending {
+		if size += len(e.Body) + len(e.Subject); size > maxBatchBytes {
+			break
+		}
+		acked = e.arrival
+		if e.from != to && e.Origin != to {
+			batch = append(batch, e.encode(now))
+		}
+	}
+	return batch, acked
+}
+
+// encode returns the encoded form of the entry at the time now.
+func (e *entry) encode(now time.Time) wireObservation {
+	return wireObservation{
+		Origin: e.Origin, Number: e.number, Topic: e.Topic, Subject: e.Subject,
+		AgeMS: max(now.Sub(e.At), 0).Milliseconds(), Body: e.Body,
+	}
+}
+
+// send sends a batch to a neighbour and records the result.
+func (s *Spreader) send(ctx context.Context, to bus.ID, batch []wireObservation, upTo uint64) {
+	callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_, err := bus.Call[message, acknowledgement](callCtx, s.options.Bus, to, kindSpread, message{Observations: batch})
+	s.mu.Lock()
+	if n := s.neighbours[to]; n != nil {
+		n.inFlight = false
+		if err == nil {
+			s.stats.sent.Inc()
+			n.acked, n.failures, n.retryAt = max(n.acked, upTo), 0, time.Time{}
+		} else {
+			s.stats.failed.Inc()
+			n.retryAt = s.options.Clock.Now().Add(min(minRetryDelay<<min(n.failures, maxRetryDoublings), maxRetryDelay))
+			n.failures++
+		}
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.options.Log.Debug("observations not sent", "peer", to.String(), "observations", len(batch), "err", err.Error())
+	}
+	s.signal()
+}
+
+// maxRetryDoublings bounds how often the delay of a retry is doubled, so that its
+// computation does not overflow.
+const maxRetryDoublings = 8
+
+// handleSpread keeps the observations of a neighbour and hands over the new ones.
+func (s *Spreader) handleSpread(_ context.Context, from bus.ID, m message) (acknowledgement, error) {
+	s.receive(from, m.Observations, 0)
+	return acknowledgement{}, nil
+}
+
+// receive keeps observations that are older by extraAge than they tell, and hands over
+// the new ones. It drops those that exceed the bounds, have an unknown topic, are too
+// old, or name this router as their origin, which keeps its own.
+func (s *Spreader) receive(from bus.ID, observations []wireObservation, extraAge time.Duration) {
+	now := s.options.Clock.Now()
+	type delivery struct {
+		handler Handler
+		Observation
+	}
+	var deliveries []delivery
+	s.mu.Lock()
+	for _, o := range observations {
+		topic, known := s.topics[o.Topic]
+		age := time.Duration(max(o.AgeMS, 0))*time.Millisecond + extraAge
+		if !known || o.Origin == s.self || o.Origin.IsZero() || len(o.Body) > MaxBodyBytes || len(o.Subject) > maxSubjectBytes || age < 0 || age > topic.retention {
+			s.stats.refused.Inc()
+			continue
+		}
+		e := &entry{Observation: Observation{Origin: o.Origin, Topic: o.Topic, Subject: o.Subject, At: now.Add(-age), Body: o.Body}, number: o.Number, from: from}
+		if s.keepLocked(e) {
+			s.stats.received.Inc()
+			deliveries = append(deliveries, delivery{topic.handler, e.Observation})
+		}
+	}
+	s.mu.Unlock()
+	for _, d := range deliveries {
+		d.handler(d.Observation)
+	}
+	if len(deliveries) > 0 {
+		s.signal()
+	}
+}
+
+// Encode returns the CBOR form of the body of an observation. The value must be one
+// that always encodes.
+func Encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// decMode decodes what other routers sent. Its limits keep a small malformed message
+// from allocating much memory.
+var decMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: 4096, MaxMapPairs: 64, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Decode decodes the body of an observation into v.
+func Decode(body []byte, v any) error { return decMode.Unmarshal(body, v) }
--- /dev/null
+++ b/internal/gossip/store.go
@@ -0,0 +1,106 @@
+package gossip
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/rowstore"
+)
+
+// Bounds of the row with observations.
+const (
+	// maxRowBytes bounds the bodies and subjects in a row. The newest observations are
+	// written.
+	maxRowBytes = 32 << 10
+	// writeInterval is the least time between two writes, and writeTimeout bounds one.
+	writeInterval = time.Second
+	writeTimeout  = time.Second
+)
+
+// row is the value of a router's row in the store.
+type row struct {
+	// WrittenMS is the time of the write in Unix milliseconds, by the writer's clock.
+	// Clocks may differ by seconds, which is little compared to how long observations
+	// are kept.
+	WrittenMS    int64             `cbor:"1,keyasint"`
+	Observations []wireObservation `cbor:"2,keyasint"`
+}
+
+// storeWriter writes the observations of a Spreader to the store. Its fields are
+// guarded by the lock of the Spreader.
+type storeWriter struct {
+	spreader  *Spreader
+	written   uint64 // arrival of the newest entry in the row
+	writing   bool
+	notBefore time.Time
+}
+
+// Persist writes the observations to the store, so that routers that start later, or
+// that can't be reached by others, learn them. It returns at once.
+func (s *Spreader) Persist(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.requestLocked(ctx, s.options.Clock.Now())
+}
+
+// requestLocked starts a write if there are entries that the row lacks and the last
+// write was writeInterval ago.
+func (w *storeWriter) requestLocked(ctx context.Context, now time.Time) {
+	s := w.spreader
+	if s.options.Store == nil || s.stopped || w.writing || w.written == s.arrivals || now.Before(w.notBefore) {
+		return
+	}
+	value, upTo := s.encodeRowLocked(now)
+	w.writing, w.notBefore = true, now.Add(writeInterval)
+	s.sending.Go(func() { w.write(ctx, value, upTo) })
+}
+
+// encodeRowLocked returns a row with the newest entries and the arrival of the newest.
+func (s *Spreader) encodeRowLocked(now time.Time) (value []byte, upTo uint64) {
+	newest := make([]*entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		newest = append(newest, e)
+	}
+	slices.SortFunc(newest, func(a, b *entry) int { return cmp.Compare(b.arrival, a.arrival) })
+	r := row{WrittenMS: now.UnixMilli()}
+	size := 0
+	for _, e := range newest {
+		if size += len(e.Body) + len(e.Subject); size > maxRowBytes {
+			break
+		}
+		r.Observations = append(r.Observations, e.encode(now))
+	}
+	return Encode(r), s.arrivals
+}
+
+// write writes the row and records the result.
+func (w *storeWriter) write(ctx context.Context, value []byte, upTo uint64) {
+	s := w.spreader
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := s.options.Store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{{Key: s.options.Row, Value: value}}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.writing = false
+	if err != nil {
+		s.options.Log.Info("observations not written to the store, tried again while they are needed", "row", s.options.Row.String(), "err", err.Error())
+		return
+	}
+	w.written = max(w.written, upTo)
+	s.stats.written.Inc()
+}
+
+// ReadRow takes in the row of a router, which is read from the store.
+func (s *Spreader) ReadRow(value []byte) error {
+	var r row
+	if err := decMode.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("decode row with observations: %w", err)
+	}
+	age := max(time.Duration(s.options.Clock.Now().UnixMilli()-r.WrittenMS)*time.Millisecond, 0)
+	s.receive(bus.ID{}, r.Observations, age)
+	return nil
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,12 @@
 
 // The rows of the fleet: the row of each VM, and the secret of the peer link.
 const (
-	table      = "fleet"
-	rowPrefix  = "vm/"
-	secretName = "secret"
+	table     = "fleet"
+	rowPrefix = "vm/"
+	// observationsPrefix begins the names of the rows with observations, which end in
+	// the VM that writes them.
+	observationsPrefix = "observations/"
+	secretName         = "secret"
 )
 
 const (
@@ -74,10 +78,12 @@
 	clock clock.Clock
 	log   *slog.Logger
 	// onSecret receives the secret of the peer link once it is known.
-	onSecret    func(secret string)
-	secretKnown atomic.Bool
-	synced      atomic.Bool
-	leaving     atomic.Bool
+	onSecret func(secret string)
+	// onObservations receives the rows with observations.
+	onObservations func(row rowstore.Row)
+	secretKnown    atomic.Bool
+	synced         atomic.Bool
+	leaving        atomic.Bool
 	// rewrite makes Run write the row of this router again.
 	rewrite chan struct{}
 
@@ -108,6 +114,31 @@
 	d.self.addr = addr
 }
 
+// OnObservations sets the function that receives the rows with observations of all
+// routers, predecessors on this VM included. It is called before Run.
+func (d *Directory) OnObservations(receive func(row rowstore.Row)) { d.onObservations = receive }
+
+// ObservationsKey returns the key of the row with the observations of this router.
+func (d *Directory) ObservationsKey() rowstore.Key {
+	return rowstore.Key{Table: table, Name: observationsPrefix + d.self.ID.VM}
+}
+
+// Self returns the id of this router.
+func (d *Directory) Self() bus.ID { return d.self.ID }
+
+// Listed returns the ids of all routers with a row, this one included, in order of VM.
+func (d *Directory) Listed() []bus.ID {
+	d.mu.Lock()
+	ids := make([]bus.ID, 0, len(d.members)+1)
+	ids = append(ids, d.self.ID)
+	for _, m := range d.members {
+		ids = append(ids, m.ID)
+	}
+	d.mu.Unlock()
+	slices.SortFunc(ids, func(a, b bus.ID) int { return cmp.Compare(a.VM, b.VM) })
+	return ids
+}
+
 // Run writes the row of this router and follows the rows of the others until ctx
 // ends.
 func (d *Directory) Run(ctx context.Context) {
@@ -226,6 +257,10 @@
 				d.secretKnown.Store(true)
 				d.onSecret(string(r.Value))
 			}
+		case strings.HasPrefix(r.Key.Name, observationsPrefix):
+			if d.onObservations != nil && !r.Removed {
+				d.onObservations(r)
+			}
 		case len(r.Key.Name) <= len(rowPrefix) || r.Key.Name[:len(rowPrefix)] != rowPrefix:
 			d.log.Warn("row of the fleet ignored, its name is unknown", "row", r.Key.String())
 		default:
