Add quarantine, which finds segments that crash endpoints

Evidence: at each end of an endpoint the routers report the requests whose responses broke before the first event; a response that got past its beginning clears its segments of all earlier ends. Change: segments present at three ends since they were last served are quarantined and explain these ends. Segments that always came together are refused only together, so that a caller cannot have another's segments refused. Not used by the router yet.

--- a/coord/failure/failure.go
+++ b/coord/failure/failure.go
@@ -34,6 +34,7 @@
 	Draining         Code = "draining"
 	PeerUnavailable  Code = "peer_unavailable"
 	StaleView        Code = "stale_view"
+	Quarantined      Code = "quarantined"
 	Canceled         Code = "canceled"
 	Internal         Code = "internal"
 )
--- /dev/null
+++ b/internal/quarantine/evaluate.go
@@ -0,0 +1,280 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+)
+
+// change is a set of segments that was quarantined, or is not any more.
+type change struct {
+	subject  string
+	evidence string
+	hold     time.Duration // from now
+	ended    bool
+	own      bool // this router made a report of one of its ends
+}
+
+// evaluateLocked computes the quarantined segments from the evidence and returns what
+// has changed.
+func (q *Quarantine) evaluateLocked(now time.Time) []change {
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool { return now.Sub(c.at) > Retention })
+	present := q.presentLocked()
+	q.suspects = present
+	before := q.quarantined
+	q.quarantined = nil
+	explained := make(map[*crash]bool)
+	for {
+		s, open := q.mostPresentLocked(present, explained)
+		if int64(q.countLocked(s, open)) < q.options.Settings.MinCrashes {
+			break
+		}
+		q.quarantined = append(q.quarantined, q.newQuarantined(s, open, present, explained))
+		for _, p := range open {
+			explained[p.crash] = true
+		}
+	}
+	return q.changesLocked(before, now)
+}
+
+// presentLocked returns, for each segment, the ends that count against it in the order
+// of their times: those at which it was present and after which it was not served. If
+// responses had started at an end, only their segments count.
+func (q *Quarantine) presentLocked() map[segment][]presence {
+	present := make(map[segment][]presence)
+	for _, c := range sortedByTime(slices.Clone(q.crashes)) {
+		anyStarted := slices.ContainsFunc(c.reports, func(r report) bool { return r.started })
+		for _, r := range c.reports {
+			if anyStarted && !r.started {
+				continue
+			}
+			for _, s := range r.segments {
+				if q.servedAtLocked(s).After(c.at) {
+					continue
+				}
+				list := present[s]
+				if len(list) == 0 || list[len(list)-1].crash != c {
+					present[s] = append(list, presence{crash: c, started: r.started, sentAt: r.sentAt})
+				} else if last := &list[len(list)-1]; r.sentAt.After(last.sentAt) {
+					last.sentAt = r.sentAt
+				}
+			}
+		}
+	}
+	return present
+}
+
+// countLocked returns how many of the ends count as independent evidence against a
+// segment. Endpoints that end at the same time for another reason have requests with
+// the same segments in flight. So an end counts only if a request with the segment was
+// sent after the end that counted before, unless its response had started and the
+// segment was never served. An end at which no response had started does not count
+// against a segment that was ever served.
+func (q *Quarantine) countLocked(s segment, ends []presence) int {
+	proven := !q.servedAtLocked(s).IsZero()
+	n := 0
+	var last time.Time
+	for _, p := range ends {
+		switch {
+		case !p.started && proven:
+			continue
+		case p.started && !proven, n == 0, p.sentAt.After(last):
+			n++
+			last = p.at
+		}
+	}
+	return n
+}
+
+// mostPresentLocked returns the segment with the most evidence from ends that are not
+// explained yet, and these ends. Of equal ones it prefers one that was never served.
+func (q *Quarantine) mostPresentLocked(present map[segment][]presence, explained map[*crash]bool) (segment, []presence) {
+	type rank struct {
+		count, ends int
+		unproven    bool
+	}
+	var best segment
+	var bestEnds []presence
+	var bestRank rank
+	for s, ends := range present {
+		open := unexplained(ends, explained)
+		r := rank{q.countLocked(s, open), len(open), q.servedAtLocked(s).IsZero()}
+		order := cmp.Or(cmp.Compare(r.count, bestRank.count), compareBool(r.unproven, bestRank.unproven), cmp.Compare(r.ends, bestRank.ends), cmp.Compare(best.id, s.id))
+		if len(open) > 0 && (len(bestEnds) == 0 || order > 0) {
+			best, bestEnds, bestRank = s, open, r
+		}
+	}
+	return best, bestEnds
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// unexplained returns the ends that are not explained.
+func unexplained(ends []presence, explained map[*crash]bool) []presence {
+	var open []presence
+	for _, p := range ends {
+		if !explained[p.crash] {
+			open = append(open, p)
+		}
+	}
+	return open
+}
+
+// newQuarantined returns the quarantined set of a segment and those that were in the
+// same requests at all of these ends and at no others.
+func (q *Quarantine) newQuarantined(s segment, ends []presence, present map[segment][]presence, explained map[*crash]bool) *quarantined {
+	x := &quarantined{}
+	for _, p := range ends {
+		x.crashes = append(x.crashes, p.crash)
+	}
+	sameEnd := func(a, b presence) bool { return a.crash == b.crash }
+	for other, its := range present {
+		together := other == s || slices.EqualFunc(unexplained(its, explained), ends, sameEnd) &&
+			!slices.ContainsFunc(ends, func(p presence) bool { return !p.hasTogether(s, other) })
+		if together {
+			x.segments = append(x.segments, other)
+		}
+	}
+	slices.SortFunc(x.segments, func(a, b segment) int { return cmp.Compare(a.id, b.id) })
+	ids := make([]string, len(x.segments))
+	for i, member := range x.segments {
+		ids[i] = member.id
+	}
+	x.subject = s.pool + "/" + strings.Join(ids, "+")
+	x.from = x.crashes[min(int(q.options.Settings.MinCrashes), len(x.crashes))-1].at.Add(objectionTime)
+	x.until = x.crashes[len(x.crashes)-1].at.Add(q.hold(x.crashes))
+	return x
+}
+
+// objectionTime is the time after the end that makes the evidence sufficient in which
+// other routers can tell that they have served a segment.
+const objectionTime = 500 * time.Millisecond
+
+// hasTogether reports whether one request had both segments.
+func (c *crash) hasTogether(a, b segment) bool {
+	return slices.ContainsFunc(c.reports, func(r report) bool {
+		return slices.Contains(r.segments, a) && slices.Contains(r.segments, b)
+	})
+}
+
+// hold returns how long after the last of the ends no request is let through. Each end
+// that came Hold or more after the one before it was caused by a request that was let
+// through.
+func (q *Quarantine) hold(crashes []*crash) time.Duration {
+	hold := q.options.Settings.Hold
+	for i := 1; i < len(crashes); i++ {
+		if crashes[i].at.Sub(crashes[i-1].at) >= q.options.Settings.Hold {
+			hold = min(2*hold, q.options.Settings.MaxHold)
+		}
+	}
+	return hold
+}
+
+// changesLocked compares the quarantined segments with those before.
+func (q *Quarantine) changesLocked(before []*quarantined, now time.Time) []change {
+	sameSubject := func(x *quarantined) func(*quarantined) bool {
+		return func(other *quarantined) bool { return other.subject == x.subject }
+	}
+	var changes []change
+	for _, x := range q.quarantined {
+		if !slices.ContainsFunc(before, sameSubject(x)) {
+			own := slices.ContainsFunc(x.crashes, func(c *crash) bool { return c.own })
+			changes = append(changes, change{subject: x.subject, evidence: x.describe(now), hold: x.until.Sub(now), own: own})
+		}
+	}
+	for _, x := range before {
+		if !slices.ContainsFunc(q.quarantined, sameSubject(x)) {
+			changes = append(changes, change{subject: x.subject, ended: true})
+			delete(q.tried, x.subject)
+		}
+	}
+	return changes
+}
+
+// logChanges logs changes and has the evidence stored if this router contributed to it.
+// The cause is what this router learned.
+func (q *Quarantine) logChanges(changes []change, cause string) {
+	store := false
+	for _, c := range changes {
+		if c.ended {
+			q.options.Log.Info("segments not quarantined any more", "segments", c.subject, "cause", cause)
+			continue
+		}
+		store = store || c.own
+		q.options.Log.Warn("segments quarantined", "segments", c.subject, "cause", cause, "evidence", c.evidence, "hold_ms", c.hold.Milliseconds())
+	}
+	if store {
+		q.options.Quarantined()
+	}
+}
+
+// signal wakes Run.
+func (q *Quarantine) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run publishes delayed observations until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	for {
+		var timer <-chan time.Time
+		if wait, any := q.publishDue(); any {
+			timer = q.options.Clock.After(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.wake:
+		case <-timer:
+		}
+	}
+}
+
+// publishDue publishes what is due and still of use. It returns the time until the next
+// one, and false if there is none.
+func (q *Quarantine) publishDue() (time.Duration, bool) {
+	now := q.options.Clock.Now()
+	q.mu.Lock()
+	var reports []duePublication
+	var clearances []Clearance
+	var waiting []duePublication
+	next := time.Duration(0)
+	for _, d := range q.due {
+		switch {
+		case now.Before(d.at):
+			waiting = append(waiting, d)
+			if wait := d.at.Sub(now); next == 0 || wait < next {
+				next = wait
+			}
+		case d.request != "":
+			if !slices.ContainsFunc(d.crash.reports, func(r report) bool { return r.started }) {
+				reports = append(reports, d)
+			}
+		case q.announced[d.cleared].Before(q.servedAtLocked(d.cleared)) && !q.announced[d.cleared].After(d.crash.at):
+			clearances = append(clearances, q.clearanceLocked(d.cleared, now))
+		}
+	}
+	q.due = waiting
+	if len(q.announced) > maxServed {
+		clear(q.announced)
+	}
+	q.mu.Unlock()
+	for _, d := range reports {
+		q.publishReport(d.request, d.report)
+	}
+	q.publishClearances(clearances)
+	return next, len(waiting) > 0
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,517 @@
+// Package quarantine finds segments of prompts that crash endpoints, and decides which
+// requests are refused because of them.
+//
+// When an endpoint ends, each router reports the requests whose responses it lost there
+// before the first event. The reports of all routers together tell which segments were
+// present at how many ends. A segment is cleared of all earlier ends by a response that
+// got past its beginning. A segment that was present at MinCrashes ends since it was
+// last cleared is quarantined, and explains these ends, so that they count against no
+// other segment. Segments that always occurred together in these requests are
+// quarantined together: only requests with all of them are refused.
+//
+// A quarantine ends when a request with the segments is served. After a hold time, which
+// grows with each further end, one router of the fleet lets one request through.
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/exchange"
+)
+
+// Settings configure a Quarantine.
+type Settings struct {
+	// MinCrashes is the number of ends of endpoints after which a segment is
+	// quarantined.
+	MinCrashes int64 `json:"min_crashes"`
+	// Hold is how long after the last end no request with a quarantined segment is
+	// sent. It doubles with each request that was let through and ended an endpoint,
+	// up to MaxHold.
+	Hold    time.Duration `json:"hold"`
+	MaxHold time.Duration `json:"max_hold"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{MinCrashes: 3, Hold: 2 * time.Minute, MaxHold: time.Hour}
+}
+
+// Validate adds every problem of the settings to l.
+func (s Settings) Validate(l *check.List, path string) {
+	l.Positive(path+".min_crashes", s.MinCrashes)
+	l.Duration(path+".hold", s.Hold, time.Second, 24*time.Hour)
+	l.Duration(path+".max_hold", s.MaxHold, s.Hold, 24*time.Hour)
+}
+
+// Bounds on what is kept. The oldest items are dropped.
+const (
+	// Retention is how long the end of an endpoint is kept.
+	Retention = 6 * time.Hour
+	// maxCrashes bounds the ends that are kept, and maxReports the reports of one.
+	maxCrashes = 256
+	maxReports = 16
+	// maxSegments bounds the segments of a request that are considered, and
+	// maxSegmentBytes the length of an id; a longer one is replaced by its hash.
+	maxSegments     = 128
+	maxSegmentBytes = 24
+	// maxDue bounds the observations that wait to be published.
+	maxDue = 1024
+	// maxServed bounds the segments whose last response is remembered.
+	maxServed = 32 << 10
+)
+
+// Report tells of one attempt whose response broke before its first event, at an
+// endpoint that has ended.
+type Report struct {
+	Pool string `cbor:"1,keyasint"`
+	// Endpoint and StartedMs identify one start of an endpoint.
+	Endpoint  string `cbor:"2,keyasint"`
+	StartedMs int64  `cbor:"3,keyasint"`
+	// Started is set if the head of the response was received. If there are such
+	// reports of an end, the others do not count.
+	Started bool `cbor:"4,keyasint"`
+	// SentBeforeMS is how long before the end the request was sent to the endpoint, in
+	// milliseconds.
+	SentBeforeMS int64 `cbor:"6,keyasint"`
+	// Segments are the ids of the segments that other prompts can have in common with
+	// the one of the request.
+	Segments []string `cbor:"5,keyasint"`
+}
+
+// Clearance tells that a response to a prompt with the segment got past its beginning.
+type Clearance struct {
+	Pool    string `cbor:"1,keyasint"`
+	Segment string `cbor:"2,keyasint"`
+	// AgeMS is the time since that response, in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint"`
+}
+
+// Options are what a Quarantine uses. The functions must not block.
+type Options struct {
+	Settings Settings
+	Clock    clock.Clock
+	Log      *slog.Logger
+	Metrics  *metrics.Set
+	// PublishReport and PublishClearance send an observation of this router to the
+	// others. The request makes the report unique.
+	PublishReport    func(request string, r Report)
+	PublishClearance func(c Clearance)
+	// Quarantined is called when segments are quarantined after a report of this
+	// router, so that what led to it can be stored.
+	Quarantined func()
+	// MayTry reports whether this router is the one of the fleet that lets a request
+	// through after the hold time. The subject names the segments.
+	MayTry func(subject string) bool
+}
+
+// segment identifies a segment in a pool.
+type segment struct{ pool, id string }
+
+// crash is one end of an endpoint.
+type crash struct {
+	endpoint  string
+	startedMs int64
+	at        time.Time
+	reports   []report
+	own       bool // this router made one of the reports
+}
+
+// report is what one router lost at an end.
+type report struct {
+	started  bool
+	sentAt   time.Time
+	segments []segment
+}
+
+// presence is the presence of a segment at an end that counts against it.
+type presence struct {
+	*crash
+	started bool      // a response to a request with it had started
+	sentAt  time.Time // when the newest request with it was sent
+}
+
+// quarantined is a set of segments with which no request is sent.
+type quarantined struct {
+	subject  string // pool and ids, for logs and as a key
+	segments []segment
+	crashes  []*crash // in order of their times
+	// Requests are refused from the time from. After until, one may be let through.
+	from, until time.Time
+}
+
+// duePublication is an observation that is published at a time if it is still of use.
+type duePublication struct {
+	at      time.Time
+	request string // of a report
+	report  Report
+	crash   *crash  // of a report
+	cleared segment // of a clearance
+}
+
+// Quarantine holds the evidence and the quarantined segments. It is safe for concurrent
+// use.
+type Quarantine struct {
+	options Options
+	wake    chan struct{}
+	stats   stats
+
+	mu      sync.Mutex // guards all below; never held over a call of Options
+	crashes []*crash   // in order of their arrival
+	// served holds when a response was last observed here or at another router, in
+	// two generations: the older one is dropped when the newer one is full.
+	served, servedBefore map[segment]time.Time
+	announced            map[segment]time.Time  // time of the response of the last clearance, own or received
+	suspects             map[segment][]presence // ends that count against a segment
+	quarantined          []*quarantined
+	tried                map[string]time.Time // last request that was let through, by subject
+	due                  []duePublication
+}
+
+// stats are the counters of a Quarantine.
+type stats struct{ reports, clearances, refusals, tries *metrics.Counter }
+
+// New returns a Quarantine without evidence.
+func New(o Options) *Quarantine {
+	q := &Quarantine{
+		options: o, wake: make(chan struct{}, 1), served: make(map[segment]time.Time), announced: make(map[segment]time.Time),
+		tried: make(map[string]time.Time),
+		stats: stats{
+			reports: o.Metrics.NewCounter("daisyslip_quarantine_reports_total"), clearances: o.Metrics.NewCounter("daisyslip_quarantine_clearances_total"),
+			refusals: o.Metrics.NewCounter("daisyslip_quarantine_refusals_total"), tries: o.Metrics.NewCounter("daisyslip_quarantine_tries_total"),
+		},
+	}
+	o.Metrics.NewGauge("daisyslip_quarantined_segments", func() float64 { return float64(q.count()) })
+	return q
+}
+
+// count returns the number of quarantined sets of segments.
+func (q *Quarantine) count() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.quarantined)
+}
+
+// segmentsOf returns the segments of a prompt that count.
+func segmentsOf(pool string, shared []exchange.Segment) []segment {
+	segments := make([]segment, 0, min(len(shared), maxSegments))
+	for _, s := range shared[:min(len(shared), maxSegments)] {
+		segments = append(segments, segment{pool, boundedID(s.ID)})
+	}
+	return segments
+}
+
+// boundedID returns id, or its hash if it is too long.
+func boundedID(id string) string {
+	if len(id) <= maxSegmentBytes {
+		return id
+	}
+	return fmt.Sprintf("#%016x", xxhash.Sum64String(id))
+}
+
+// Refusal tells why a request is refused.
+type Refusal struct {
+	// Reason names the segments and the ends that count against them.
+	Reason string
+	// RetryAfter is the time until a request may be let through.
+	RetryAfter time.Duration
+}
+
+// Check reports whether a request with these segments is refused.
+func (q *Quarantine) Check(pool string, shared []exchange.Segment) (Refusal, bool) {
+	if len(shared) == 0 {
+		return Refusal{}, false
+	}
+	q.mu.Lock()
+	now := q.options.Clock.Now()
+	found := q.findLocked(segmentsOf(pool, shared), now)
+	if found == nil {
+		q.mu.Unlock()
+		return Refusal{}, false
+	}
+	hold := found.until
+	if tried, ok := q.tried[found.subject]; ok && tried.Add(q.options.Settings.Hold).After(hold) {
+		hold = tried.Add(q.options.Settings.Hold) // the result of the last try is not known yet
+	}
+	refusal := Refusal{Reason: found.describe(now), RetryAfter: max(hold.Sub(now), minRetryAfter)}
+	subject, held := found.subject, now.Before(hold)
+	q.mu.Unlock()
+	if !held && !q.options.MayTry(subject) {
+		held, refusal.RetryAfter = true, q.options.Settings.Hold // another router may let one through
+	}
+	if held {
+		q.stats.refusals.Inc()
+		return refusal, true
+	}
+	q.mu.Lock()
+	if last, ok := q.tried[subject]; ok && last.Add(q.options.Settings.Hold).After(now) {
+		q.mu.Unlock()
+		q.stats.refusals.Inc()
+		return refusal, true // another request was let through at the same moment
+	}
+	q.tried[subject] = now
+	q.mu.Unlock()
+	q.stats.tries.Inc()
+	q.options.Log.Info("request let through quarantine", "segments", subject, "evidence", refusal.Reason)
+	return Refusal{}, false
+}
+
+// minRetryAfter is the least time that a refusal tells.
+const minRetryAfter = time.Second
+
+// findLocked returns quarantined segments that are all in the list, or nil.
+func (q *Quarantine) findLocked(segments []segment, now time.Time) *quarantined {
+	for _, x := range q.quarantined {
+		if !now.Before(x.from) && !slices.ContainsFunc(x.segments, func(s segment) bool { return !slices.Contains(segments, s) }) {
+			return x
+		}
+	}
+	return nil
+}
+
+// describe tells the evidence against quarantined segments.
+func (x *quarantined) describe(now time.Time) string {
+	var ends []string
+	for _, c := range x.crashes[max(len(x.crashes)-maxDescribed, 0):] {
+		ends = append(ends, fmt.Sprintf("%s %s ago", c.endpoint, now.Sub(c.at).Round(time.Millisecond)))
+	}
+	return fmt.Sprintf("%s: %d endpoints ended at the start of their responses, among them %s", x.subject, len(x.crashes), strings.Join(ends, ", "))
+}
+
+// maxDescribed bounds the ends in a reason.
+const maxDescribed = 5
+
+// Suspected reports whether the end of another endpoint than the given one counts
+// against one of the segments. A request with such a segment is not repeated after its
+// response broke off before its first event.
+func (q *Quarantine) Suspected(pool string, shared []exchange.Segment, endpoint string) bool {
+	if len(shared) == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.suspects) > 0 && slices.ContainsFunc(segmentsOf(pool, shared), func(s segment) bool {
+		return slices.ContainsFunc(q.suspects[s], func(p presence) bool { return p.endpoint != endpoint })
+	})
+}
+
+// RecordServed records that a response to a prompt with these segments got past its
+// beginning.
+func (q *Quarantine) RecordServed(pool string, shared []exchange.Segment) {
+	if len(shared) == 0 {
+		return
+	}
+	now := q.options.Clock.Now()
+	q.mu.Lock()
+	var clearances []Clearance
+	var changes []change
+	for _, s := range segmentsOf(pool, shared) {
+		q.setServedLocked(s, now)
+		if len(q.suspects[s]) >= announceFrom {
+			clearances = append(clearances, q.clearanceLocked(s, now))
+		}
+		changes = append(changes, q.clearLocked(s, now)...)
+	}
+	q.mu.Unlock()
+	q.publishClearances(clearances)
+	q.logChanges(changes, "served")
+}
+
+// clearLocked applies that a segment was served and returns what has changed.
+func (q *Quarantine) clearLocked(s segment, now time.Time) []change {
+	switch {
+	case len(q.suspects[s]) == 0:
+		return nil
+	case len(q.quarantined) == 0:
+		// Less evidence cannot quarantine anything else.
+		q.suspects[s] = slices.DeleteFunc(q.suspects[s], func(p presence) bool { return q.servedAtLocked(s).After(p.at) })
+		return nil
+	}
+	return q.evaluateLocked(now)
+}
+
+// announceFrom is the number of ends against a segment from which routers tell each
+// other that it was served.
+const announceFrom = 2
+
+// clearanceLocked returns the clearance of a segment that was served, which is announced
+// with it.
+func (q *Quarantine) clearanceLocked(s segment, now time.Time) Clearance {
+	servedAt := q.servedAtLocked(s)
+	q.announced[s] = servedAt
+	return Clearance{Pool: s.pool, Segment: s.id, AgeMS: now.Sub(servedAt).Milliseconds()}
+}
+
+// publishClearances publishes clearances of this router.
+func (q *Quarantine) publishClearances(clearances []Clearance) {
+	for _, c := range clearances {
+		q.stats.clearances.Inc()
+		q.options.PublishClearance(c)
+	}
+}
+
+// setServedLocked records that a segment was served.
+func (q *Quarantine) setServedLocked(s segment, at time.Time) {
+	if at.Before(q.servedAtLocked(s)) {
+		return
+	}
+	if len(q.served) >= maxServed/2 {
+		q.servedBefore, q.served = q.served, make(map[segment]time.Time)
+	}
+	q.served[s] = at
+}
+
+// servedAtLocked returns when a segment was last served; zero if that is not known.
+func (q *Quarantine) servedAtLocked(s segment) time.Time {
+	if at, ok := q.served[s]; ok {
+		return at
+	}
+	return q.servedBefore[s]
+}
+
+// weakReportDelay is how long a router waits with a report of a response that had not
+// started, which is of no use if a report of one that had comes meanwhile.
+const weakReportDelay = 200 * time.Millisecond
+
+// RecordCrash records that this router lost the response to a request at an endpoint
+// that has ended.
+func (q *Quarantine) RecordCrash(request string, r Report) {
+	r.Segments = slices.Clone(r.Segments[:min(len(r.Segments), maxSegments)])
+	for i, id := range r.Segments {
+		r.Segments[i] = boundedID(id)
+	}
+	now := q.options.Clock.Now()
+	q.mu.Lock()
+	c, changes := q.addReportLocked(r, now, now, true)
+	publish := c != nil && r.Started
+	if c != nil && !r.Started && len(q.due) < maxDue {
+		q.due = append(q.due, duePublication{at: now.Add(weakReportDelay), request: request, report: r, crash: c})
+	}
+	q.mu.Unlock()
+	if publish {
+		q.publishReport(request, r)
+	}
+	q.logChanges(changes, "crash")
+	q.signal()
+}
+
+// publishReport publishes a report of this router.
+func (q *Quarantine) publishReport(request string, r Report) {
+	q.stats.reports.Inc()
+	q.options.Log.Info("endpoint ended at the start of a response", "request", request, "endpoint", r.Endpoint, "pool", r.Pool,
+		"started", r.Started, "segments", strings.Join(r.Segments, ","))
+	q.options.PublishReport(request, r)
+}
+
+// ReceiveReport takes in a report of another router that was made at the given time of
+// this router's clock. Malformed reports are ignored.
+func (q *Quarantine) ReceiveReport(r Report, at time.Time) {
+	if r.Pool == "" || r.Endpoint == "" || len(r.Segments) == 0 || len(r.Segments) > maxSegments ||
+		slices.ContainsFunc(r.Segments, func(id string) bool { return id == "" || len(id) > maxSegmentBytes }) {
+		q.options.Log.Warn("report of another router ignored, it is malformed", "endpoint", r.Endpoint, "pool", r.Pool, "segments", len(r.Segments))
+		return
+	}
+	q.mu.Lock()
+	_, changes := q.addReportLocked(r, at, q.options.Clock.Now(), false)
+	q.mu.Unlock()
+	q.logChanges(changes, "report")
+	q.signal()
+}
+
+// ReceiveClearance takes in a clearance of another router that was made at the given
+// time of this router's clock.
+func (q *Quarantine) ReceiveClearance(c Clearance, at time.Time) {
+	s := segment{c.Pool, c.Segment}
+	if len(c.Segment) > maxSegmentBytes {
+		return
+	}
+	at = at.Add(-time.Duration(max(c.AgeMS, 0)) * time.Millisecond)
+	q.mu.Lock()
+	q.setServedLocked(s, at)
+	if at.After(q.announced[s]) {
+		q.announced[s] = at
+	}
+	changes := q.clearLocked(s, q.options.Clock.Now())
+	q.mu.Unlock()
+	q.logChanges(changes, "clearance")
+}
+
+// addReportLocked adds a report to the end that it tells of, which is returned. It
+// returns nil if the report is not kept.
+func (q *Quarantine) addReportLocked(r Report, at, now time.Time, own bool) (*crash, []change) {
+	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.endpoint == r.Endpoint && c.startedMs == r.StartedMs })
+	if i < 0 {
+		q.crashes = append(q.crashes, &crash{endpoint: r.Endpoint, startedMs: r.StartedMs, at: at})
+		if len(q.crashes) > maxCrashes {
+			q.crashes = slices.Delete(q.crashes, 0, 1)
+		}
+		i = len(q.crashes) - 1
+	}
+	c := q.crashes[i]
+	if len(c.reports) >= maxReports {
+		weak := slices.IndexFunc(c.reports, func(x report) bool { return !x.started })
+		if weak < 0 || !r.Started {
+			return nil, nil
+		}
+		c.reports = slices.Delete(c.reports, weak, weak+1)
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	c.own = c.own || own
+	added := report{started: r.Started, sentAt: at.Add(-time.Duration(max(r.SentBeforeMS, 0)) * time.Millisecond)}
+	for _, id := range r.Segments {
+		added.segments = append(added.segments, segment{r.Pool, id})
+	}
+	c.reports = append(c.reports, added)
+	changes := q.evaluateLocked(now)
+	q.planClearancesLocked(c, added, now)
+	return c, changes
+}
+
+// maxClearanceDelay bounds the random wait before a router tells that a segment was
+// served, so that not all routers tell the same.
+const maxClearanceDelay = 200 * time.Millisecond
+
+// planClearancesLocked plans to tell the other routers of those segments of a report
+// that this router has served, if they were present at other ends, too. Also a response
+// from before the end counts, but needs to be told only once.
+func (q *Quarantine) planClearancesLocked(c *crash, r report, now time.Time) {
+	for _, s := range r.segments {
+		servedAt, announced := q.servedAtLocked(s), q.announced[s]
+		if servedAt.IsZero() || !announced.IsZero() && (announced.After(c.at) || !servedAt.After(c.at)) || q.endsWithLocked(s) < announceFrom || len(q.due) >= maxDue {
+			continue
+		}
+		q.due = append(q.due, duePublication{at: now.Add(rand.N(maxClearanceDelay)), crash: c, cleared: s})
+	}
+}
+
+// endsWithLocked returns the number of kept ends at which a segment was present.
+func (q *Quarantine) endsWithLocked(s segment) int {
+	n := 0
+	for _, c := range q.crashes {
+		if slices.ContainsFunc(c.reports, func(r report) bool { return slices.Contains(r.segments, s) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// sortedByTime returns ends in the order of their times.
+func sortedByTime(crashes []*crash) []*crash {
+	slices.SortFunc(crashes, func(a, b *crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.endpoint, b.endpoint))
+	})
+	return crashes
+}
