Refuse requests whose prompts crash endpoints

Cause: a crash was counted against the endpoint only, and only at the router that saw it. Nothing linked the crashes to what the requests had in common. Change: a response that breaks before its first event is followed by one connection to the endpoint. If that is refused, or the endpoint has left the list, the response is reported to the quarantine of all routers. Requests with quarantined segments get 503 with the time until the next try in Retry-After, before tokens are reserved; so the promise not to run is true. A request with a segment that another endpoint's end counts against is not repeated by the router.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,11 +26,13 @@
 	"daisyslip.dev/daisyslip/coord/rowstore"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
+	"daisyslip.dev/daisyslip/internal/gossip"
 	"daisyslip.dev/daisyslip/internal/ingress"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/members"
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 	"daisyslip.dev/daisyslip/internal/retrybudget"
 	"daisyslip.dev/daisyslip/internal/routetable"
 	"daisyslip.dev/daisyslip/internal/upstream"
@@ -91,16 +93,18 @@
 	platformSettings atomic.Pointer[PlatformSettings]
 	incarnation      string // unique id of this start of the process
 
-	tables    *routetable.Current // the applied configuration
-	endpoints *endpoints.Registry
-	balancer  *placement.Balancer
-	retries   *retrybudget.Budget
-	prepaid   *prepaid.Pool
-	members   *members.Directory
-	link      *peer.Link // nil without PlatformSettings.PeerAddr
-	upstream  *upstream.Pool
-	handler   *ingress.Handler
-	draining  atomic.Bool
+	tables     *routetable.Current // the applied configuration
+	endpoints  *endpoints.Registry
+	balancer   *placement.Balancer
+	retries    *retrybudget.Budget
+	prepaid    *prepaid.Pool
+	members    *members.Directory
+	link       *peer.Link // nil without PlatformSettings.PeerAddr
+	gossip     *gossip.Spreader
+	quarantine *quarantine.Quarantine
+	upstream   *upstream.Pool
+	handler    *ingress.Handler
+	draining   atomic.Bool
 
 	callerServer, readyServer, metricsServer *server
 }
@@ -120,13 +124,14 @@
 	g.upstream = upstream.NewPool(s.Upstream, g.clock, g.metrics)
 	g.handler = ingress.NewHandler(s.Ingress, ingress.Dependencies{
 		Codec: p.Codec, Tables: g.tables, Endpoints: g.endpoints, Balancer: g.balancer, Retries: g.retries,
-		Prepaid: g.prepaid, Upstream: g.upstream, Clock: g.clock, Log: g.componentLog("ingress"), Metrics: g.metrics,
+		Prepaid: g.prepaid, Upstream: g.upstream, Quarantine: g.quarantine, Clock: g.clock, Log: g.componentLog("ingress"), Metrics: g.metrics,
 	})
 	g.registerGauges()
 	return g
 }
 
-// newPool creates the budgets of the fleet and the peer link that they use.
+// newPool creates the budgets of the fleet, the peer link that they use, and the
+// quarantine, which uses it, too.
 func (g *Gateway) newPool(ps PlatformSettings) {
 	self := prepaid.Member{ID: bus.ID{VM: ps.VM + "@" + ps.CallerAddr, Incarnation: g.incarnation}, Domain: ps.Domain, Weight: prepaid.LenderWeight(ps.Cores)}
 	g.members = members.New(self, g.platform.Store, g.clock, g.componentLog("members"), func(secret string) {
@@ -150,6 +155,7 @@
 	g.prepaid = prepaid.NewPool(prepaid.PoolOptions{
 		Holder: holder, Self: self, Bus: peers, Fleet: g.members, Clock: g.clock, Log: g.componentLog("prepaid"),
 	})
+	g.newQuarantine(peers)
 }
 
 // componentLog returns the log of one component, whose lines carry its name.
@@ -196,6 +202,7 @@
 // Cleanup closes the listeners and the connections to endpoints. It may be called
 // more than once.
 func (g *Gateway) Cleanup() error {
+	g.handler.Close()
 	g.upstream.Close()
 	if g.link != nil {
 		if err := g.link.Cleanup(); err != nil {
@@ -211,7 +218,7 @@
 	componentCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, runComponent := range []func(context.Context){g.watchConfig, g.watchEndpoints, g.prepaid.Run, g.members.Run, g.runMaintenance} {
+	for _, runComponent := range []func(context.Context){g.watchConfig, g.watchEndpoints, g.prepaid.Run, g.members.Run, g.gossip.Run, g.quarantine.Run, g.runMaintenance} {
 		running.Go(func() { runComponent(componentCtx) })
 	}
 	serveErrs := make(chan error, 4)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	"daisyslip.dev/daisyslip/internal/check"
 	"daisyslip.dev/daisyslip/internal/ingress"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 	"daisyslip.dev/daisyslip/internal/strictjson"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
@@ -15,17 +16,18 @@
 // Settings configure a Gateway and come from its own settings file. Those that the
 // platform gives are PlatformSettings.
 type Settings struct {
-	Ingress   ingress.Settings   `json:"ingress"`
-	Upstream  upstream.Settings  `json:"upstream"`
-	Placement placement.Settings `json:"placement"`
-	Prepaid   prepaid.Settings   `json:"prepaid"`
+	Ingress    ingress.Settings    `json:"ingress"`
+	Upstream   upstream.Settings   `json:"upstream"`
+	Placement  placement.Settings  `json:"placement"`
+	Prepaid    prepaid.Settings    `json:"prepaid"`
+	Quarantine quarantine.Settings `json:"quarantine"`
 }
 
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
 		Ingress: ingress.DefaultSettings(), Upstream: upstream.DefaultSettings(),
-		Placement: placement.DefaultSettings(), Prepaid: prepaid.DefaultSettings(),
+		Placement: placement.DefaultSettings(), Prepaid: prepaid.DefaultSettings(), Quarantine: quarantine.DefaultSettings(),
 	}
 }
 
@@ -34,6 +36,7 @@
 	s.Ingress.Validate(l, "ingress")
 	s.Upstream.Validate(l, "upstream")
 	s.Placement.Validate(l, "placement")
+	s.Quarantine.Validate(l, "quarantine")
 	for _, p := range s.Prepaid.Validate() {
 		l.Add("prepaid."+p.Name, p.Value, p.Want)
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -29,10 +29,16 @@
 // refusal that is still to be written, or nil if a response was forwarded, at
 // least in part, or the caller has disconnected.
 func (q *request) sendWithRetries(ctx context.Context) *refusal {
+	h := q.handler
 	excluded := make(map[string]bool)
 	retriedExcluded := false
 	for {
-		choice, ok := q.handler.deps.Balancer.Begin(q.handler.deps.Endpoints.Usable(q.pool), q.affinity, excluded)
+		if q.attempts > 0 {
+			if refused := q.checkQuarantine(); refused != nil {
+				return q.refuseRetry(refused)
+			}
+		}
+		choice, ok := h.deps.Balancer.Begin(h.deps.Endpoints.Usable(q.pool), q.affinity, excluded)
 		if !ok {
 			if len(excluded) > 0 && q.executions == 0 {
 				return refuseNoEndpoint(fmt.Sprintf("%d endpoints tried, none ran it", len(excluded)))
@@ -52,25 +58,47 @@
 		q.endpointID, q.candidates = e.ID, choice.Candidates
 		q.attempts++
 		outcome, observation, err := q.attempt(ctx, e)
-		q.handler.deps.Balancer.End(e, observation)
+		h.deps.Balancer.End(e, observation)
 		if outcome.mayHaveExecuted() {
 			q.executions++
 		}
 		if outcome == completed {
+			h.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
 			return nil
 		}
+		if outcome == connectionBroken && q.progress != eventsForwarded {
+			h.ends.responseLost(q, e)
+		}
 		if outcome == callerDisconnected {
 			q.disconnected = true
 			return nil
 		}
 		excluded[e.ID] = true
-		remaining := q.deadline.Sub(q.handler.deps.Clock.Now())
+		remaining := q.deadline.Sub(h.deps.Clock.Now())
 		if !q.decideRetry(outcome, remaining, err) {
 			return q.fail(outcome, err)
 		}
 	}
 }
 
+// checkQuarantine refuses the request if segments of its prompt are quarantined.
+func (q *request) checkQuarantine() *refusal {
+	refusal, refused := q.handler.deps.Quarantine.Check(q.pool, q.params.Generation.SharedSegments())
+	if !refused {
+		return nil
+	}
+	return refuseQuarantined(refusal)
+}
+
+// refuseRetry ends the request instead of another attempt. If an endpoint may have
+// executed it, the refusal must not say that it was not executed.
+func (q *request) refuseRetry(refused *refusal) *refusal {
+	if q.executions == 0 {
+		return refused
+	}
+	return q.fail(connectionBroken, errors.New(refused.reason))
+}
+
 // decideRetry reports whether the request may be sent to another endpoint after
 // an attempt with the given outcome, logs the decision and counts it in the
 // metrics. Remaining is the time until the deadline of the request, and cause is
@@ -80,6 +108,9 @@
 	h := q.handler
 	retry := mayRetry(q.route, outcome, q.executions, q.attempts, remaining)
 	reason := "kind of route, attempts or time"
+	if retry && outcome == connectionBroken && q.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), q.endpointID) {
+		retry, reason = false, "a segment of the prompt is suspected of crashing endpoints"
+	}
 	// If nothing was sent, the next attempt does not make endpoints receive the
 	// request twice, so it takes nothing from the retry budget.
 	if retry && outcome != notSent && !h.deps.Retries.AllowRetry(q.pool) {
@@ -142,8 +173,9 @@
 // if the outcome is not completed.
 func (q *request) attempt(ctx context.Context, e endpoints.Endpoint) (attemptOutcome, placement.Observation, error) {
 	h := q.handler
-	q.progress = noResponse
+	q.progress, q.attemptEvents = noResponse, 0
 	now := h.deps.Clock.Now()
+	q.attemptAt = now
 	remaining := q.deadline.Sub(now)
 	if remaining <= 0 {
 		return deadlineExceeded, placement.Inconclusive, errors.New("time over")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 	"daisyslip.dev/daisyslip/internal/retrybudget"
 	"daisyslip.dev/daisyslip/internal/routetable"
 	"daisyslip.dev/daisyslip/internal/upstream"
@@ -59,9 +60,11 @@
 	Retries   *retrybudget.Budget
 	Prepaid   *prepaid.Pool
 	Upstream  *upstream.Pool
-	Clock     clock.Clock
-	Log       *slog.Logger
-	Metrics   *metrics.Set
+	// Quarantine decides which prompts are refused because they crash endpoints.
+	Quarantine *quarantine.Quarantine
+	Clock      clock.Clock
+	Log        *slog.Logger
+	Metrics    *metrics.Set
 }
 
 // Handler serves callers' requests. It implements http.Handler.
@@ -71,14 +74,19 @@
 	inFlight atomic.Int64          // requests that are being handled
 	drain    atomic.Pointer[drain] // nil until Drain is called
 	stats    stats
+	ends     *endChecker
 }
 
 // NewHandler returns a handler that registers its metrics in the Metrics set of
 // its dependencies.
 func NewHandler(s Settings, deps Dependencies) *Handler {
-	return &Handler{settings: s, deps: deps, stats: newStats(deps.Metrics)}
+	return &Handler{settings: s, deps: deps, stats: newStats(deps.Metrics), ends: newEndChecker(deps)}
 }
 
+// Close ends what the handler does in the background. No requests may be handled any
+// more.
+func (h *Handler) Close() { h.ends.close() }
+
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -10,6 +10,7 @@
 
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/prepaid"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 )
 
 // refusal is an error response that the router itself creates.
@@ -103,6 +104,12 @@
 	return r
 }
 
+// refuseQuarantined refuses a request whose prompt is suspected of crashing endpoints. A
+// retry is of no use before the quarantine ends.
+func refuseQuarantined(r quarantine.Refusal) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.Quarantined), reason: r.Reason, retryAfter: r.RetryAfter}
+}
+
 func refuseNoEndpoint(reason string) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: reason, retryAfter: withJitter(endpointFullRetryDelay)}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -42,6 +42,8 @@
 	attempts, executions int
 	endpointID           string           // endpoint of the last attempt
 	progress             responseProgress // how far its response has come
+	attemptEvents        int              // events of it that were forwarded
+	attemptAt            time.Time        // when the last attempt began
 	candidates           int              // endpoints among which it was chosen
 	status               int              // HTTP status written to the caller; 0 before
 	stream               streamState
@@ -178,6 +180,9 @@
 	if q.handler.deps.Clock.Now().After(q.deadline) {
 		return refuseDeadlineExceeded("before it was sent")
 	}
+	if refused := q.checkQuarantine(); refused != nil {
+		return refused
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(responseGrace))
 	defer cancel()
 	if refused := q.reserve(ctx); refused != nil {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -112,9 +112,14 @@
 // finishStream handles the end of an endpoint's response. A response that ends
 // within an event counts as broken.
 func (q *request) finishStream(ctx context.Context, response *upstream.Response) (attemptOutcome, placement.Observation, error) {
-	if len(q.stream.pending) > 0 {
+	switch {
+	case len(q.stream.pending) > 0:
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends within an event", upstream.ErrBroken))
+	case !response.Framed && q.stream.forwardedEvents == 0 && q.stream.lastEventID == "":
+		// The end of the connection is the only sign of the end of the response.
+		response.Abort()
+		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends without an event", upstream.ErrBroken))
 	}
 	if !q.stream.headForwarded {
 		q.forwardHead(response)
@@ -178,6 +183,10 @@
 	return q.writeEvents(response, ready, count)
 }
 
+// servedEvents is the number of events after which a response has got past its
+// beginning.
+const servedEvents = 2
+
 // writeEvents writes and flushes the bytes of count complete events, after the
 // head if that was not written yet.
 func (q *request) writeEvents(response *upstream.Response, ready []byte, count int) error {
@@ -191,6 +200,10 @@
 	q.stream.lastEventAt, q.stream.readLate = now, false
 	q.stream.forwardedEvents += count
 	q.progress = eventsForwarded
+	q.attemptEvents += count
+	if q.attemptEvents >= servedEvents && q.attemptEvents-count < servedEvents {
+		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
+	}
 	if _, err := q.writer.Write(ready); err != nil {
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -130,6 +130,17 @@
 	return newConn(p, addr, raw), nil
 }
 
+// Connect opens a connection to an address and keeps it for the next request. The error
+// wraps that of the dial.
+func (p *Pool) Connect(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	p.release(c, keepAliveUnspecified)
+	return nil
+}
+
 // release makes a connection available for the next exchange, or closes it if the
 // pool is closed or full. keepAlive is the endpoint's idle timeout, or
 // keepAliveUnspecified.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,6 +54,9 @@
 	// Length is the length of the body in bytes, or -1 if the head does not state
 	// it.
 	Length int64
+	// Framed is set if the head tells where the body ends. Otherwise it ends with the
+	// connection, so that a body that was broken off can look complete.
+	Framed bool
 
 	conn         *conn
 	httpResponse *http.Response
@@ -128,6 +131,7 @@
 			continue
 		}
 		resp.httpResponse, resp.Status, resp.Header, resp.Length = httpResponse, httpResponse.StatusCode, httpResponse.Header, httpResponse.ContentLength
+		resp.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
 		resp.notReusable = httpResponse.Close
 		return nil
 	}
