--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -42,8 +42,8 @@
 	Body []byte
 }
 
-// Handler receives an observation of another router. It is called at most once for
-// each, without a lock held, from several goroutines.
+// Handler receives an observation of another router. It is called once for each while
+// that is kept, without a lock held, from several goroutines.
 type Handler func(Observation)
 
 // Members lists the routers of the fleet. Implementations are safe for concurrent use.
@@ -447,8 +447,8 @@
 	s.mu.Lock()
 	for _, o := range observations {
 		topic, known := s.topics[o.Topic]
-		age := time.Duration(max(o.AgeMS, 0))*time.Millisecond + extraAge
-		if !known || o.Origin == s.self || o.Origin.IsZero() || len(o.Body) > MaxBodyBytes || len(o.Subject) > maxSubjectBytes || age < 0 || age > topic.retention {
+		age := durationOfMS(o.AgeMS) + extraAge
+		if !known || o.Origin == s.self || o.Origin.IsZero() || len(o.Body) > MaxBodyBytes || len(o.Subject) > maxSubjectBytes || age > topic.retention {
 			s.stats.refused.Inc()
 			continue
 		}
@@ -467,6 +467,14 @@
 	}
 }
 
+// maxAge is the largest age that is told apart from larger ones.
+const maxAge = 365 * 24 * time.Hour
+
+// durationOfMS returns a number of milliseconds as a duration from 0 to maxAge.
+func durationOfMS(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
 // Encode returns the CBOR form of the body of an observation. The value must be one
 // that always encodes.
 func Encode(v any) []byte {
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -100,7 +100,6 @@
 	if err := decMode.Unmarshal(value, &r); err != nil {
 		return fmt.Errorf("decode row with observations: %w", err)
 	}
-	age := max(time.Duration(s.options.Clock.Now().UnixMilli()-r.WrittenMS)*time.Millisecond, 0)
-	s.receive(bus.ID{}, r.Observations, age)
+	s.receive(bus.ID{}, r.Observations, durationOfMS(s.options.Clock.Now().UnixMilli()-max(r.WrittenMS, 0)))
 	return nil
 }
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -26,7 +26,7 @@
 	before := q.quarantined
 	q.quarantined = nil
 	explained := make(map[*crash]bool)
-	for {
+	for len(q.quarantined) < maxQuarantined {
 		s, open := q.mostPresentLocked(present, explained)
 		if int64(q.countLocked(s, open)) < q.options.Settings.MinCrashes {
 			break
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -60,8 +60,10 @@
 	// Retention is how long the end of an endpoint is kept.
 	Retention = 6 * time.Hour
 	// maxCrashes bounds the ends that are kept, and maxReports the reports of one.
-	maxCrashes = 256
+	maxCrashes = 128
 	maxReports = 16
+	// maxQuarantined bounds the sets of segments that are quarantined at the same time.
+	maxQuarantined = 16
 	// maxSegments bounds the segments of a request that are considered, and
 	// maxSegmentBytes the length of an id; a longer one is replaced by its hash.
 	maxSegments     = 128
@@ -436,7 +438,7 @@
 	if len(c.Segment) > maxSegmentBytes {
 		return
 	}
-	at = at.Add(-time.Duration(max(c.AgeMS, 0)) * time.Millisecond)
+	at = at.Add(-durationOfMS(c.AgeMS))
 	q.mu.Lock()
 	q.setServedLocked(s, at)
 	if at.After(q.announced[s]) {
@@ -447,6 +449,11 @@
 	q.logChanges(changes, "clearance")
 }
 
+// durationOfMS returns a number of milliseconds as a duration from 0 to Retention.
+func durationOfMS(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), Retention.Milliseconds())) * time.Millisecond
+}
+
 // addReportLocked adds a report to the end that it tells of, which is returned. It
 // returns nil if the report is not kept.
 func (q *Quarantine) addReportLocked(r Report, at, now time.Time, own bool) (*crash, []change) {
@@ -470,7 +477,7 @@
 		c.at = at
 	}
 	c.own = c.own || own
-	added := report{started: r.Started, sentAt: at.Add(-time.Duration(max(r.SentBeforeMS, 0)) * time.Millisecond)}
+	added := report{started: r.Started, sentAt: at.Add(-durationOfMS(r.SentBeforeMS))}
 	for _, id := range r.Segments {
 		added.segments = append(added.segments, segment{r.Pool, id})
 	}
