Read the rate limit that an endpoint states and log its changes

A change of an endpoint's limit is logged with the endpoint, and a gauge counts the endpoints with one. No decision uses it yet.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -92,6 +92,11 @@
 	WrongInstance bool
 	// Load is nil if the endpoint does not report its load.
 	Load *Load
+	// RateLimit is the number of requests a second that the endpoint takes from all
+	// routers together, or 0 if it states none.
+	RateLimit float64
+	// InvalidRateLimit is the stated limit if that is no limit, for logs; else empty.
+	InvalidRateLimit string
 }
 
 // Codec reads and writes the headers that carry metadata. Implementations must be
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"daisyslip.dev/daisyslip/coord/hlc"
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/coord/rowstore"
+	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/gossip"
@@ -102,6 +103,7 @@
 	link       *peer.Link // nil without PlatformSettings.PeerAddr
 	gossip     *gossip.Spreader
 	quarantine *quarantine.Quarantine
+	limits     *endpointlimit.Limits
 	upstream   *upstream.Pool
 	handler    *ingress.Handler
 	draining   atomic.Bool
@@ -124,7 +126,7 @@
 	g.upstream = upstream.NewPool(s.Upstream, g.clock, g.metrics)
 	g.handler = ingress.NewHandler(s.Ingress, ingress.Dependencies{
 		Codec: p.Codec, Tables: g.tables, Endpoints: g.endpoints, Balancer: g.balancer, Retries: g.retries,
-		Prepaid: g.prepaid, Upstream: g.upstream, Quarantine: g.quarantine, Clock: g.clock, Log: g.componentLog("ingress"), Metrics: g.metrics,
+		Prepaid: g.prepaid, Upstream: g.upstream, Quarantine: g.quarantine, Limits: g.limits, Clock: g.clock, Log: g.componentLog("ingress"), Metrics: g.metrics,
 	})
 	g.registerGauges()
 	return g
@@ -156,6 +158,7 @@
 		Holder: holder, Self: self, Bus: peers, Fleet: g.members, Clock: g.clock, Log: g.componentLog("prepaid"),
 	})
 	g.newQuarantine(peers)
+	g.limits = endpointlimit.New(endpointlimit.Options{Clock: g.clock, Log: g.componentLog("limits"), Metrics: g.metrics})
 }
 
 // componentLog returns the log of one component, whose lines carry its name.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
@@ -199,9 +200,23 @@
 	if metadata.Load != nil {
 		h.deps.Balancer.Report(e.ID, *metadata.Load)
 	}
+	q.learnLimit(e, metadata)
 	return q.handleResponse(ctx, e, response, metadata)
 }
 
+// learnLimit takes in the rate limit that a response of e states.
+func (q *request) learnLimit(e endpoints.Endpoint, metadata exchange.Response) {
+	if metadata.WrongInstance {
+		return // another endpoint has responded
+	}
+	start := endpointlimit.Start{Endpoint: e.ID, StartedMs: e.StartedMs}
+	if metadata.InvalidRateLimit != "" {
+		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
+		return // a limit that was stated before stays
+	}
+	q.handler.deps.Limits.Learn(start, metadata.RateLimit, q.attemptAt)
+}
+
 // mayRetryElsewhere reports whether the request may be executed once more after
 // the current attempt and the pool has another endpoint for it.
 func (q *request) mayRetryElsewhere() bool {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
@@ -62,6 +63,7 @@
 	Upstream  *upstream.Pool
 	// Quarantine decides which prompts are refused because they crash endpoints.
 	Quarantine *quarantine.Quarantine
+	Limits     *endpointlimit.Limits
 	Clock      clock.Clock
 	Log        *slog.Logger
 	Metrics    *metrics.Set
