Keep to an endpoint's rate limit in the whole fleet

Cause: routers did not read the limit, and no router knows what the others send; each alone sent 1 to 7 requests in 4.5 s. Change: a statement spreads to all routers by gossip. For each endpoint with a limit rendezvous hashing makes one router of those that respond the governor. A router asks it for a permit before each attempt, retries and resumes included; without one the request goes to another endpoint, and if all are at their limits it gets 503 with the time until the next permit. A governor that does not respond within 60 ms grants nothing. A new governor begins without permits. The request for a permit tells the limit, so a governor that was never told keeps to it. A response without a limit ends it, if its request was sent after the last statement; another start of the endpoint has none. Why it works: the rate at the endpoint is that of one bucket, whatever the number of routers; in a moment of disagreement two buckets give at most twice the limit.

--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -1,17 +1,43 @@
 package endpointlimit
 
 import (
+	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
 )
 
+// kindPermit is the bus kind of requests for a permit.
+const kindPermit bus.Kind = "limits.permit"
+
+// permitRequest asks the governor of an endpoint for a permit. It tells the limit that
+// the asking router knows, in case the governor knows an older one or none.
+type permitRequest struct {
+	Statement Statement `cbor:"1,keyasint"`
+	// AgeMS is the time since the limit was stated, in milliseconds.
+	AgeMS int64 `cbor:"2,keyasint"`
+}
+
+// permitResponse grants a permit, or tells when to ask again.
+type permitResponse struct {
+	Granted bool  `cbor:"1,keyasint"`
+	WaitMS  int64 `cbor:"2,keyasint"`
+}
+
 // Options are what Limits use.
 type Options struct {
+	Bus bus.Bus
+	// Governor returns the router that hands out the permits for an endpoint, which may
+	// be this one. Routers that reach each other agree, except for moments.
+	Governor func(endpoint string) bus.ID
+	// Publish sends a statement to all other routers. It must not block.
+	Publish func(Statement)
 	Clock   clock.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
@@ -19,16 +45,31 @@
 
 // Limits are the rate limits of the endpoints. They are safe for concurrent use.
 type Limits struct {
-	options Options
-	table   *table
+	options  Options
+	table    *table
+	governor *governor
+	stats    stats
 
-	mu      sync.Mutex       // guards all below
-	invalid map[Start]string // last stated limit that was none
+	mu      sync.Mutex          // guards all below; never held over a call
+	invalid map[Start]string    // last stated limit that was none
+	closed  map[Start]time.Time // no permit is asked for before this time
 }
 
-// New returns Limits without any endpoint.
+// stats are the counters of Limits.
+type stats struct{ granted, denied, unanswered *metrics.Counter }
+
+// New returns Limits without any endpoint and registers their handler at the bus.
 func New(o Options) *Limits {
-	return &Limits{options: o, table: newTable(o.Clock, o.Log, o.Metrics), invalid: make(map[Start]string)}
+	permits := func(result string) *metrics.Counter {
+		return o.Metrics.NewCounter(`daisyslip_endpoint_permits_total{result="` + result + `"}`)
+	}
+	l := &Limits{
+		options: o, table: newTable(o.Clock, o.Log, o.Metrics), governor: newGovernor(o.Clock),
+		stats:   stats{granted: permits("granted"), denied: permits("denied"), unanswered: permits("unanswered")},
+		invalid: make(map[Start]string), closed: make(map[Start]time.Time),
+	}
+	bus.Handle(o.Bus, kindPermit, l.handlePermit)
+	return l
 }
 
 // Learn takes in the limit in a response to a request that was sent at sentAt, or 0 if
@@ -40,9 +81,28 @@
 			return
 		}
 	}
-	l.table.update(Statement{Start: s, PerSecond: perSecond}, l.options.Clock.Now(), "response")
+	statement := Statement{Start: s, PerSecond: perSecond}
+	if l.table.update(statement, l.options.Clock.Now(), "response") {
+		l.options.Publish(statement)
+	}
 }
 
+// Receive takes in a statement that another router received at the given time of this
+// router's clock.
+func (l *Limits) Receive(s Statement, at time.Time) {
+	if s.Endpoint == "" || !validLimit(s.PerSecond) && s.PerSecond != 0 {
+		l.options.Log.Warn("rate limit of another router ignored, it is no limit", "endpoint", s.Endpoint, "per_second", s.PerSecond)
+		return
+	}
+	l.table.update(s, at, "peer")
+}
+
+// validLimit reports whether a number can be a limit. Infinity and NaN can't.
+func validLimit(perSecond float64) bool { return perSecond > 0 && perSecond <= maxPerSecond }
+
+// maxPerSecond is the largest limit that is told apart from none.
+const maxPerSecond = 1e9
+
 // maxInvalid bounds the endpoints whose invalid limits are remembered.
 const maxInvalid = 1024
 
@@ -61,5 +121,96 @@
 	l.options.Log.Warn("rate limit of an endpoint ignored, it is no positive decimal number", "endpoint", s.Endpoint, "value", value)
 }
 
+// Closed returns how long it takes until a permit for the endpoint can be asked for, or
+// 0 if it can be now or needs none.
+func (l *Limits) Closed(s Start) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.closed[s].Sub(l.options.Clock.Now()), 0)
+}
+
+// permitTimeout bounds the wait for a permit. A request that gets none in time goes
+// elsewhere.
+const permitTimeout = 60 * time.Millisecond
+
+// unansweredDelay is the time after which a governor that did not respond is asked
+// again.
+const unansweredDelay = 250 * time.Millisecond
+
+// Acquire reports whether a request may be sent to an endpoint now: the endpoint states
+// no limit, or its governor has granted a permit. Without a permit the endpoint is
+// closed for a time.
+func (l *Limits) Acquire(ctx context.Context, s Start) bool {
+	perSecond, at := l.table.limit(s)
+	if perSecond == 0 {
+		return true
+	}
+	now := l.options.Clock.Now()
+	response, err := l.ask(ctx, permitRequest{Statement: Statement{Start: s, PerSecond: perSecond}, AgeMS: now.Sub(at).Milliseconds()})
+	switch {
+	case err != nil:
+		l.stats.unanswered.Inc()
+		l.options.Log.Info("no permit for an endpoint with a rate limit, its governor does not respond", "endpoint", s.Endpoint, "err", err.Error())
+		response.WaitMS = unansweredDelay.Milliseconds()
+	case response.Granted:
+		l.stats.granted.Inc()
+		return true
+	default:
+		l.stats.denied.Inc()
+	}
+	wait := durationOfMS(response.WaitMS)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// Routers that were denied at the same time do not all ask again at the same time.
+	l.closed[s] = now.Add(wait + rand.N(wait/2+time.Millisecond))
+	return false
+}
+
+// maxWait bounds the time for which an endpoint is closed.
+const maxWait = 10 * time.Second
+
+// durationOfMS returns a number of milliseconds as a duration from 1 ms to maxWait.
+func durationOfMS(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 1), maxWait.Milliseconds())) * time.Millisecond
+}
+
+// ask asks the governor of an endpoint for a permit.
+func (l *Limits) ask(ctx context.Context, r permitRequest) (permitResponse, error) {
+	governor := l.options.Governor(r.Statement.Endpoint)
+	if governor == l.options.Bus.Self().ID {
+		return l.grant(r.Statement.Start), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	return bus.Call[permitRequest, permitResponse](ctx, l.options.Bus, governor, kindPermit, r)
+}
+
+// handlePermit handles the request of another router for a permit.
+func (l *Limits) handlePermit(_ context.Context, _ bus.ID, r permitRequest) (permitResponse, error) {
+	age := time.Duration(min(max(r.AgeMS, 0), retention.Milliseconds())) * time.Millisecond
+	l.Receive(r.Statement, l.options.Clock.Now().Add(-age))
+	return l.grant(r.Statement.Start), nil
+}
+
+// grant takes a permit from this router's bucket.
+func (l *Limits) grant(s Start) permitResponse {
+	perSecond, _ := l.table.limit(s)
+	if perSecond == 0 {
+		return permitResponse{Granted: true}
+	}
+	granted, wait := l.governor.take(s, perSecond)
+	return permitResponse{Granted: granted, WaitMS: wait.Milliseconds() + 1}
+}
+
 // Prune forgets endpoints to which no requests are sent any more.
-func (l *Limits) Prune() { l.table.prune() }
+func (l *Limits) Prune() {
+	l.table.prune()
+	l.governor.prune()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s, until := range l.closed {
+		if until.Before(l.options.Clock.Now()) {
+			delete(l.closed, s)
+		}
+	}
+}
--- a/internal/endpointlimit/table.go
+++ b/internal/endpointlimit/table.go
@@ -8,7 +8,6 @@
 package endpointlimit
 
 import (
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -44,6 +43,9 @@
 // sent.
 const retention = time.Hour
 
+// maxStates bounds the endpoints whose statements are kept.
+const maxStates = 8192
+
 // table holds the latest statements of endpoints.
 type table struct {
 	clock clock.Clock
@@ -79,7 +81,7 @@
 	defer t.mu.Unlock()
 	k := t.states[s.Start]
 	if k == nil {
-		if s.PerSecond == 0 {
+		if s.PerSecond == 0 || len(t.states) >= maxStates {
 			return false
 		}
 		k = &known{}
@@ -119,6 +121,3 @@
 		}
 	}
 }
-
-// String returns the endpoint and its start, for logs and as a key.
-func (s Start) String() string { return fmt.Sprintf("%s@%d", s.Endpoint, s.StartedMs) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,8 +132,8 @@
 	return g
 }
 
-// newPool creates the budgets of the fleet, the peer link that they use, and the
-// quarantine, which uses it, too.
+// newPool creates the budgets of the fleet, the peer link that they use, and the other
+// components that use it.
 func (g *Gateway) newPool(ps PlatformSettings) {
 	self := prepaid.Member{ID: bus.ID{VM: ps.VM + "@" + ps.CallerAddr, Incarnation: g.incarnation}, Domain: ps.Domain, Weight: prepaid.LenderWeight(ps.Cores)}
 	g.members = members.New(self, g.platform.Store, g.clock, g.componentLog("members"), func(secret string) {
@@ -157,8 +157,9 @@
 	g.prepaid = prepaid.NewPool(prepaid.PoolOptions{
 		Holder: holder, Self: self, Bus: peers, Fleet: g.members, Clock: g.clock, Log: g.componentLog("prepaid"),
 	})
-	g.newQuarantine(peers)
-	g.limits = endpointlimit.New(endpointlimit.Options{Clock: g.clock, Log: g.componentLog("limits"), Metrics: g.metrics})
+	g.newGossip(peers)
+	g.newQuarantine()
+	g.newLimits(peers)
 }
 
 // componentLog returns the log of one component, whose lines carry its name.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -39,8 +39,12 @@
 				return q.refuseRetry(refused)
 			}
 		}
-		choice, ok := h.deps.Balancer.Begin(h.deps.Endpoints.Usable(q.pool), q.affinity, excluded)
+		open, opensIn := q.openEndpoints()
+		choice, ok := h.deps.Balancer.Begin(open, q.affinity, excluded)
 		if !ok {
+			if opensIn > 0 && q.executions == 0 {
+				return refuseAtRateLimit(q.pool, opensIn)
+			}
 			if len(excluded) > 0 && q.executions == 0 {
 				return refuseNoEndpoint(fmt.Sprintf("%d endpoints tried, none ran it", len(excluded)))
 			}
@@ -55,6 +59,10 @@
 			return refuseNoEndpoint("no endpoint in pool " + q.pool)
 		}
 		e := choice.Endpoint
+		if !h.deps.Limits.Acquire(ctx, startOf(e)) {
+			h.deps.Balancer.End(e, placement.Inconclusive)
+			continue // the endpoint is closed now
+		}
 		q.logPlacement(choice)
 		q.endpointID, q.candidates = e.ID, choice.Candidates
 		q.attempts++
@@ -204,12 +212,31 @@
 	return q.handleResponse(ctx, e, response, metadata)
 }
 
+// startOf names the start of an endpoint for the rate limits.
+func startOf(e endpoints.Endpoint) endpointlimit.Start {
+	return endpointlimit.Start{Endpoint: e.ID, StartedMs: e.StartedMs}
+}
+
+// openEndpoints returns the endpoints of the pool that may get a request now. If some are
+// closed by their rate limits, opensIn is the time until the first of them opens, else 0.
+func (q *request) openEndpoints() (open []endpoints.Endpoint, opensIn time.Duration) {
+	for _, e := range q.handler.deps.Endpoints.Usable(q.pool) {
+		closedFor := q.handler.deps.Limits.Closed(startOf(e))
+		if closedFor == 0 {
+			open = append(open, e)
+		} else if opensIn == 0 || closedFor < opensIn {
+			opensIn = closedFor
+		}
+	}
+	return open, opensIn
+}
+
 // learnLimit takes in the rate limit that a response of e states.
 func (q *request) learnLimit(e endpoints.Endpoint, metadata exchange.Response) {
 	if metadata.WrongInstance {
 		return // another endpoint has responded
 	}
-	start := endpointlimit.Start{Endpoint: e.ID, StartedMs: e.StartedMs}
+	start := startOf(e)
 	if metadata.InvalidRateLimit != "" {
 		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
 		return // a limit that was stated before stays
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -104,6 +104,12 @@
 	return r
 }
 
+// refuseAtRateLimit refuses a request because the endpoints that could serve it are at
+// their rate limits. The first of them takes a request after opensIn.
+func refuseAtRateLimit(pool string, opensIn time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "endpoints of pool " + pool + " are at their rate limits", retryAfter: opensIn}
+}
+
 // refuseQuarantined refuses a request whose prompt is suspected of crashing endpoints. A
 // retry is of no use before the quarantine ends.
 func refuseQuarantined(r quarantine.Refusal) *refusal {
