Do not blame segments for ends with a common cause

Each cause with what showed it: - A router told the others of a response only once a segment counted two ends there, and not again after later ends (ordinary ends one after the other, 9 routers: a subject was quarantined). It now tells whenever its response is later than an end that the others may still count. - A segment that gets hot while all endpoints end (not served before): three simultaneous ends were enough. Simultaneous ends with a started response now count less two. - A report without a started response is published 200 ms late, and receivers took that for the time of the end, so that simultaneous ends looked consecutive. Reports carry their age. - All endpoints end every 5 s: a rare subject was present at three such moments and served at none between. An end does not count against a segment if two or more other endpoints ended within 100 ms without it. The simulation is deterministic now: the jitter and the order of lost requests are seeded. Persist has the store written again after a failed write, and neighbours that do not respond for a minute are asked every 15 s.

--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,12 +43,12 @@
 func (g *Gateway) newQuarantine() {
 	log := g.componentLog("quarantine")
 	g.quarantine = quarantine.New(quarantine.Options{
-		Settings: g.settings.Quarantine, Clock: g.clock, Log: log, Metrics: g.metrics, MayTry: g.isChosenFor,
+		Settings: g.settings.Quarantine, Clock: g.clock, Log: log, Metrics: g.metrics, MayTry: g.isChosenFor, Jitter: rand.N[time.Duration],
 		PublishReport: func(request string, r quarantine.Report) { g.gossip.Publish(topicCrash, request, gossip.Encode(r)) },
 		PublishClearance: func(c quarantine.Clearance) {
 			g.gossip.Publish(topicServed, c.Pool+"/"+c.Segment, gossip.Encode(c))
 		},
-		Quarantined: func() { g.gossip.Persist(context.Background()) }, // the write has a timeout of its own
+		Quarantined: g.gossip.Persist,
 	})
 	subscribe(g.gossip, topicCrash, log, func(o gossip.Observation, r quarantine.Report) { g.quarantine.ReceiveReport(r, o.At) })
 	subscribe(g.gossip, topicServed, log, func(o gossip.Observation, c quarantine.Clearance) { g.quarantine.ReceiveClearance(c, o.At) })
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -75,6 +75,10 @@
 	// one, up to maxRetryDelay.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
+	// lostRetryDelay is the wait after lostFailures failed messages in a row: the VM of
+	// the neighbour is lost, or cut off for long.
+	lostRetryDelay = 15 * time.Second
+	lostFailures   = 30
 	// memberInterval is the time between two looks at the list of members while
 	// observations are kept.
 	memberInterval = 250 * time.Millisecond
@@ -144,7 +148,6 @@
 	numbers    uint64 // of the newest own observation
 	arrivals   uint64 // of the newest entry
 	neighbours map[bus.ID]*neighbour
-	stopped    bool
 	sending    sync.WaitGroup // messages and writes in progress
 }
 
@@ -263,7 +266,7 @@
 
 // Run sends observations to the neighbours until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
-	defer s.stop()
+	defer s.sending.Wait()
 	for {
 		var timer <-chan time.Time
 		if s.step(ctx) {
@@ -278,16 +281,8 @@
 	}
 }
 
-// stop waits for the messages and writes in progress and prevents further ones.
-func (s *Spreader) stop() {
-	s.mu.Lock()
-	s.stopped = true
-	s.mu.Unlock()
-	s.sending.Wait()
-}
-
 // step starts a message to each neighbour that lacks observations, and a write to the
-// store if one can't be reached. It reports whether observations are kept, so that a
+// store if one can't be reached or Persist was called. It reports whether observations are kept, so that a
 // router that joins must be noticed.
 func (s *Spreader) step(ctx context.Context) bool {
 	now := s.options.Clock.Now()
@@ -314,7 +309,7 @@
 		n.inFlight = true
 		s.sending.Go(func() { s.send(ctx, id, batch, upTo) })
 	}
-	if unreached {
+	if unreached || s.store.wanted > s.store.written {
 		s.store.requestLocked(ctx, now)
 	}
 	return true
@@ -413,7 +408,7 @@
 			n.acked, n.failures, n.retryAt = max(n.acked, upTo), 0, time.Time{}
 		} else {
 			s.stats.failed.Inc()
-			n.retryAt = s.options.Clock.Now().Add(min(minRetryDelay<<min(n.failures, maxRetryDoublings), maxRetryDelay))
+			n.retryAt = s.options.Clock.Now().Add(retryDelay(n.failures))
 			n.failures++
 		}
 	}
@@ -424,6 +419,14 @@
 	s.signal()
 }
 
+// retryDelay returns the wait after a failed message that follows a number of failures.
+func retryDelay(failures int) time.Duration {
+	if failures >= lostFailures {
+		return lostRetryDelay
+	}
+	return min(minRetryDelay<<min(failures, maxRetryDoublings), maxRetryDelay)
+}
+
 // maxRetryDoublings bounds how often the delay of a retry is doubled, so that its
 // computation does not overflow.
 const maxRetryDoublings = 8
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -172,6 +172,26 @@
 	})
 }
 
+// TestStoredOnceStoreIsBack guards against observations that were to be stored while the
+// store was unavailable and never are.
+func TestStoredOnceStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		f.store.SetFaults(memory.Faults{Outage: true})
+		r := f.routers[f.members[0]]
+		r.Publish(topic, "s", nil)
+		r.Persist()
+		time.Sleep(10 * time.Second)
+		f.store.SetFaults(memory.Faults{})
+		time.Sleep(3 * time.Second)
+		snap, err := f.store.Read(context.Background(), "fleet", "")
+		assert.NilError(t, err)
+		assert.Equal(t, len(snap.Rows), 1)
+		assert.Equal(t, r.stats.written.Get(), uint64(1))
+	})
+}
+
 // TestNothingIsSentWithoutObservations guards against messages between routers that have
 // nothing to tell, and against observations that outlive their retention.
 func TestNothingIsSentWithoutObservations(t *testing.T) {
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -35,23 +35,25 @@
 type storeWriter struct {
 	spreader  *Spreader
 	written   uint64 // arrival of the newest entry in the row
+	wanted    uint64 // arrival of the newest entry that must be in the row
 	writing   bool
 	notBefore time.Time
 }
 
-// Persist writes the observations to the store, so that routers that start later, or
-// that can't be reached by others, learn them. It returns at once.
-func (s *Spreader) Persist(ctx context.Context) {
+// Persist has Run write the observations to the store, so that routers that start later,
+// or that others can't reach, learn them. A write that fails is tried again.
+func (s *Spreader) Persist() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.store.requestLocked(ctx, s.options.Clock.Now())
+	s.store.wanted = s.arrivals
+	s.mu.Unlock()
+	s.signal()
 }
 
 // requestLocked starts a write if there are entries that the row lacks and the last
 // write was writeInterval ago.
 func (w *storeWriter) requestLocked(ctx context.Context, now time.Time) {
 	s := w.spreader
-	if s.options.Store == nil || s.stopped || w.writing || w.written == s.arrivals || now.Before(w.notBefore) {
+	if s.options.Store == nil || w.writing || w.written == s.arrivals || now.Before(w.notBefore) {
 		return
 	}
 	value, upTo := s.encodeRowLocked(now)
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -41,17 +41,20 @@
 
 // presentLocked returns, for each segment, the ends that count against it in the order
 // of their times: those at which it was present and after which it was not served. If
-// responses had started at an end, only their segments count.
+// responses had started at an end, only their segments count, and otherwise only segments
+// that were never served. An end does not count if several other endpoints ended at the
+// same time without the segment, which then have a common cause.
 func (q *Quarantine) presentLocked() map[segment][]presence {
 	present := make(map[segment][]presence)
-	for _, c := range sortedByTime(slices.Clone(q.crashes)) {
+	byTime := sortedByTime(slices.Clone(q.crashes))
+	for _, c := range byTime {
 		anyStarted := slices.ContainsFunc(c.reports, func(r report) bool { return r.started })
 		for _, r := range c.reports {
 			if anyStarted && !r.started {
 				continue
 			}
 			for _, s := range r.segments {
-				if q.servedAtLocked(s).After(c.at) {
+				if servedAt := q.servedAtLocked(s); servedAt.After(c.at) || !r.started && !servedAt.IsZero() {
 					continue
 				}
 				list := present[s]
@@ -63,29 +66,70 @@
 			}
 		}
 	}
+	for i, c := range byTime {
+		c.simultaneous = countSimultaneous(byTime, i, func(other *crash) time.Time { return other.at })
+	}
+	for s, ends := range present {
+		counting := ends[:0:0]
+		for i, p := range ends {
+			with := countSimultaneous(ends, i, func(other presence) time.Time { return other.at })
+			if p.simultaneous-with < commonCause {
+				counting = append(counting, p)
+			}
+		}
+		if present[s] = counting; len(counting) == 0 {
+			delete(present, s)
+		}
+	}
 	return present
 }
 
+const (
+	// simultaneousTime is the time in which ends are simultaneous.
+	simultaneousTime = 100 * time.Millisecond
+	// commonCause is the number of simultaneous ends without a segment from which an end
+	// does not count against it.
+	commonCause = 2
+)
+
+// countSimultaneous returns how many others of the ends, which are in the order of their
+// times, are simultaneous with the i-th.
+func countSimultaneous[T any](ends []T, i int, at func(T) time.Time) int {
+	n := 0
+	for j := i - 1; j >= 0 && at(ends[i]).Sub(at(ends[j])) < simultaneousTime; j-- {
+		n++
+	}
+	for j := i + 1; j < len(ends) && at(ends[j]).Sub(at(ends[i])) < simultaneousTime; j++ {
+		n++
+	}
+	return n
+}
+
+// simultaneousDiscount is the number of ends that do not count if ends count although
+// their requests were in flight at the same time.
+const simultaneousDiscount = 2
+
 // countLocked returns how many of the ends count as independent evidence against a
 // segment. Endpoints that end at the same time for another reason have requests with
 // the same segments in flight. So an end counts only if a request with the segment was
-// sent after the end that counted before, unless its response had started and the
-// segment was never served. An end at which no response had started does not count
-// against a segment that was ever served.
+// sent after the end that counted before. If the segment was never served, the ends at
+// which responses had started count all the same, less simultaneousDiscount.
 func (q *Quarantine) countLocked(s segment, ends []presence) int {
-	proven := !q.servedAtLocked(s).IsZero()
-	n := 0
+	inTurn, started := 0, 0
 	var last time.Time
 	for _, p := range ends {
-		switch {
-		case !p.started && proven:
-			continue
-		case p.started && !proven, n == 0, p.sentAt.After(last):
-			n++
+		if inTurn == 0 || p.sentAt.After(last) {
+			inTurn++
 			last = p.at
 		}
+		if p.started {
+			started++
+		}
 	}
-	return n
+	if !q.servedAtLocked(s).IsZero() {
+		return inTurn
+	}
+	return max(inTurn, started-simultaneousDiscount)
 }
 
 // mostPresentLocked returns the segment with the most evidence from ends that are not
@@ -243,6 +287,11 @@
 	}
 }
 
+// neverServedLocked returns the segments of a report that this router has never served.
+func (q *Quarantine) neverServedLocked(r Report) []string {
+	return slices.DeleteFunc(r.Segments, func(id string) bool { return !q.servedAtLocked(segment{r.Pool, id}).IsZero() })
+}
+
 // publishDue publishes what is due and still of use. It returns the time until the next
 // one, and false if there is none.
 func (q *Quarantine) publishDue() (time.Duration, bool) {
@@ -260,10 +309,12 @@
 				next = wait
 			}
 		case d.request != "":
-			if !slices.ContainsFunc(d.crash.reports, func(r report) bool { return r.started }) {
+			d.report.Segments = q.neverServedLocked(d.report)
+			d.report.AgeMS = now.Sub(d.at.Add(-weakReportDelay)).Milliseconds()
+			if len(d.report.Segments) > 0 && !slices.ContainsFunc(d.crash.reports, func(r report) bool { return r.started }) {
 				reports = append(reports, d)
 			}
-		case q.announced[d.cleared].Before(q.servedAtLocked(d.cleared)) && !q.announced[d.cleared].After(d.crash.at):
+		case q.clearanceOfUseLocked(d.cleared):
 			clearances = append(clearances, q.clearanceLocked(d.cleared, now))
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,7 +17,6 @@
 	"cmp"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -87,6 +86,9 @@
 	// SentBeforeMS is how long before the end the request was sent to the endpoint, in
 	// milliseconds.
 	SentBeforeMS int64 `cbor:"6,keyasint"`
+	// AgeMS is how long before the publication of the report the endpoint ended, in
+	// milliseconds.
+	AgeMS int64 `cbor:"7,keyasint"`
 	// Segments are the ids of the segments that other prompts can have in common with
 	// the one of the request.
 	Segments []string `cbor:"5,keyasint"`
@@ -113,6 +115,8 @@
 	// Quarantined is called when segments are quarantined after a report of this
 	// router, so that what led to it can be stored.
 	Quarantined func()
+	// Jitter returns a random duration below d.
+	Jitter func(d time.Duration) time.Duration
 	// MayTry reports whether this router is the one of the fleet that lets a request
 	// through after the hold time. The subject names the segments.
 	MayTry func(subject string) bool
@@ -128,6 +132,8 @@
 	at        time.Time
 	reports   []report
 	own       bool // this router made one of the reports
+	// simultaneous is the number of other ends at the same time.
+	simultaneous int
 }
 
 // report is what one router lost at an end.
@@ -425,7 +431,7 @@
 		return
 	}
 	q.mu.Lock()
-	_, changes := q.addReportLocked(r, at, q.options.Clock.Now(), false)
+	_, changes := q.addReportLocked(r, at.Add(-durationOfMS(r.AgeMS)), q.options.Clock.Now(), false)
 	q.mu.Unlock()
 	q.logChanges(changes, "report")
 	q.signal()
@@ -483,7 +489,7 @@
 	}
 	c.reports = append(c.reports, added)
 	changes := q.evaluateLocked(now)
-	q.planClearancesLocked(c, added, now)
+	q.planClearancesLocked(added, now)
 	return c, changes
 }
 
@@ -492,27 +498,33 @@
 const maxClearanceDelay = 200 * time.Millisecond
 
 // planClearancesLocked plans to tell the other routers of those segments of a report
-// that this router has served, if they were present at other ends, too. Also a response
-// from before the end counts, but needs to be told only once.
-func (q *Quarantine) planClearancesLocked(c *crash, r report, now time.Time) {
+// that this router has served, if that is of use to them.
+func (q *Quarantine) planClearancesLocked(r report, now time.Time) {
 	for _, s := range r.segments {
-		servedAt, announced := q.servedAtLocked(s), q.announced[s]
-		if servedAt.IsZero() || !announced.IsZero() && (announced.After(c.at) || !servedAt.After(c.at)) || q.endsWithLocked(s) < announceFrom || len(q.due) >= maxDue {
-			continue
+		if q.clearanceOfUseLocked(s) && len(q.due) < maxDue {
+			q.due = append(q.due, duePublication{at: now.Add(q.options.Jitter(maxClearanceDelay)), cleared: s})
 		}
-		q.due = append(q.due, duePublication{at: now.Add(rand.N(maxClearanceDelay)), crash: c, cleared: s})
 	}
 }
 
-// endsWithLocked returns the number of kept ends at which a segment was present.
-func (q *Quarantine) endsWithLocked(s segment) int {
-	n := 0
+// clearanceOfUseLocked reports whether other routers should be told when this router
+// last served a segment: it was present at several ends, and they know of no response,
+// or of none that is later than one of these ends while this router does.
+func (q *Quarantine) clearanceOfUseLocked(s segment) bool {
+	servedAt, announced := q.servedAtLocked(s), q.announced[s]
+	if !servedAt.After(announced) {
+		return false
+	}
+	ends, cleared := 0, 0
 	for _, c := range q.crashes {
 		if slices.ContainsFunc(c.reports, func(r report) bool { return slices.Contains(r.segments, s) }) {
-			n++
+			ends++
+			if c.at.After(announced) && c.at.Before(servedAt) {
+				cleared++
+			}
 		}
 	}
-	return n
+	return ends >= announceFrom && (announced.IsZero() || cleared > 0)
 }
 
 // sortedByTime returns ends in the order of their times.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -32,6 +32,7 @@
 		PublishClearance: func(c Clearance) { r.clearances = append(r.clearances, c) },
 		Quarantined:      func() { r.stored++ },
 		MayTry:           func(string) bool { return r.mayTry },
+		Jitter:           func(d time.Duration) time.Duration { return d / 2 },
 	})
 	return r
 }
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -4,7 +4,11 @@
 	"container/heap"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +42,9 @@
 	// requests, and killed the number of endpoints that end at such a moment.
 	killEvery time.Duration
 	killed    int
+	// hotFrom is when two in five requests begin to have the same segment, which none
+	// had before; 0 for never.
+	hotFrom time.Duration
 	// delay is the longest time until an observation reaches another router. Each is
 	// delivered twice if doubled is set.
 	delay   time.Duration
@@ -139,6 +146,7 @@
 				s.spread(i, func(q *Quarantine, at time.Time) { q.ReceiveClearance(c, at) })
 			},
 			Quarantined: func() {}, MayTry: func(string) bool { return i == 0 },
+			Jitter: func(d time.Duration) time.Duration { return time.Duration(s.random.Int64N(int64(d))) },
 		}))
 	}
 	for range d.endpoints {
@@ -185,8 +193,12 @@
 
 // soundLoad sends a sound request with a popular first segment and one of many subjects.
 func (s *simulation) soundLoad() {
+	subject := fmt.Sprint("subject-", s.random.IntN(subjects))
+	if s.hotFrom > 0 && s.clock.Now().Sub(s.start) > s.hotFrom && s.random.IntN(5) < 2 {
+		subject = "hot"
+	}
 	r := &simRequest{router: s.random.IntN(len(s.routers)), segments: []exchange.Segment{
-		{ID: fmt.Sprint("first-", s.random.IntN(2))}, {ID: fmt.Sprint("subject-", s.random.IntN(subjects))}, {ID: "own"},
+		{ID: fmt.Sprint("first-", s.random.IntN(2))}, {ID: subject}, {ID: "own"},
 	}}
 	s.sound++
 	if !s.send(r) && s.settled() {
@@ -278,7 +290,8 @@
 	lost, endpoint := target.inFlight, fmt.Sprintf("i-%d-%d", i, target.incarnation)
 	target.inFlight, target.downUntil = make(map[*simRequest]bool), s.clock.Now().Add(downTime)
 	target.incarnation++
-	for r := range lost {
+	requests := slices.SortedFunc(maps.Keys(lost), func(a, b *simRequest) int { return strings.Compare(a.id, b.id) })
+	for _, r := range requests {
 		if r.served {
 			continue
 		}
@@ -290,8 +303,14 @@
 	}
 }
 
+// seedsEnv sets the number of seeds for a long run.
+const seedsEnv = "DAISYSLIP_SEEDS"
+
 // seedsFor returns the number of seeds for a fleet of some size.
 func seedsFor(routers int) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv(seedsEnv), 10, 32); err == nil {
+		return n
+	}
 	if routers > 9 || testing.Short() {
 		return 2
 	}
@@ -343,11 +362,14 @@
 		{name: "one after the other", killEvery: 700 * time.Millisecond, killed: 1},
 		{name: "racks", killEvery: 5 * time.Second, killed: 5},
 		{name: "all at once", killEvery: 6 * time.Second, killed: 40},
+		{name: "racks as a segment gets hot", killEvery: 5 * time.Second, killed: 6, hotFrom: 4700 * time.Millisecond},
+		{name: "all at once as a segment gets hot", killEvery: 5 * time.Second, killed: 40, hotFrom: 4600 * time.Millisecond},
 	}
 	for _, d := range days {
 		for _, routers := range []int{9, 195} {
 			t.Run(fmt.Sprint(d.name, ", ", routers, " routers"), func(t *testing.T) {
 				t.Parallel()
+				d := d // changed below
 				d.routers, d.endpoints, d.length, d.delay = routers, 12, 30*time.Second, 100*time.Millisecond
 				for seed := range seedsFor(d.routers) {
 					s := play(t, d, seed)
