Explain why a prompt is refused

daisyslip explain printed the refusal, whose reason names the segments and the last ends, but not which router lost which request. It now prints the lines of all routers about the quarantined segments of that prompt, and the refusal is logged with the segments of its prompt.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"daisyslip.dev/daisyslip/coord/failure"
 )
 
 // logLine is one parsed line of a router's structured log.
@@ -50,7 +52,9 @@
 		Short: "Tell a request's story from the logs of all routers",
 		Long: `explain reads structured logs, from files or standard input, and prints in
 order what the routers decided about one request, and what they learned shortly
-before of the endpoints that it met and of the store. Times are those of the
+before of the endpoints that it met and of the store. Of a request that was refused
+because of segments of its prompt it also prints what all routers know against these
+segments. Times are those of the
 routers' clocks. Lines may have a prefix before their JSON.`,
 		Example: "  daisyslip explain 9c41d07be2a35f68 router-*.log",
 		Args:    cobra.MinimumNArgs(1),
@@ -67,7 +71,7 @@
 				return fmt.Errorf("no line about request %q in %d lines", args[0], len(lines))
 			}
 			for _, l := range trace {
-				fmt.Fprintln(cmd.OutOrStdout(), l.format())
+				fmt.Fprintln(cmd.OutOrStdout(), l.format(args[0]))
 			}
 			return nil
 		},
@@ -158,13 +162,13 @@
 	}
 }
 
-// format returns the line as text, without its level, empty fields and the
-// request id, which is the same in all printed lines.
-func (l logLine) format() string {
+// format returns the line as text, without its level, empty fields and the id of the
+// request that is explained.
+func (l logLine) format(id string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s  %s  %s", l.Timestamp.Format("15:04:05.000"), l.Source, l.Message)
 	for _, f := range l.Fields {
-		if f.Name != "request" && f.Value != "" {
+		if f.Value != "" && (f.Name != "request" || f.Value != id) {
 			fmt.Fprintf(&b, "  %s=%s", f.Name, f.Value)
 		}
 	}
@@ -175,7 +179,8 @@
 // the lines that may explain them. These are lines without a request id that were
 // written within contextWindow by a router that handled the request, and that are
 // about an endpoint or the workspace of the request or about the store. A line is
-// about the store if its message contains "store ".
+// about the store if its message contains "store ". If segments of the request's prompt
+// are quarantined, the lines of all routers that tell about that are included, too.
 func linesOfRequest(id string, lines []logLine) []logLine {
 	endpoints, sources := make(map[string]bool), make(map[string]bool)
 	workspaces := make(map[string]bool)
@@ -196,14 +201,57 @@
 	}
 	delete(endpoints, "")
 	delete(workspaces, "")
+	quarantined := quarantinedSegments(id, lines)
 	var trace []logLine
 	for _, l := range lines {
 		inWindow := !first.IsZero() && sources[l.Source] && l.Timestamp.After(first.Add(-contextWindow)) && l.Timestamp.Before(last.Add(contextWindow))
 		related := l.field("request") == "" && (endpoints[l.field("endpoint")] || workspaces[l.field("workspace")] || strings.Contains(l.Message, "store "))
-		if l.field("request") == id || inWindow && related {
+		if l.field("request") == id || inWindow && related || l.isEvidence(quarantined) {
 			trace = append(trace, l)
 		}
 	}
 	slices.SortStableFunc(trace, func(a, b logLine) int { return a.Timestamp.Compare(b.Timestamp) })
 	return trace
 }
+
+// quarantinePrefix begins the messages of the component that quarantines segments.
+const quarantinePrefix = "quarantine: "
+
+// quarantinedSegments returns the segments because of which a request was refused: those
+// of its prompt that a line about a quarantine names. It returns none if the request was
+// not refused for that reason.
+func quarantinedSegments(id string, lines []logLine) map[string]bool {
+	prompt := make(map[string]bool)
+	for _, l := range lines {
+		if l.field("request") == id && l.field("outcome") == string(failure.Quarantined) {
+			for segment := range strings.SplitSeq(l.field("segments"), ",") {
+				prompt[segment] = true
+			}
+		}
+	}
+	quarantined := make(map[string]bool)
+	for _, l := range lines {
+		if l.Message != quarantinePrefix+"segments quarantined" {
+			continue
+		}
+		_, names, _ := strings.Cut(l.field("segments"), "/")
+		for segment := range strings.SplitSeq(names, "+") {
+			if prompt[segment] {
+				quarantined[segment] = true
+			}
+		}
+	}
+	return quarantined
+}
+
+// isEvidence reports whether the line tells about one of the quarantined segments.
+func (l logLine) isEvidence(quarantined map[string]bool) bool {
+	if len(quarantined) == 0 || !strings.HasPrefix(l.Message, quarantinePrefix) {
+		return false
+	}
+	segments := l.field("segments")
+	if _, names, found := strings.Cut(segments, "/"); found {
+		segments = names
+	}
+	return slices.ContainsFunc(strings.FieldsFunc(segments, func(r rune) bool { return r == ',' || r == '+' }), func(segment string) bool { return quarantined[segment] })
+}
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -62,3 +62,24 @@
 	assert.NilError(t, cmd.Execute())
 	assert.Assert(t, strings.Contains(out.String(), "i-2"))
 }
+
+const quarantineLog = `{"time":"2026-12-04T10:00:01.000Z","level":"INFO","msg":"quarantine: endpoint ended at the start of a response","request":"r-1","endpoint":"i-1","pool":"app","started":true,"segments":"c0,bad"}
+{"time":"2026-12-04T10:00:02.000Z","level":"INFO","msg":"quarantine: endpoint ended at the start of a response","request":"r-2","endpoint":"i-2","pool":"app","started":true,"segments":"c0,other"}
+{"time":"2026-12-04T10:00:03.000Z","level":"WARN","msg":"quarantine: segments quarantined","segments":"app/bad","cause":"report","evidence":"app/bad: 3 endpoints ended"}
+{"time":"2026-12-04T10:00:09.000Z","level":"INFO","msg":"ingress: request ended","request":"r-9","outcome":"quarantined","status":503,"reason":"app/bad: 3 endpoints ended","segments":"c1,bad"}
+`
+
+// TestExplainTellsWhyPromptIsRefused guards against an explanation of a refusal without
+// the evidence that other routers reported.
+func TestExplainTellsWhyPromptIsRefused(t *testing.T) {
+	cmd := newExplain()
+	var out bytes.Buffer
+	cmd.SetIn(strings.NewReader(quarantineLog))
+	cmd.SetOut(&out)
+	cmd.SetErr(&bytes.Buffer{})
+	cmd.SetArgs([]string{"r-9"})
+	assert.NilError(t, cmd.Execute())
+	assert.Equal(t, strings.Count(out.String(), "\n"), 3, out.String())
+	assert.Assert(t, strings.Contains(out.String(), "request=r-1"), out.String())
+	assert.Assert(t, !strings.Contains(out.String(), "other"), out.String())
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
@@ -239,6 +240,9 @@
 	}
 	if refused != nil {
 		attrs = append(attrs, slog.String("reason", refused.reason), slog.Int64("retry_after_ms", refused.retryAfter.Milliseconds()))
+		if refused.code == string(failure.Quarantined) {
+			attrs = append(attrs, slog.String("segments", q.loggedSegments()))
+		}
 	}
 	h.stats.set.GetOrCreateCounter(fmt.Sprintf("daisyslip_requests_total{outcome=%q,status=\"%d\"}", outcome, q.status)).Inc()
 	h.deps.Log.LogAttrs(context.Background(), level, "request ended", attrs...)
