Play crashes and rate limits in an experiment on the users' platform

daisyslip experiment site SCENARIO runs routers on the stand-in platform, lets prompts with one segment crash endpoints and endpoints state rate limits, and counts for each second the sound requests served, the crashes and the requests at limited endpoints.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -63,6 +63,7 @@
 	}
 	cmd.Flags().StringVar(&dir, "dir", "", "directory to write the report to")
 	cmd.Flags().StringVar(&level, "log-level", "error", "debug, info, warn or error")
+	cmd.AddCommand(a.newExperimentSite())
 	return cmd
 }
 
