--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -79,7 +79,7 @@
 	queue   eventQueue
 	seq     int
 	routers []*Quarantine
-	servers []*server
+	pool    []*simEndpoint
 
 	crashTimes   map[string][]time.Time // by crashing segment
 	sentAfter    map[string]int         // requests sent contactTime after the fifth crash
@@ -87,7 +87,7 @@
 	sound        int
 }
 
-type server struct {
+type simEndpoint struct {
 	incarnation int
 	downUntil   time.Time
 	inFlight    map[*simRequest]bool
@@ -150,7 +150,7 @@
 		}))
 	}
 	for range d.endpoints {
-		s.servers = append(s.servers, &server{inFlight: make(map[*simRequest]bool)})
+		s.pool = append(s.pool, &simEndpoint{inFlight: make(map[*simRequest]bool)})
 	}
 	s.soundLoad()
 	for _, p := range d.poisons {
@@ -233,7 +233,7 @@
 // killLoad ends random endpoints whatever they serve.
 func (s *simulation) killLoad() {
 	for range s.killed {
-		s.crash(s.random.IntN(len(s.servers)))
+		s.crash(s.random.IntN(len(s.pool)))
 	}
 	s.after(s.killEvery, s.killLoad)
 }
@@ -245,19 +245,19 @@
 	if _, refused := s.routers[r.router].Check("pool", r.segments[:len(r.segments)-1]); refused {
 		return false
 	}
-	i := s.random.IntN(len(s.servers))
-	for range s.servers {
-		if !s.clock.Now().Before(s.servers[i].downUntil) {
+	i := s.random.IntN(len(s.pool))
+	for range s.pool {
+		if !s.clock.Now().Before(s.pool[i].downUntil) {
 			s.execute(r, i)
 			return true
 		}
-		i = (i + 1) % len(s.servers)
+		i = (i + 1) % len(s.pool)
 	}
 	return true // not served, but not refused either
 }
 
 func (s *simulation) execute(r *simRequest, i int) {
-	target := s.servers[i]
+	target := s.pool[i]
 	target.inFlight[r], r.sentAt = true, s.clock.Now()
 	step := func(d time.Duration, run func()) {
 		s.after(d, func() {
@@ -283,7 +283,7 @@
 
 // crash ends an endpoint; its requests report what they lost.
 func (s *simulation) crash(i int) {
-	target := s.servers[i]
+	target := s.pool[i]
 	if s.clock.Now().Before(target.downUntil) {
 		return
 	}
