Keep the reports of all endpoints that one request has ended

Callers of a router that had just started could still crash an endpoint. Cause: reports were published under the request's id, and an observation replaces an earlier one of the same subject; a request that ended two endpoints, since a router had repeated it, was known at one of them only to routers that joined later. The subject now has the endpoint and its start; a long request id is replaced by its hash, since a subject over 512 bytes is not published. The test fails without the change: 1 subject instead of 4.

--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -44,7 +44,7 @@
 	log := g.componentLog("quarantine")
 	g.quarantine = quarantine.New(quarantine.Options{
 		Settings: g.settings.Quarantine, Clock: g.clock, Log: log, Metrics: g.metrics, MayTry: g.isChosenFor, Jitter: rand.N[time.Duration],
-		PublishReport: func(request string, r quarantine.Report) { g.gossip.Publish(topicCrash, request, gossip.Encode(r)) },
+		PublishReport: func(subject string, r quarantine.Report) { g.gossip.Publish(topicCrash, subject, gossip.Encode(r)) },
 		PublishClearance: func(c quarantine.Clearance) {
 			g.gossip.Publish(topicServed, c.Pool+"/"+c.Segment, gossip.Encode(c))
 		},
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -109,8 +109,8 @@
 	Log      *slog.Logger
 	Metrics  *metrics.Set
 	// PublishReport and PublishClearance send an observation of this router to the
-	// others. The request makes the report unique.
-	PublishReport    func(request string, r Report)
+	// others. The subject tells reports apart: one request can end several endpoints.
+	PublishReport    func(subject string, r Report)
 	PublishClearance func(c Clearance)
 	// Quarantined is called when segments are quarantined after a report of this
 	// router, so that what led to it can be stored.
@@ -419,7 +419,7 @@
 	q.stats.reports.Inc()
 	q.options.Log.Info("endpoint ended at the start of a response", "request", request, "endpoint", r.Endpoint, "pool", r.Pool,
 		"started", r.Started, "segments", strings.Join(r.Segments, ","))
-	q.options.PublishReport(request, r)
+	q.options.PublishReport(fmt.Sprintf("%s at %s/%d", boundedID(request), r.Endpoint, r.StartedMs), r)
 }
 
 // ReceiveReport takes in a report of another router that was made at the given time of
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	clock      *clock.Fake
 	mayTry     bool
 	published  []Report
+	subjects   []string // of published reports
 	clearances []Clearance
 	stored     int
 }
@@ -28,7 +30,9 @@
 	r := &router{clock: clock.NewFake(time.Unix(1000, 0)), mayTry: true}
 	r.Quarantine = New(Options{
 		Settings: DefaultSettings(), Clock: r.clock, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
-		PublishReport:    func(_ string, report Report) { r.published = append(r.published, report) },
+		PublishReport: func(subject string, report Report) {
+			r.published, r.subjects = append(r.published, report), append(r.subjects, subject)
+		},
 		PublishClearance: func(c Clearance) { r.clearances = append(r.clearances, c) },
 		Quarantined:      func() { r.stored++ },
 		MayTry:           func(string) bool { return r.mayTry },
@@ -170,3 +174,16 @@
 	}
 	r.ReceiveClearance(Clearance{Pool: "pool", Segment: many[0], AgeMS: -1 << 63}, r.clock.Now())
 }
+
+// TestReportsOfOneRequestDoNotReplaceEachOther guards against routers that start later
+// and learn only the last of the endpoints that one request has ended.
+func TestReportsOfOneRequestDoNotReplaceEachOther(t *testing.T) {
+	r := newRouter()
+	for _, started := range []int64{1, 2} {
+		for _, endpoint := range []string{"i-1", "i-2"} {
+			r.RecordCrash("request", Report{Pool: "pool", Endpoint: endpoint, StartedMs: started, Started: true, Segments: []string{"bad"}})
+		}
+	}
+	slices.Sort(r.subjects)
+	assert.Equal(t, len(slices.Compact(r.subjects)), 4)
+}
