Tell the time of the loss in reports of ends, and tidy both packages

A check of an endpoint whose connections time out lasts up to 4 s, and its report told the end of the check as the time of the end, so that an earlier response could not clear it. A closed endpoint opens at once when its limit ends.

--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -124,6 +124,9 @@
 // Closed returns how long it takes until a permit for the endpoint can be asked for, or
 // 0 if it can be now or needs none.
 func (l *Limits) Closed(s Start) time.Duration {
+	if perSecond, _ := l.table.limit(s); perSecond == 0 {
+		return 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return max(l.closed[s].Sub(l.options.Clock.Now()), 0)
--- a/internal/endpointlimit/limits_test.go
+++ b/internal/endpointlimit/limits_test.go
@@ -262,8 +262,12 @@
 	s.routers[0].Learn(s.start, 40, s.clock.Now())
 	perSecond, _ := s.routers[0].table.limit(s.start)
 	assert.Equal(t, perSecond, 40.0)
-	s.clock.Advance(time.Second)
+	for s.send(0) {
+	}
+	assert.Assert(t, s.routers[0].Closed(s.start) > 0)
+	s.clock.Advance(time.Millisecond)
 	s.routers[0].Learn(s.start, 0, s.clock.Now())
+	assert.Equal(t, s.routers[0].Closed(s.start), time.Duration(0), "nothing is closed without a limit")
 	s.run(2*gossipDelay, time.Hour)
 	for _, r := range s.routers {
 		assert.Equal(t, r.table.limited(), 0)
--- a/internal/ingress/ended.go
+++ b/internal/ingress/ended.go
@@ -39,6 +39,7 @@
 // lostResponse is a response that broke before its first event.
 type lostResponse struct {
 	request string
+	at      time.Time
 	report  quarantine.Report
 }
 
@@ -62,8 +63,10 @@
 	if len(shared) == 0 {
 		return
 	}
-	lost := lostResponse{request: q.params.ID, report: quarantine.Report{Pool: q.pool, Endpoint: e.ID, StartedMs: e.StartedMs, Started: q.progress == responseStarted,
-		SentBeforeMS: q.handler.deps.Clock.Now().Sub(q.attemptAt).Milliseconds()}}
+	now := c.deps.Clock.Now()
+	lost := lostResponse{request: q.params.ID, at: now, report: quarantine.Report{
+		Pool: q.pool, Endpoint: e.ID, StartedMs: e.StartedMs, Started: q.progress == responseStarted, SentBeforeMS: now.Sub(q.attemptAt).Milliseconds(),
+	}}
 	for _, s := range shared {
 		lost.report.Segments = append(lost.report.Segments, s.ID)
 	}
@@ -89,7 +92,7 @@
 		return
 	}
 	for _, l := range lost {
-		c.deps.Quarantine.RecordCrash(l.request, l.report)
+		c.deps.Quarantine.RecordCrash(l.request, l.report, l.at)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -85,8 +85,8 @@
 	return &Handler{settings: s, deps: deps, stats: newStats(deps.Metrics), ends: newEndChecker(deps)}
 }
 
-// Close ends what the handler does in the background. No requests may be handled any
-// more.
+// Close ends the checks of endpoints that run in the background. Later ones are not
+// started.
 func (h *Handler) Close() { h.ends.close() }
 
 // InFlight returns the number of requests that are being handled.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -42,8 +42,7 @@
 // presentLocked returns, for each segment, the ends that count against it in the order
 // of their times: those at which it was present and after which it was not served. If
 // responses had started at an end, only their segments count, and otherwise only segments
-// that were never served. An end does not count if several other endpoints ended at the
-// same time without the segment, which then have a common cause.
+// that were never served.
 func (q *Quarantine) presentLocked() map[segment][]presence {
 	present := make(map[segment][]presence)
 	byTime := sortedByTime(slices.Clone(q.crashes))
@@ -66,6 +65,14 @@
 			}
 		}
 	}
+	dropCommonCauses(present, byTime)
+	return present
+}
+
+// dropCommonCauses drops the ends that do not count against a segment because several
+// other endpoints ended at the same time without it, so that they have another cause in
+// common. The ends are in the order of their times.
+func dropCommonCauses(present map[segment][]presence, byTime []*crash) {
 	for i, c := range byTime {
 		c.simultaneous = countSimultaneous(byTime, i, func(other *crash) time.Time { return other.at })
 	}
@@ -81,7 +88,6 @@
 			delete(present, s)
 		}
 	}
-	return present
 }
 
 const (
@@ -310,7 +316,6 @@
 			}
 		case d.request != "":
 			d.report.Segments = q.neverServedLocked(d.report)
-			d.report.AgeMS = now.Sub(d.at.Add(-weakReportDelay)).Milliseconds()
 			if len(d.report.Segments) > 0 && !slices.ContainsFunc(d.crash.reports, func(r report) bool { return r.started }) {
 				reports = append(reports, d)
 			}
@@ -324,7 +329,7 @@
 	}
 	q.mu.Unlock()
 	for _, d := range reports {
-		q.publishReport(d.request, d.report)
+		q.publishReport(d.request, d.report, d.lostAt)
 	}
 	q.publishClearances(clearances)
 	return next, len(waiting) > 0
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -85,13 +85,13 @@
 	Started bool `cbor:"4,keyasint"`
 	// SentBeforeMS is how long before the end the request was sent to the endpoint, in
 	// milliseconds.
-	SentBeforeMS int64 `cbor:"6,keyasint"`
+	SentBeforeMS int64 `cbor:"5,keyasint"`
 	// AgeMS is how long before the publication of the report the endpoint ended, in
 	// milliseconds.
-	AgeMS int64 `cbor:"7,keyasint"`
+	AgeMS int64 `cbor:"6,keyasint"`
 	// Segments are the ids of the segments that other prompts can have in common with
 	// the one of the request.
-	Segments []string `cbor:"5,keyasint"`
+	Segments []string `cbor:"7,keyasint"`
 }
 
 // Clearance tells that a response to a prompt with the segment got past its beginning.
@@ -164,8 +164,9 @@
 	at      time.Time
 	request string // of a report
 	report  Report
-	crash   *crash  // of a report
-	cleared segment // of a clearance
+	lostAt  time.Time // of a report
+	crash   *crash    // of a report
+	cleared segment   // of a clearance
 }
 
 // Quarantine holds the evidence and the quarantined segments. It is safe for concurrent
@@ -243,7 +244,7 @@
 	}
 	q.mu.Lock()
 	now := q.options.Clock.Now()
-	found := q.findLocked(segmentsOf(pool, shared), now)
+	found := q.findLocked(pool, shared, now)
 	if found == nil {
 		q.mu.Unlock()
 		return Refusal{}, false
@@ -278,8 +279,12 @@
 // minRetryAfter is the least time that a refusal tells.
 const minRetryAfter = time.Second
 
-// findLocked returns quarantined segments that are all in the list, or nil.
-func (q *Quarantine) findLocked(segments []segment, now time.Time) *quarantined {
+// findLocked returns quarantined segments that are all in the prompt, or nil.
+func (q *Quarantine) findLocked(pool string, shared []exchange.Segment, now time.Time) *quarantined {
+	if len(q.quarantined) == 0 {
+		return nil
+	}
+	segments := segmentsOf(pool, shared)
 	for _, x := range q.quarantined {
 		if !now.Before(x.from) && !slices.ContainsFunc(x.segments, func(s segment) bool { return !slices.Contains(segments, s) }) {
 			return x
@@ -393,29 +398,31 @@
 const weakReportDelay = 200 * time.Millisecond
 
 // RecordCrash records that this router lost the response to a request at an endpoint
-// that has ended.
-func (q *Quarantine) RecordCrash(request string, r Report) {
+// that has ended. The response was lost at the given time.
+func (q *Quarantine) RecordCrash(request string, r Report, at time.Time) {
 	r.Segments = slices.Clone(r.Segments[:min(len(r.Segments), maxSegments)])
 	for i, id := range r.Segments {
 		r.Segments[i] = boundedID(id)
 	}
 	now := q.options.Clock.Now()
 	q.mu.Lock()
-	c, changes := q.addReportLocked(r, now, now, true)
+	c, changes := q.addReportLocked(r, at, now, true)
 	publish := c != nil && r.Started
 	if c != nil && !r.Started && len(q.due) < maxDue {
-		q.due = append(q.due, duePublication{at: now.Add(weakReportDelay), request: request, report: r, crash: c})
+		q.due = append(q.due, duePublication{at: now.Add(weakReportDelay), request: request, report: r, lostAt: at, crash: c})
 	}
 	q.mu.Unlock()
 	if publish {
-		q.publishReport(request, r)
+		q.publishReport(request, r, at)
 	}
 	q.logChanges(changes, "crash")
 	q.signal()
 }
 
-// publishReport publishes a report of this router.
-func (q *Quarantine) publishReport(request string, r Report) {
+// publishReport publishes a report of this router on a response that was lost at the
+// given time.
+func (q *Quarantine) publishReport(request string, r Report, lostAt time.Time) {
+	r.AgeMS = q.options.Clock.Now().Sub(lostAt).Milliseconds()
 	q.stats.reports.Inc()
 	q.options.Log.Info("endpoint ended at the start of a response", "request", request, "endpoint", r.Endpoint, "pool", r.Pool,
 		"started", r.Started, "segments", strings.Join(r.Segments, ","))
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -54,7 +54,7 @@
 // after the step before, and lets the time pass after which a verdict takes effect.
 func (r *router) crash(endpoint string, ids ...string) {
 	r.clock.Advance(time.Second)
-	r.RecordCrash("request at "+endpoint, Report{Pool: "pool", Endpoint: endpoint, Started: true, Segments: ids})
+	r.RecordCrash("request at "+endpoint, Report{Pool: "pool", Endpoint: endpoint, Started: true, Segments: ids}, r.clock.Now())
 	r.clock.Advance(objectionTime)
 }
 
@@ -153,10 +153,10 @@
 	}
 	assert.Assert(t, len(r.served)+len(r.servedBefore) <= maxServed)
 	for i := range 2 * maxCrashes {
-		r.RecordCrash("request", Report{Pool: "pool", Endpoint: fmt.Sprint("i-", i), Started: true, Segments: many[i : i+2*maxSegments]})
+		r.RecordCrash("request", Report{Pool: "pool", Endpoint: fmt.Sprint("i-", i), Started: true, Segments: many[i : i+2*maxSegments]}, r.clock.Now())
 	}
 	for range 3 * maxReports {
-		r.RecordCrash("request", Report{Pool: "pool", Endpoint: "i-one", Segments: many[:2]})
+		r.RecordCrash("request", Report{Pool: "pool", Endpoint: "i-one", Segments: many[:2]}, r.clock.Now())
 	}
 	assert.Equal(t, len(r.crashes), maxCrashes)
 	assert.Equal(t, len(r.crashes[maxCrashes-1].reports), maxReports)
@@ -181,7 +181,7 @@
 	r := newRouter()
 	for _, started := range []int64{1, 2} {
 		for _, endpoint := range []string{"i-1", "i-2"} {
-			r.RecordCrash("request", Report{Pool: "pool", Endpoint: endpoint, StartedMs: started, Started: true, Segments: []string{"bad"}})
+			r.RecordCrash("request", Report{Pool: "pool", Endpoint: endpoint, StartedMs: started, Started: true, Segments: []string{"bad"}}, r.clock.Now())
 		}
 	}
 	slices.Sort(r.subjects)
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -299,7 +299,8 @@
 		for _, segment := range r.segments[:len(r.segments)-1] {
 			report.Segments = append(report.Segments, segment.ID)
 		}
-		s.after(reportTime, func() { s.routers[r.router].RecordCrash(r.id, report) })
+		lostAt := s.clock.Now()
+		s.after(reportTime, func() { s.routers[r.router].RecordCrash(r.id, report, lostAt) })
 	}
 }
 
