--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -56,6 +56,8 @@
 	every    time.Duration
 	position int
 	from     time.Duration
+	// turns is when the segment begins to crash endpoints; it is served before.
+	turns time.Duration
 }
 
 // Times of requests and endpoints, and the rate of sound requests.
@@ -98,6 +100,7 @@
 	router   int
 	segments []exchange.Segment
 	poison   string
+	turns    time.Duration // of the poison
 	sentAt   time.Time
 	started  bool
 	served   bool
@@ -223,7 +226,7 @@
 func (s *simulation) poisonLoad(p poison, n int) {
 	segments := []exchange.Segment{{ID: fmt.Sprint("first-", s.random.IntN(2))}, {ID: fmt.Sprint("subject-", s.random.IntN(subjects))}, {ID: "own"}}
 	segments = append(segments[:p.position], append([]exchange.Segment{{ID: p.id}}, segments[p.position:]...)...)
-	r := &simRequest{router: n % len(s.routers), segments: segments, poison: p.id}
+	r := &simRequest{router: n % len(s.routers), segments: segments, poison: p.id, turns: p.turns}
 	if times := s.crashTimes[p.id]; s.send(r) && len(times) >= 5 && s.clock.Now().Sub(times[4]) > contactTime {
 		s.sentAfter[p.id]++
 	}
@@ -269,7 +272,7 @@
 	wait := time.Duration((0.5 + s.random.Float64()) * float64(waitTime))
 	step(wait, func() { r.started = true })
 	step(wait+firstEvent, func() {
-		if r.poison != "" {
+		if r.poison != "" && s.clock.Now().Sub(s.start) >= r.turns {
 			s.crashTimes[r.poison] = append(s.crashTimes[r.poison], s.clock.Now())
 			s.crash(i)
 		}
@@ -333,6 +336,9 @@
 		{name: "two in turn", routers: 9, endpoints: 9, poisons: []poison{{id: "bad", every: often, position: 1}, {id: "worse", every: often, position: 1, from: 15 * time.Second}}},
 		{name: "rare", routers: 9, endpoints: 9, poisons: []poison{{id: "bad", every: 2 * time.Second, position: 1}}},
 		{name: "in bursts", routers: 9, endpoints: 9, poisons: []poison{{id: "bad", every: 50 * time.Millisecond, position: 1}}},
+		{name: "served before", routers: 9, endpoints: 9, poisons: []poison{{id: "bad", every: often, position: 1, turns: 8 * time.Second}}},
+		{name: "served before, 195 routers", routers: 195, endpoints: 60, poisons: []poison{{id: "bad", every: often, position: 1, turns: 8 * time.Second}}},
+		{name: "served before, often", routers: 9, endpoints: 9, poisons: []poison{{id: "bad", every: 150 * time.Millisecond, position: 1, turns: 8 * time.Second}}},
 		{name: "late and doubled observations", routers: 9, endpoints: 9, poisons: one, delay: time.Second, doubled: true},
 		{name: "beside kills", routers: 9, endpoints: 12, poisons: one, killEvery: 3 * time.Second, killed: 1},
 		{name: "beside lost racks", routers: 9, endpoints: 12, poisons: one, killEvery: 8 * time.Second, killed: 4},
