--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -121,6 +121,9 @@
 	l.options.Log.Warn("rate limit of an endpoint ignored, it is no positive decimal number", "endpoint", s.Endpoint, "value", value)
 }
 
+// None reports whether no endpoint has a limit. It takes no lock.
+func (l *Limits) None() bool { return l.table.limited.Load() == 0 }
+
 // Closed returns how long it takes until a permit for the endpoint can be asked for, or
 // 0 if it can be now or needs none.
 func (l *Limits) Closed(s Start) time.Duration {
--- a/internal/endpointlimit/limits_test.go
+++ b/internal/endpointlimit/limits_test.go
@@ -251,13 +251,13 @@
 	s.clock.Advance(gossipDelay)
 	s.run(5*time.Millisecond, time.Hour)
 	for _, r := range s.routers {
-		assert.Equal(t, r.table.limited(), 1)
+		assert.Equal(t, r.table.limited.Load(), int64(1))
 	}
 	sentBefore := s.clock.Now().Add(-time.Second)
 	s.routers[0].Learn(s.start, 0, sentBefore)
-	assert.Equal(t, s.routers[0].table.limited(), 1, "the request was sent before the limit was stated")
+	assert.Equal(t, s.routers[0].table.limited.Load(), int64(1), "the request was sent before the limit was stated")
 	s.routers[1].Receive(Statement{Start: s.start, PerSecond: 0}, sentBefore)
-	assert.Equal(t, s.routers[1].table.limited(), 1)
+	assert.Equal(t, s.routers[1].table.limited.Load(), int64(1))
 	s.clock.Advance(time.Second)
 	s.routers[0].Learn(s.start, 40, s.clock.Now())
 	perSecond, _ := s.routers[0].table.limit(s.start)
@@ -270,7 +270,7 @@
 	assert.Equal(t, s.routers[0].Closed(s.start), time.Duration(0), "nothing is closed without a limit")
 	s.run(2*gossipDelay, time.Hour)
 	for _, r := range s.routers {
-		assert.Equal(t, r.table.limited(), 0)
+		assert.Equal(t, r.table.limited.Load(), int64(0))
 	}
 	again := Start{Endpoint: s.start.Endpoint, StartedMs: 2}
 	s.routers[0].Learn(s.start, 1.5, s.clock.Now())
@@ -280,6 +280,7 @@
 		s.routers[0].Prune()
 	}
 	assert.Equal(t, len(s.routers[0].table.states), 0)
+	assert.Assert(t, s.routers[0].None())
 }
 
 // TestStatementsThatAreNoLimits guards against a peer that tells what is no limit.
@@ -287,7 +288,7 @@
 	s := newSimulation(1, 0, 1)
 	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1), 1e300} {
 		s.routers[0].Receive(Statement{Start: s.start, PerSecond: perSecond}, s.clock.Now())
-		assert.Equal(t, s.routers[0].table.limited(), 0, "%g", perSecond)
+		assert.Equal(t, s.routers[0].table.limited.Load(), int64(0), "%g", perSecond)
 	}
 	for i := range 2 * maxStates {
 		s.routers[0].Receive(Statement{Start: Start{Endpoint: fmt.Sprint("i-", i)}, PerSecond: 1}, s.clock.Now())
--- a/internal/endpointlimit/table.go
+++ b/internal/endpointlimit/table.go
@@ -10,6 +10,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,29 +52,18 @@
 	clock clock.Clock
 	log   *slog.Logger
 
+	limited atomic.Int64 // endpoints with a limit
+
 	mu     sync.Mutex // guards states
 	states map[Start]*known
 }
 
 func newTable(c clock.Clock, log *slog.Logger, set *metrics.Set) *table {
 	t := &table{clock: c, log: log, states: make(map[Start]*known)}
-	set.NewGauge("daisyslip_endpoints_with_limit", func() float64 { return float64(t.limited()) })
+	set.NewGauge("daisyslip_endpoints_with_limit", func() float64 { return float64(t.limited.Load()) })
 	return t
 }
 
-// limited returns the number of endpoints with a limit.
-func (t *table) limited() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, k := range t.states {
-		if k.perSecond > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // update applies a statement made at the given time. It reports whether the limit has
 // changed. An older statement than the known one is ignored.
 func (t *table) update(s Statement, at time.Time, source string) bool {
@@ -95,10 +85,21 @@
 	if before == s.PerSecond {
 		return false
 	}
+	t.countLocked(before, s.PerSecond)
 	t.log.Info("rate limit of an endpoint changed", "endpoint", s.Endpoint, "per_second", s.PerSecond, "before", before, "source", source)
 	return true
 }
 
+// countLocked updates the number of endpoints with a limit after one has changed.
+func (t *table) countLocked(before, after float64) {
+	if before > 0 {
+		t.limited.Add(-1)
+	}
+	if after > 0 {
+		t.limited.Add(1)
+	}
+}
+
 // limit returns the limit of an endpoint and when it was stated, or 0.
 func (t *table) limit(s Start) (perSecond float64, at time.Time) {
 	t.mu.Lock()
@@ -117,6 +118,7 @@
 	defer t.mu.Unlock()
 	for s, k := range t.states {
 		if t.clock.Now().Sub(k.lastUsed) > retention {
+			t.countLocked(k.perSecond, 0)
 			delete(t.states, s)
 		}
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -220,7 +220,11 @@
 // openEndpoints returns the endpoints of the pool that may get a request now. If some are
 // closed by their rate limits, opensIn is the time until the first of them opens, else 0.
 func (q *request) openEndpoints() (open []endpoints.Endpoint, opensIn time.Duration) {
-	for _, e := range q.handler.deps.Endpoints.Usable(q.pool) {
+	usable := q.handler.deps.Endpoints.Usable(q.pool)
+	if q.handler.deps.Limits.None() {
+		return usable, 0
+	}
+	for _, e := range usable {
 		closedFor := q.handler.deps.Limits.Closed(startOf(e))
 		if closedFor == 0 {
 			open = append(open, e)
