--- a/internal/cli/experiment_site.go
+++ b/internal/cli/experiment_site.go
@@ -29,7 +29,7 @@
 limit. It prints how many crashes there were, how many sound requests were served and
 what the limited endpoints received, and with --dir also writes the counts of each
 second as JSON and as a plot.`,
-		Example: "  daisyslip experiment site scenarios/crashing-segment.json --dir out",
+		Example: "  daisyslip experiment site scenarios/site/crashing-segment.json --dir out",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			scenario, err := experiment.Read(args[0])
