--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -48,11 +48,10 @@
 			if err != nil {
 				return &usageError{err: err}
 			}
-			log, err := logs.New(cmd.ErrOrStderr(), level, "text")
+			ctx, stop, log, err := startExperiment(cmd, level)
 			if err != nil {
-				return &usageError{err: err}
+				return err
 			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			report, err := a.runExperiment(ctx, cmd, scenario, log)
 			if err != nil || dir == "" {
@@ -67,6 +66,17 @@
 	return cmd
 }
 
+// startExperiment returns the log of an experiment, and a context that SIGTERM, SIGINT
+// and the returned function end.
+func startExperiment(cmd *cobra.Command, level string) (context.Context, context.CancelFunc, *slog.Logger, error) {
+	log, err := logs.New(cmd.ErrOrStderr(), level, "text")
+	if err != nil {
+		return nil, nil, nil, &usageError{err: err}
+	}
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	return ctx, stop, log, nil
+}
+
 // runExperiment runs a scenario and prints its report. The phases are announced
 // on standard error.
 func (a *app) runExperiment(ctx context.Context, cmd *cobra.Command, s experiment.Scenario, log *slog.Logger) (experiment.Report, error) {
--- a/internal/cli/experiment_site.go
+++ b/internal/cli/experiment_site.go
@@ -6,13 +6,10 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
-	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/platform/experiment"
 )
 
@@ -36,11 +33,10 @@
 			if err != nil {
 				return &usageError{err: err}
 			}
-			log, err := logs.New(cmd.ErrOrStderr(), level, "text")
+			ctx, stop, log, err := startExperiment(cmd, level)
 			if err != nil {
-				return &usageError{err: err}
+				return err
 			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			report, err := experiment.Run(ctx, scenario, log)
 			if err != nil {
