--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,15 +21,16 @@
 // runningDirectory is a directory that runs until stop is called.
 type runningDirectory struct {
 	*Directory
-	stop   func()
-	secret string
+	stop func()
+	// secret holds the secret of the peer link, which Run's goroutine stores.
+	secret atomic.Value
 }
 
 // start runs a directory of a new process on a VM.
 func start(store rowstore.Store, vm, incarnation string) *runningDirectory {
 	r := &runningDirectory{}
 	self := prepaid.Member{ID: bus.ID{VM: vm, Incarnation: incarnation}, Domain: "zone-a", Weight: 1}
-	r.Directory = New(self, store, clock.Real{}, slog.New(slog.DiscardHandler), func(secret string) { r.secret = secret })
+	r.Directory = New(self, store, clock.Real{}, slog.New(slog.DiscardHandler), func(secret string) { r.secret.Store(secret) })
 	r.SetAddr("10.0.0.1:7201")
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -64,7 +66,8 @@
 		time.Sleep(2 * time.Second)
 		for _, d := range fleet {
 			assert.DeepEqual(t, availableVMs(d), []string{"vm-0/1", "vm-1/1", "vm-2/1"})
-			assert.Assert(t, d.secret != "" && d.secret == fleet[0].secret)
+			secret, known := d.secret.Load().(string)
+			assert.Assert(t, known && secret != "" && secret == fleet[0].secret.Load())
 			assert.Assert(t, d.Synced())
 			assert.Equal(t, d.Count(), 3)
 		}
