Split the long files and keep the site experiment out of platform

The site experiment decides on load and counts, so it moves to internal/siteexperiment; the headers of its requests are set by platform/standin. A stale comment in a test is corrected.

--- a/internal/cli/experiment_site.go
+++ b/internal/cli/experiment_site.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"daisyslip.dev/daisyslip/platform/experiment"
+	"daisyslip.dev/daisyslip/internal/siteexperiment"
 )
 
 // plotSVGFile is the name of the plot of a site's experiment in its directory.
@@ -29,7 +29,7 @@
 		Example: "  daisyslip experiment site scenarios/site/crashing-segment.json --dir out",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			scenario, err := experiment.Read(args[0])
+			scenario, err := siteexperiment.Read(args[0])
 			if err != nil {
 				return &usageError{err: err}
 			}
@@ -38,7 +38,7 @@
 				return err
 			}
 			defer stop()
-			report, err := experiment.Run(ctx, scenario, log)
+			report, err := siteexperiment.Run(ctx, scenario, log)
 			if err != nil {
 				return err
 			}
@@ -60,7 +60,7 @@
 
 // writeSiteReport writes the report to dir as Markdown, as JSON and as a plot. It
 // creates dir if it is missing.
-func writeSiteReport(dir string, r experiment.Report) error {
+func writeSiteReport(dir string, r siteexperiment.Report) error {
 	if err := os.MkdirAll(dir, reportDirMode); err != nil {
 		return fmt.Errorf("write report: %w", err)
 	}
--- a/internal/endpointlimit/limits_test.go
+++ b/internal/endpointlimit/limits_test.go
@@ -33,8 +33,8 @@
 	network *bus.Network
 	ids     []bus.ID
 	routers []*Limits
-	// governors is the list from which each router chooses the governor: the first that
-	// is not suspected by it.
+	// suspected has the members that a router, by its index, does not take for the
+	// governor, which is the first of the others.
 	suspected map[int]map[bus.ID]bool
 	alone     bool // each router keeps to the limit by itself
 	pending   []delivery
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -1,21 +1,17 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
-	"strings"
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
-	"daisyslip.dev/daisyslip/internal/routetable"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
 
@@ -324,145 +320,3 @@
 	}
 	return connectionBroken, placement.Failed, err
 }
-
-// handleResponse forwards a response to the caller, or discards it and returns
-// why it must not be forwarded: the endpoint did not execute the request, or the
-// response is a success that lacks the endpoint's signature or has a content
-// encoding.
-func (q *request) handleResponse(ctx context.Context, e endpoints.Endpoint, response *upstream.Response, metadata exchange.Response) (attemptOutcome, placement.Observation, error) {
-	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
-	switch {
-	case metadata.NotExecuted || metadata.WrongInstance:
-		q.discard(response)
-		if metadata.WrongInstance {
-			q.handler.deps.Endpoints.Remove(e.ID, "another endpoint has its address")
-		}
-		return notExecuted, placement.AtCapacity, fmt.Errorf("endpoint did not run it, status %d", response.Status)
-	case success && (!metadata.Signed || response.Header.Get("Content-Encoding") != ""):
-		response.Abort()
-		return connectionBroken, placement.Failed, errors.New("success that is not the endpoint's own")
-	case success && q.route.Kind == routetable.Streaming && isEventStream(response.Header):
-		return q.forwardStream(ctx, e, response)
-	}
-	return q.forwardBuffered(ctx, response, metadata, success)
-}
-
-// isEventStream reports whether a response with header h is a stream of
-// server-sent events.
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
-// maxDiscardBytes bounds how much of a response that is not forwarded is read, so
-// that its connection can be reused. Connections of longer responses are closed.
-const maxDiscardBytes = 16 << 10
-
-// discard ends an exchange whose response is not forwarded.
-func (q *request) discard(response *upstream.Response) {
-	if _, err := io.CopyN(io.Discard, response, maxDiscardBytes); errors.Is(err, io.EOF) {
-		response.Finish()
-		return
-	}
-	response.Abort()
-}
-
-// maxBufferedBytes is the size up to which a response is read completely before
-// its first byte is forwarded, so that a response that breaks off can still be
-// replaced by that of another endpoint.
-const maxBufferedBytes = 256 << 10
-
-// forwardBuffered reads a response completely and forwards it if it is a success.
-// A failure is kept in q.lastFailure instead. A success of maxBufferedBytes or more
-// is forwarded while it is read.
-func (q *request) forwardBuffered(ctx context.Context, response *upstream.Response, metadata exchange.Response, success bool) (attemptOutcome, placement.Observation, error) {
-	if err := response.SetReadDeadline(q.deadline.Add(responseGrace)); err != nil {
-		response.Abort()
-		return q.classifyIncomplete(ctx, fmt.Errorf("%w: %w", upstream.ErrBroken, err))
-	}
-	var body bytes.Buffer
-	n, err := io.CopyN(&body, response, maxBufferedBytes)
-	if err != nil && !errors.Is(err, io.EOF) {
-		response.Abort()
-		return q.classifyIncomplete(ctx, err)
-	}
-	if !success {
-		response.Finish()
-		q.lastFailure = &bufferedFailure{status: response.Status, header: response.Header, body: body.Bytes(), signed: metadata.Signed}
-		return failed, placement.Failed, fmt.Errorf("endpoint responded with status %d", response.Status)
-	}
-	q.firstByteAt = q.handler.deps.Clock.Now()
-	if n < maxBufferedBytes {
-		response.Finish()
-		q.writeResponse(response.Status, response.Header, body.Bytes(), body.Len())
-		return completed, placement.Succeeded, nil
-	}
-	return q.forwardRemaining(ctx, response, body.Bytes())
-}
-
-// forwardRemaining forwards a response that is too large to be buffered. Prefix
-// is the part of the body that was already read.
-func (q *request) forwardRemaining(ctx context.Context, response *upstream.Response, prefix []byte) (attemptOutcome, placement.Observation, error) {
-	q.stream.headForwarded = true
-	q.writeResponse(response.Status, response.Header, prefix, int(response.Length))
-	if _, err := io.Copy(q.writer, response); err != nil {
-		response.Abort()
-		return q.classifyIncomplete(ctx, err)
-	}
-	response.Finish()
-	return completed, placement.Succeeded, nil
-}
-
-// writeResponse writes the head of an endpoint's response and the start of its
-// body to the caller. The length is that of the complete body, or negative if it
-// is unknown.
-func (q *request) writeResponse(status int, h http.Header, body []byte, length int) {
-	q.status = status
-	header := q.writer.Header()
-	for name, values := range q.handler.deps.Codec.ResponseHeader(h) {
-		header[name] = values
-	}
-	header.Del("Content-Length")
-	if header.Get("Content-Type") == "" {
-		header["Content-Type"] = nil // otherwise net/http detects one from the body
-	}
-	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
-		header.Set("Content-Length", fmt.Sprint(length))
-	}
-	q.writer.WriteHeader(status)
-	if len(body) == 0 {
-		return
-	}
-	if _, err := q.writer.Write(body); err != nil {
-		q.disconnected = true
-	}
-}
-
-// bufferedFailure is a failure response of an endpoint, kept in case no later
-// attempt is made or succeeds.
-type bufferedFailure struct {
-	status int
-	header http.Header
-	body   []byte
-	signed bool
-}
-
-// impliesNotExecuted reports whether a caller may conclude from a status that the
-// request was not executed.
-func impliesNotExecuted(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// forwardFailure forwards an endpoint's failure response. A response that is
-// unsigned, or whose status implies that the request was not executed although
-// the endpoint did not declare that, is replaced by status 502.
-func (q *request) forwardFailure(failure *bufferedFailure) {
-	if impliesNotExecuted(failure.status) || !failure.signed {
-		q.writeRefusal(refuseOutcomeUnknown(http.StatusBadGateway, fmt.Errorf("endpoint answered %d", failure.status)))
-		return
-	}
-	q.writeResponse(failure.status, failure.header, failure.body, len(failure.body))
-}
--- a/platform/experiment/report.go
+++ b/internal/siteexperiment/report.go
@@ -1,4 +1,4 @@
-package experiment
+package siteexperiment
 
 import (
 	"fmt"
--- a/platform/experiment/run.go
+++ b/internal/siteexperiment/run.go
@@ -1,4 +1,4 @@
-package experiment
+package siteexperiment
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"daisyslip.dev/daisyslip/platform/standin"
 )
 
 // Report contains what endpoints and callers saw.
@@ -156,12 +158,7 @@
 		panic(err) // the URL is valid
 	}
 	request.Host = host
-	for name, value := range map[string]string{
-		"X-Daisyslip-Attempt-Id": id, "X-Daisyslip-Deadline-Ms": "5000", "X-Daisyslip-Credential": apiKey,
-		"X-Daisyslip-Model": "m", "X-Daisyslip-Token-Usage": "500,50", "X-Daisyslip-Prefix-Hash": prompt,
-	} {
-		request.Header.Set(name, value)
-	}
+	standin.SetCallerHeaders(request.Header, id, apiKey, prompt)
 	response, err := r.client.Do(request)
 	if err != nil {
 		return result{}
@@ -207,7 +204,7 @@
 		var received []time.Time
 		for _, x := range e.Executions() {
 			received = append(received, x.ReceivedAt)
-			if len(f.crashes) >= 5 && strings.Contains(x.Header.Get("X-Daisyslip-Prefix-Hash"), crashSegment+":") && x.ReceivedAt.Sub(f.crashes[4]) > contactTime {
+			if len(f.crashes) >= 5 && strings.Contains(x.Prompt(), crashSegment+":") && x.ReceivedAt.Sub(f.crashes[4]) > contactTime {
 				report.LateCrashRequests++
 			}
 		}
--- a/platform/experiment/scenario.go
+++ b/internal/siteexperiment/scenario.go
@@ -1,7 +1,7 @@
-// Package experiment runs several routers on a stand-in of the users' platform, has
+// Package siteexperiment runs several routers on a stand-in of the users' platform, has
 // prompts crash endpoints and endpoints state rate limits, and counts what endpoints
 // and callers see of it.
-package experiment
+package siteexperiment
 
 import (
 	"fmt"
