Carry the store's era through the row store port

A store can come back from a copy without its newest writes, also acknowledged ones. It then gives the versions of the lost writes out again, so that nothing in the port told a row of before from one of after. No user of the store acts on the era yet. storehttp.Client.Call returns the header of a response, so its tests read a struct now; what they check is the same.

--- a/coord/rowstore/memory/memory.go
+++ b/coord/rowstore/memory/memory.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -37,6 +38,7 @@
 // Store is a rowstore.Store in memory.
 type Store struct {
 	mu               sync.Mutex // guards all fields below
+	era              int64
 	version          int64
 	compactedVersion int64 // history has all changes after this version
 	rows             map[rowstore.Key]rowstore.Row
@@ -52,7 +54,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: make(map[rowstore.Key]rowstore.Row), started: time.Now(), changed: make(chan struct{})}
+	return &Store{era: 1, rows: make(map[rowstore.Key]rowstore.Row), started: time.Now(), changed: make(chan struct{})}
 }
 
 // SetFaults replaces the injected faults.
@@ -82,6 +84,39 @@
 	s.compactedVersion, s.history = s.version, nil
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	version, compactedVersion int64
+	rows                      map[rowstore.Key]rowstore.Row
+	history                   []rowstore.Row
+}
+
+// Copy returns the present content of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{version: s.version, compactedVersion: s.compactedVersion, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
+}
+
+// Restore replaces the content by a copy and begins a new era: all later writes are
+// lost, and their versions are given out again. Waiting feeds continue.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.compactedVersion = c.version, c.compactedVersion
+	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Era implements rowstore.Store.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // ApplyDeferred applies the transactions that DeferCommits kept, each if its
 // expectations hold now, and returns how many were applied.
 func (s *Store) ApplyDeferred() int {
@@ -138,13 +173,13 @@
 		s.faults.LoseResponses--
 		return rowstore.Result{}, fmt.Errorf("commit: %w", rowstore.ErrUnknown)
 	}
-	return rowstore.Result{Version: s.version, Now: time.Since(s.started)}, nil
+	return rowstore.Result{Version: s.version, Now: time.Since(s.started), Era: s.era}, nil
 }
 
 // conflictLocked returns a *rowstore.ConflictError if an expectation of tx does not
 // hold, and nil otherwise.
 func (s *Store) conflictLocked(tx rowstore.Tx) error {
-	conflict := &rowstore.ConflictError{}
+	conflict := &rowstore.ConflictError{Era: s.era}
 	failed := false
 	for _, e := range tx.Expect {
 		row, found := s.rows[e.Key]
@@ -184,7 +219,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	snap := rowstore.Snapshot{Version: s.version, Now: time.Since(s.started)}
+	snap := rowstore.Snapshot{Version: s.version, Now: time.Since(s.started), Era: s.era}
 	for key, row := range s.rows {
 		if key.Table == table && key.Part == part {
 			snap.Rows = append(snap.Rows, row)
@@ -221,10 +256,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.ChangeReads++
-	if since < s.compactedVersion {
+	if since < s.compactedVersion || since > s.version {
 		return rowstore.Snapshot{}, nil, fmt.Errorf("read changes of %s: %w", table, rowstore.ErrCompacted)
 	}
-	snap := rowstore.Snapshot{Version: s.version, Now: time.Since(s.started)}
+	snap := rowstore.Snapshot{Version: s.version, Now: time.Since(s.started), Era: s.era}
 	first, _ := slices.BinarySearchFunc(s.history, since+1, func(row rowstore.Row, version int64) int { return cmp.Compare(row.Version, version) })
 	for _, row := range s.history[first:] {
 		if row.Key.Table == table {
--- a/coord/rowstore/rowstore.go
+++ b/coord/rowstore/rowstore.go
@@ -3,6 +3,10 @@
 //
 // Writes carry no operation id. After a lost response, a writer learns whether the
 // write was applied by reading a row that only it writes.
+//
+// A store can come back from a copy that lacks the newest writes, also those that it
+// has acknowledged. It then begins a new era. Versions of the lost writes are given
+// out again, so a version is comparable only to others of its era.
 package rowstore
 
 import (
@@ -61,6 +65,8 @@
 	Version int64
 	// Now is the store's steady clock.
 	Now time.Duration
+	// Era is the era in which the transaction was applied.
+	Era int64
 }
 
 // Snapshot is a set of rows as of one moment.
@@ -72,6 +78,8 @@
 	Version int64
 	// Now is the store's steady clock at that moment.
 	Now time.Duration
+	// Era is the era of the store at that moment.
+	Era int64
 }
 
 // Store is a transactional store. Implementations are safe for concurrent use.
@@ -87,9 +95,14 @@
 	Read(ctx context.Context, table, part string) (Snapshot, error)
 	// Changes returns the rows of a table, in all its partitions, that changed
 	// after the version since. It returns as soon as there is one, or without rows
-	// once wait has passed. ErrCompacted says that the history since then is no
-	// longer kept.
+	// once wait has passed. ErrCompacted says that the history since then is not
+	// kept, or that the store does not have that version. A caller whose version is
+	// from an era before that of the snapshot must read the table again, since the
+	// snapshot can lack changes.
 	Changes(ctx context.Context, table string, since int64, wait time.Duration) (Snapshot, error)
+	// Era returns the newest era that a response of the store carried, or 0 before
+	// the first response. Responses to concurrent calls may be from an earlier era.
+	Era() int64
 }
 
 // Errors of stores.
@@ -99,7 +112,7 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrUnknown: the response was lost, so the outcome is unknown.
 	ErrUnknown = errors.New("answer of the store lost")
-	// ErrCompacted: the requested history is no longer kept.
+	// ErrCompacted: the requested history is not kept.
 	ErrCompacted = errors.New("history no longer kept")
 	// ErrInvalid: the store does not accept the call; a retry does not help.
 	ErrInvalid = errors.New("invalid call")
@@ -110,6 +123,8 @@
 type ConflictError struct {
 	// Rows are the current rows of all expectations; absent ones have version 0.
 	Rows []Row
+	// Era is the era of the store that returned the rows.
+	Era int64
 }
 
 // Error returns a message with the number of expectations.
--- a/internal/storehttp/storehttp.go
+++ b/internal/storehttp/storehttp.go
@@ -52,15 +52,21 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
-// Call makes one call, with a JSON body unless body is nil, and returns the status
-// and the body of the response. A status other than 200 is not an error. The error
+// Response is the response to a call.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call makes one call, with a JSON body unless body is nil. A status other than 200 is not an error. The error
 // wraps rowstore.ErrUnavailable if the call was not sent, rowstore.ErrInvalid if no
 // request can be built from the arguments, and rowstore.ErrUnknown otherwise, when the
 // call may have taken effect. A call with a body is never sent a second time.
-func (c *Client) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (c *Client) Call(ctx context.Context, method, path string, body []byte) (Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", rowstore.ErrInvalid, err)
+		return Response{}, fmt.Errorf("%w: %w", rowstore.ErrInvalid, err)
 	}
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
@@ -70,14 +76,14 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return 0, nil, classifyTransportError(err)
+		return Response{}, classifyTransportError(err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", rowstore.ErrUnknown, err)
+		return Response{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, err)
 	}
-	return response.StatusCode, data, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
 // classifyTransportError wraps err with rowstore.ErrUnavailable if dialing failed, so
--- a/internal/storehttp/storehttp_test.go
+++ b/internal/storehttp/storehttp_test.go
@@ -25,7 +25,7 @@
 	assert.NilError(t, listener.Close())
 	c := storehttp.NewClient(addr)
 	defer c.Close()
-	_, _, err = c.Call(context.Background(), http.MethodPost, "/tx", []byte("{}"))
+	_, err = c.Call(context.Background(), http.MethodPost, "/tx", []byte("{}"))
 	assert.ErrorIs(t, err, rowstore.ErrUnavailable)
 }
 
@@ -45,10 +45,10 @@
 	defer server.Close()
 	c := storehttp.NewClient(server.Listener.Addr().String())
 	defer c.Close()
-	status, _, err := c.Call(context.Background(), http.MethodPost, "/tx", []byte(`"keep"`))
+	response, err := c.Call(context.Background(), http.MethodPost, "/tx", []byte(`"keep"`))
 	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusOK)
-	_, _, err = c.Call(context.Background(), http.MethodPost, "/tx", []byte(`"lose"`))
+	assert.Equal(t, response.Status, http.StatusOK)
+	_, err = c.Call(context.Background(), http.MethodPost, "/tx", []byte(`"lose"`))
 	assert.ErrorIs(t, err, rowstore.ErrUnknown)
 	assert.Equal(t, calls.Load(), int64(2))
 }
@@ -63,6 +63,6 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, _, err = c.Call(ctx, http.MethodGet, "/rows", nil)
+	_, err = c.Call(ctx, http.MethodGet, "/rows", nil)
 	assert.ErrorIs(t, err, rowstore.ErrUnknown)
 }
