Tell apart why a request ended without a response

Four causes left the same line or none: a caller that disconnects, a write to it that times out and a connection that is closed at the end of a drain all logged 'caller gone', and a panic of the handler was recovered by net/http, which closes the connection and logs at the debug level without the request's id. Each has an outcome of its own now, and a panic is logged with the request and its stack. The caller of that request gets 502 instead of a closed connection as long as no head was written.

TestPanicEndsWithoutResponse failed before: the panic left ServeHTTP.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,6 +206,7 @@
 // Cleanup closes the listeners and the connections to endpoints. It may be called
 // more than once.
 func (g *Gateway) Cleanup() error {
+	g.handler.CutOff()
 	g.handler.Close()
 	g.upstream.Close()
 	if g.link != nil {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -124,7 +124,7 @@
 		return
 	}
 	if _, err := q.writer.Write(body); err != nil {
-		q.disconnected = true
+		q.writeFailed(err)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -75,6 +78,7 @@
 	deps     Dependencies
 	inFlight atomic.Int64          // requests that are being handled
 	drain    atomic.Pointer[drain] // nil until Drain is called
+	cutOff   atomic.Bool           // set by CutOff
 	stats    stats
 	ends     *endChecker
 }
@@ -89,6 +93,10 @@
 // started.
 func (h *Handler) Close() { h.ends.close() }
 
+// CutOff records that connections of callers are closed from now on, so that requests
+// that end thereby are not taken for those of callers that have disconnected.
+func (h *Handler) CutOff() { h.cutOff.Store(true) }
+
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -125,13 +133,7 @@
 	q := &request{handler: h, writer: w, httpRequest: r, startedAt: h.deps.Clock.Now()}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	refused := q.admit(inFlight)
-	if refused == nil {
-		refused = q.serve(ctx)
-	}
-	if refused != nil {
-		q.writeRefusal(refused)
-	}
+	refused := q.answer(ctx, inFlight)
 	q.logEnd(refused)
 	if q.truncated || q.disconnected {
 		// This panic is the only way to truncate a response so that the caller
@@ -141,6 +143,34 @@
 	}
 }
 
+// answer serves the request and writes its refusal, if any, which it returns. A panic ends
+// only this request, like an attempt whose outcome is unknown.
+func (q *request) answer(ctx context.Context, inFlight int64) (refused *refusal) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		q.handler.deps.Log.Error("request handler panicked", "request", q.params.ID, "endpoint", q.endpointID, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		if q.status != 0 {
+			q.truncated = true
+			return
+		}
+		refused = refuseOutcomeUnknown(http.StatusBadGateway, errHandlerPanicked)
+		q.writeRefusal(refused)
+	}()
+	if refused = q.admit(inFlight); refused == nil {
+		refused = q.serve(ctx)
+	}
+	if refused != nil {
+		q.writeRefusal(refused)
+	}
+	return refused
+}
+
+// errHandlerPanicked is told to the caller of a request whose handler panicked.
+var errHandlerPanicked = errors.New("internal error of the router")
+
 // stats are the counters and histograms of a Handler. Histograms are in seconds.
 type stats struct {
 	set                 *metrics.Set
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -152,6 +152,15 @@
 	header.Set("Content-Type", "application/json")
 	q.writer.WriteHeader(r.status)
 	if _, err := q.writer.Write(body); err != nil {
-		q.disconnected = true // logged by logEnd
+		q.writeFailed(err)
+	}
+}
+
+// writeFailed records that a write to the caller failed. The connection is of no use any
+// more.
+func (q *request) writeFailed(err error) {
+	q.disconnected = true
+	if q.writeErr == nil {
+		q.writeErr = err
 	}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -51,6 +52,7 @@
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
 	truncated            bool             // the response is incomplete, and the caller must notice
 	disconnected         bool             // the caller has disconnected
+	writeErr             error            // of the first write to the caller that failed
 	billedTokens         int64
 	firstByteAt          time.Time // start of forwarding a successful response; zero before
 }
@@ -205,6 +207,10 @@
 	h := q.handler
 	level, outcome := slog.LevelInfo, "answered"
 	switch {
+	case q.disconnected && h.cutOff.Load():
+		level, outcome = slog.LevelWarn, "cut off"
+	case errors.Is(q.writeErr, os.ErrDeadlineExceeded):
+		level, outcome = slog.LevelWarn, "caller not reading"
 	case q.disconnected:
 		outcome = "caller gone"
 		h.stats.callersDisconnected.Inc()
@@ -238,6 +244,9 @@
 		h.stats.firstByte.Update(q.firstByteAt.Sub(q.startedAt).Seconds())
 		h.stats.responseTime.Update(now.Sub(q.startedAt).Seconds())
 	}
+	if q.writeErr != nil {
+		attrs = append(attrs, slog.String("write_err", q.writeErr.Error()))
+	}
 	if refused != nil {
 		attrs = append(attrs, slog.String("reason", refused.reason), slog.Int64("retry_after_ms", refused.retryAfter.Milliseconds()))
 		if refused.code == string(failure.Quarantined) {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -205,9 +205,11 @@
 		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
 	}
 	if _, err := q.writer.Write(ready); err != nil {
+		q.writeFailed(err)
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
 	if err := http.NewResponseController(q.writer).Flush(); err != nil {
+		q.writeFailed(err)
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
 	return nil
