--- a/coord/rowstore/memory/memory.go
+++ b/coord/rowstore/memory/memory.go
@@ -39,6 +39,7 @@
 type Store struct {
 	mu               sync.Mutex // guards all fields below
 	era              int64
+	eras             rowstore.Eras // has a lock of its own
 	version          int64
 	compactedVersion int64 // history has all changes after this version
 	rows             map[rowstore.Key]rowstore.Row
@@ -54,7 +55,9 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{era: 1, rows: make(map[rowstore.Key]rowstore.Row), started: time.Now(), changed: make(chan struct{})}
+	s := &Store{era: 1, rows: make(map[rowstore.Key]rowstore.Row), started: time.Now(), changed: make(chan struct{})}
+	s.eras.Observe(s.era)
+	return s
 }
 
 // SetFaults replaces the injected faults.
@@ -108,14 +111,14 @@
 	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
 	close(s.changed)
 	s.changed = make(chan struct{})
+	s.eras.Observe(s.era)
 }
 
-// Era implements rowstore.Store.
-func (s *Store) Era() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era
-}
+// Era implements rowstore.Store. All users of the store see a new era at once.
+func (s *Store) Era() int64 { return s.eras.Newest() }
+
+// EraEnded implements rowstore.Store.
+func (s *Store) EraEnded(era int64) <-chan struct{} { return s.eras.Ended(era) }
 
 // ApplyDeferred applies the transactions that DeferCommits kept, each if its
 // expectations hold now, and returns how many were applied.
--- a/coord/rowstore/rowstore.go
+++ b/coord/rowstore/rowstore.go
@@ -103,6 +103,10 @@
 	// Era returns the newest era that a response of the store carried, or 0 before
 	// the first response. Responses to concurrent calls may be from an earlier era.
 	Era() int64
+	// EraEnded returns a channel that is closed once a response has carried a later
+	// era than the given one. Whoever relies on what the store held in that era
+	// waits for it.
+	EraEnded(era int64) <-chan struct{}
 }
 
 // Errors of stores.
