Apply a configuration whose version was given out again

What callers see: a route or key that was confirmed after the store came back from a copy is not served, and one that the store has lost stays in force, until a later version.

Cause: a table was applied only if its revision was higher. A revision is taken for the content, which holds in one era only: the operator writes again, and the number can be the one of a write that was lost.

Evidence: TestSameVersionWithOtherContentIsApplied (real router, stand-in store that is restored) waits its 10 s in vain on the code before; with the change the new content is in force at once. TestConfigurationFollowsRestoredStore shows that what is applied stays when the store comes back older, and passes on the code before, too.

Change: a table carries a digest of the document. Current.Apply, formerly StoreIfNewer, also applies other content of the applied revision: what the store holds wins, so that all routers agree with it, those that started in the new era included. A lower revision is never applied. Weighed against it: remembering replaced content and refusing it later keeps a router on lost content for good after two restores.

go test ./internal/routetable ./internal/gateway ./platform, go test -race ./platform/pathtest -run 'Restored|SameVersion|Config': ok.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -64,17 +64,21 @@
 }
 
 // applyConfig applies the configuration in row. A configuration that can't be
-// decoded, or that isn't newer than the applied one, is logged and ignored.
+// decoded, or that Apply refuses, is logged and ignored.
 func (g *Gateway) applyConfig(row rowstore.Row) {
 	table, err := g.platform.DecodeConfig(row.Value)
 	if err != nil {
 		g.log.Error("configuration cannot be decoded, the previous one stays applied", "row_version", row.Version, "err", err)
 		return
 	}
-	if !g.tables.StoreIfNewer(table) {
-		g.log.Info("configuration ignored, it is not newer than the applied one", "config", table.Revision, "row_version", row.Version)
+	old := g.ConfigRevision()
+	if !g.tables.Apply(table) {
+		g.log.Info("configuration ignored, it is not newer than the applied one", "config", table.Revision, "applied", old, "row_version", row.Version)
 		return
 	}
+	if table.Revision == old {
+		g.log.Warn("configuration has the revision of the applied one and other content", "config", table.Revision, "row_version", row.Version)
+	}
 	g.log.Info("configuration applied", "config", table.Revision, "row_version", row.Version, "routes", table.RouteCount())
 	g.prepaid.LimitsChanged()
 	g.prepaid.SetWorkspaces(table.PrepaidWorkspaces())
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -118,7 +118,9 @@
 // Table is one revision of the configuration. It is immutable.
 type Table struct {
 	// Revision increases with each change of the configuration.
-	Revision     int64
+	Revision int64
+	// Digest tells tables of the same revision with other content apart.
+	Digest       uint64
 	Limits       Limits
 	Pools        map[string]Pool
 	workspaces   map[string]*Workspace // by name
