Keep endpoints that are absent from a restored store for the grace period

What callers see: 503, or waits at the few endpoints left, after the store came back from a copy: endpoints that registered in the lost seconds get no requests until their next heartbeat, up to 1.2 s later.

Cause: a missing entry is taken for an endpoint that left, except within RecoveryGrace of the end of an outage. An outage was noticed only by a failed read of the list, of which there are one or two a second: a store that is away for less, or for a moment between two reads, comes back without entries of live endpoints and without the grace.

Change: the list is marked as restored when its watcher reports a new era, which starts the grace as the end of an outage does. An entry removed after that time takes effect at once.

go test -race -short ./internal/gateway ./internal/endpoints: ok.

--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -35,8 +35,8 @@
 	Sequence int64
 }
 
-// RecoveryGrace is how long after the store became available again a removed
-// entry may still reappear. The platform guarantees 2 s.
+// RecoveryGrace is how long after the store became available again, or came back from
+// a copy, a removed entry may still reappear. The platform guarantees 2 s.
 const RecoveryGrace = 2 * time.Second
 
 // entry is the latest state of one endpoint id.
@@ -70,7 +70,7 @@
 	mu      sync.Mutex // guards all below
 	entries map[string]*entry
 	// listUnreadable is set while the list cannot be read. listReadableSince is
-	// when it last became readable again; zero if it never was unreadable.
+	// when it last became readable again or was restored; zero if neither happened.
 	listUnreadable    bool
 	listReadableSince time.Time
 }
@@ -147,6 +147,14 @@
 	}
 }
 
+// MarkListRestored records that the list came back from a copy, in which entries of live
+// endpoints can be missing or older than known.
+func (r *Registry) MarkListRestored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listUnreadable, r.listReadableSince = false, r.clock.Now()
+}
+
 // Set adds or updates an entry, unless the known entry is newer. An endpoint that
 // is leaving stays so until it restarts.
 func (r *Registry) Set(e Endpoint) {
@@ -193,9 +201,10 @@
 }
 
 // Remove records that an entry was removed from the list. If the list became
-// readable again less than RecoveryGrace ago, the endpoint stays usable until that
-// time has passed, since entries of live endpoints vanish while the store is
-// unavailable and reappear afterwards. Reason is only logged.
+// readable again or was restored less than RecoveryGrace ago, the endpoint stays usable
+// until that time has passed, since entries of live endpoints vanish while the store is
+// unavailable, are absent from a copy of it, and reappear afterwards. Reason is only
+// logged.
 func (r *Registry) Remove(id, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -89,6 +89,7 @@
 func (g *Gateway) watchEndpoints(ctx context.Context) {
 	watcher := g.newWatcher(g.platform.EndpointTable, 0)
 	watcher.OnDisconnect, watcher.OnRead = g.endpoints.MarkListUnreadable, g.endpoints.MarkListRead
+	watcher.OnNewEra = func(int64, int64) { g.endpoints.MarkListRestored() }
 	watcher.OnSnapshot = func(rows []rowstore.Row) {
 		var list []endpoints.Endpoint
 		for _, row := range rows {
