Keep the fleet's members when a restored store lists older ones

What callers see: after the store came back from a copy, a router that started in the lost seconds can't be asked for tokens or permits by its peers, nor report to them, until it has written its row again and they have read it; requests fall back on other lenders or get 503. Peers take a process that was replaced, or a router that left, for alive, and wait for it in vain.

Cause: the rows of the table are taken for all members, and for the newest incarnation on each VM. Both hold within one era only; a copy is older than what a router knows.

A router whose row is missing or older wrote it again already; a leaving router whose row is back now removes it again.

Not covered: a router that left and has exited stays in the table, as one that was killed does; routers that start later find out by its silence.

go test -race -short -count=5 ./internal/members; ./internal/gateway ./platform/pathtest: ok.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -69,6 +69,8 @@
 	addr           string
 	suspectedUntil time.Time
 	suspicions     int // without a response in between
+	// keptUntil is set while the restored store does not list the member.
+	keptUntil time.Time
 }
 
 // Directory is the list of routers as one of them sees it. It implements
@@ -86,10 +88,14 @@
 	leaving        atomic.Bool
 	// rewrite makes Run write the row of this router again.
 	rewrite chan struct{}
+	// restored is set if the next snapshot is of a restored store. It is used by the
+	// goroutine of the watcher only.
+	restored bool
 
 	mu      sync.Mutex // guards all below; never held during a call to the store
 	self    member
 	members map[string]*member // other routers by VM
+	ended   map[string]string  // incarnation that ended last, by VM
 	// available caches Available until validUntil, when a suspicion ends; nil if it
 	// must be computed.
 	available  []prepaid.Member
@@ -102,7 +108,7 @@
 func New(self prepaid.Member, store rowstore.Store, c clock.Clock, log *slog.Logger, onSecret func(secret string)) *Directory {
 	return &Directory{
 		store: store, clock: c, log: log, onSecret: onSecret, rewrite: make(chan struct{}, 1),
-		self: member{Member: self}, members: make(map[string]*member),
+		self: member{Member: self}, members: make(map[string]*member), ended: make(map[string]string),
 	}
 }
 
@@ -163,10 +169,10 @@
 	}
 }
 
-// writeRow writes the row of this router, unless it is leaving.
+// writeRow writes the row of this router, or removes it if the router is leaving.
 func (d *Directory) writeRow(ctx context.Context) error {
 	if d.leaving.Load() {
-		return nil
+		return d.removeRow(ctx)
 	}
 	d.mu.Lock()
 	value, err := json.Marshal(row{Incarnation: d.self.ID.Incarnation, Domain: d.self.Domain, Addr: d.self.addr, Weight: d.self.Weight})
@@ -194,19 +200,29 @@
 	d.mu.Lock()
 	d.available = nil // this router is no lender any more
 	d.mu.Unlock()
+	if err := d.removeRow(ctx); err != nil {
+		d.log.Info("member row not removed, peers notice the stop by themselves", "err", err.Error())
+	}
+}
+
+// removeRow removes the row of this router.
+func (d *Directory) removeRow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if _, err := d.store.Commit(ctx, rowstore.Tx{Remove: []rowstore.Key{d.key()}}); err != nil {
-		d.log.Info("member row not removed, peers notice the stop by themselves", "err", err.Error())
+		return fmt.Errorf("remove member row: %w", err)
 	}
+	return nil
 }
 
 // watch follows the table until ctx ends.
 func (d *Directory) watch(ctx context.Context) {
 	watcher := rowstore.Watcher{Store: d.store, Table: table, Wait: feedWait, Clock: d.clock, Log: d.log}
 	watcher.OnSnapshot, watcher.OnChange = d.replace, d.update
+	watcher.OnNewEra = func(int64, int64) { d.restored = true }
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
+		d.dropUnlisted()
 		if !d.secretKnown.Load() {
 			d.createSecret(ctx)
 		}
@@ -232,23 +248,18 @@
 	for _, r := range rows {
 		present[r.Key.Name] = true
 	}
-	d.mu.Lock()
-	for vm := range d.members {
-		if !present[rowPrefix+vm] {
-			delete(d.members, vm)
-		}
-	}
-	d.available = nil
-	d.mu.Unlock()
-	if !present[d.key().Name] {
+	d.removeMissing(present)
+	if !present[d.key().Name] && !d.leaving.Load() {
 		d.requestRewrite()
 	}
 	d.update(rows)
+	d.restored = false
 	d.synced.Store(true)
 }
 
 // update applies changed rows. If this router's own row was removed, or an earlier
-// process on its VM has overwritten it, the row is written again.
+// process on its VM has overwritten it, the row is written again. If the row is back
+// although this router is leaving, it is removed again.
 func (d *Directory) update(rows []rowstore.Row) {
 	for _, r := range rows {
 		switch {
@@ -281,17 +292,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if vm == d.self.ID.VM {
-		if r.Removed || decoded.Incarnation != d.self.ID.Incarnation {
+		listed := !r.Removed && decoded.Incarnation == d.self.ID.Incarnation
+		if listed == d.leaving.Load() {
 			d.requestRewrite()
 		}
 		return
 	}
+	if d.restored && !r.Removed && d.ended[vm] == decoded.Incarnation {
+		return // the copy was made before it ended
+	}
 	d.available = nil
-	if r.Removed {
-		delete(d.members, vm)
+	known := d.members[vm]
+	if known != nil && known.ID.Incarnation == decoded.Incarnation {
+		known.keptUntil = time.Time{}
 		return
 	}
-	if known := d.members[vm]; known != nil && known.ID.Incarnation == decoded.Incarnation {
+	if known != nil {
+		d.ended[vm] = known.ID.Incarnation
+	}
+	if r.Removed {
+		delete(d.members, vm)
 		return
 	}
 	d.members[vm] = &member{addr: decoded.Addr, Member: prepaid.Member{
