Write the secret of the peer link again when the store has lost it

What callers see: none while all routers reach the store. After a restore to a copy without the secret, the next router that starts creates another one. All that reach the store take it over, but a router that is cut off from the store can no longer open connections to its peers, just when it needs them for tokens.

Cause: a router that has read the secret once takes it as stored for good.

Evidence: TestFleetKeepsSecretThatStoreLost fails on the code before, the third router and then all have a new secret.

Change: whether the store has the secret follows from its rows. If it has not, a router stores the one that it knows, on the condition that there is none. All routers know the same, so whoever is first writes the same value. Connections stay open while the secret changes; it counts for new ones only.

Not covered: a router that starts before any of the others has seen the new era wins with a secret of its own. The fleet agrees on that one.

go test -race -short -count=5 ./internal/members: ok.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -83,14 +83,19 @@
 	onSecret func(secret string)
 	// onObservations receives the rows with observations.
 	onObservations func(row rowstore.Row)
-	secretKnown    atomic.Bool
 	synced         atomic.Bool
 	leaving        atomic.Bool
 	// rewrite makes Run write the row of this router again.
 	rewrite chan struct{}
-	// restored is set if the next snapshot is of a restored store. It is used by the
-	// goroutine of the watcher only.
+
+	// The goroutine of the watcher uses the following.
+
+	// restored is set if the next snapshot is of a restored store.
 	restored bool
+	// secret is the newest one that was read, and secretStored whether the store has
+	// it.
+	secret       string
+	secretStored bool
 
 	mu      sync.Mutex // guards all below; never held during a call to the store
 	self    member
@@ -223,22 +228,24 @@
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
 		d.dropUnlisted()
-		if !d.secretKnown.Load() {
-			d.createSecret(ctx)
+		if !d.secretStored {
+			d.storeSecret(ctx)
 		}
 		_ = clock.Sleep(ctx, d.clock, feedInterval) // the loop condition checks ctx
 	}
 }
 
-// createSecret stores a new secret of the peer link, unless another router was first.
-func (d *Directory) createSecret(ctx context.Context) {
+// storeSecret stores the secret of the peer link, a new one if none is known, unless
+// another router was first.
+func (d *Directory) storeSecret(ctx context.Context) {
+	secret := cmp.Or(d.secret, uuid.NewString())
 	key := rowstore.Key{Table: table, Name: secretName}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := d.store.Commit(ctx, rowstore.Tx{Expect: []rowstore.Expect{{Key: key}}, Put: []rowstore.Put{{Key: key, Value: []byte(uuid.NewString())}}})
+	_, err := d.store.Commit(ctx, rowstore.Tx{Expect: []rowstore.Expect{{Key: key}}, Put: []rowstore.Put{{Key: key, Value: []byte(secret)}}})
 	var conflict *rowstore.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
-		d.log.Info("secret of the peer link not created, another router's is awaited", "err", err.Error())
+		d.log.Info("secret of the peer link not stored, another router's is awaited", "err", err.Error())
 	}
 }
 
@@ -252,6 +259,7 @@
 	if !present[d.key().Name] && !d.leaving.Load() {
 		d.requestRewrite()
 	}
+	d.secretStored = present[secretName]
 	d.update(rows)
 	d.restored = false
 	d.synced.Store(true)
@@ -264,10 +272,7 @@
 	for _, r := range rows {
 		switch {
 		case r.Key.Name == secretName:
-			if !r.Removed {
-				d.secretKnown.Store(true)
-				d.onSecret(string(r.Value))
-			}
+			d.updateSecret(r)
 		case strings.HasPrefix(r.Key.Name, observationsPrefix):
 			if d.onObservations != nil && !r.Removed {
 				d.onObservations(r)
@@ -280,6 +285,15 @@
 	}
 }
 
+// updateSecret applies the row of the secret.
+func (d *Directory) updateSecret(r rowstore.Row) {
+	d.secretStored = !r.Removed
+	if !r.Removed {
+		d.secret = string(r.Value)
+		d.onSecret(d.secret)
+	}
+}
+
 // updateMember applies the row of one VM.
 func (d *Directory) updateMember(vm string, r rowstore.Row) {
 	var decoded row
