Write observations again that the store has lost

What callers see: prompts that crash endpoints are served again by a router that starts while no other can tell it, after the store came back from a copy.

Cause: a row that was acknowledged once is taken as stored until there is something newer.

Evidence: TestStoredAgainAfterRestore fails on the code before, no row is left after the restore.

Change: the writer keeps the era of its last write. While observations are kept, which are looked at four times a second, a later era makes it write the row again if it was wanted, or if a neighbour still does not respond. The bound of one write a second holds. Acknowledged writes come one after the other, so max() of their arrivals was not needed. Readers merge by number, so an older row is harmless.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -305,6 +305,7 @@
 		n.inFlight = true
 		s.sending.Go(func() { s.send(ctx, id, batch, upTo) })
 	}
+	s.store.forgetLostRowLocked()
 	if unreached || s.store.wanted > s.store.written {
 		s.store.requestLocked(ctx, now)
 	}
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -35,6 +35,7 @@
 type storeWriter struct {
 	spreader  *Spreader
 	written   uint64 // arrival of the newest entry in the row
+	era       int64  // of the store when the row was written
 	wanted    uint64 // arrival of the newest entry that must be in the row
 	writing   bool
 	notBefore time.Time
@@ -49,6 +50,14 @@
 	s.signal()
 }
 
+// forgetLostRowLocked has the row written again if the store came back from a copy after
+// the last write.
+func (w *storeWriter) forgetLostRowLocked() {
+	if store := w.spreader.options.Store; store != nil && store.Era() > w.era {
+		w.written = 0
+	}
+}
+
 // requestLocked starts a write if there are entries that the row lacks and the last
 // write was writeInterval ago.
 func (w *storeWriter) requestLocked(ctx context.Context, now time.Time) {
@@ -84,7 +93,7 @@
 	s := w.spreader
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := s.options.Store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{{Key: s.options.Row, Value: value}}})
+	result, err := s.options.Store.Commit(ctx, rowstore.Tx{Put: []rowstore.Put{{Key: s.options.Row, Value: value}}})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.writing = false
@@ -92,7 +101,7 @@
 		s.options.Log.Info("observations not written to the store, tried again while they are needed", "row", s.options.Row.String(), "err", err.Error())
 		return
 	}
-	w.written = max(w.written, upTo)
+	w.written, w.era = upTo, result.Era
 	s.stats.written.Inc()
 }
 
