--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,7 +222,7 @@
 	componentCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var running sync.WaitGroup
-	for _, runComponent := range []func(context.Context){g.watchConfig, g.watchEndpoints, g.prepaid.Run, g.members.Run, g.gossip.Run, g.quarantine.Run, g.runMaintenance} {
+	for _, runComponent := range []func(context.Context){g.logEras, g.watchConfig, g.watchEndpoints, g.prepaid.Run, g.members.Run, g.gossip.Run, g.quarantine.Run, g.runMaintenance} {
 		running.Go(func() { runComponent(componentCtx) })
 	}
 	serveErrs := make(chan error, 4)
@@ -279,6 +279,7 @@
 func (g *Gateway) registerGauges() {
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
 	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
+	g.metrics.NewGauge("daisyslip_store_era", func() float64 { return float64(g.platform.Store.Era()) })
 	stats, pool := g.prepaid.HolderStats(), g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
 		"local": &pool.Local, "borrowed": &pool.Borrowed, "fallback": &pool.Fallback, "hedged": &pool.Hedged, "lent": &pool.Lent, "abandoned": &pool.Abandoned,
