--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -69,6 +69,8 @@
 	addr           string
 	suspectedUntil time.Time
 	suspicions     int // without a response in between
+	// keptUntil is set while the restored store does not list the member.
+	keptUntil time.Time
 }
 
 // Directory is the list of routers as one of them sees it. It implements
@@ -81,15 +83,24 @@
 	onSecret func(secret string)
 	// onObservations receives the rows with observations.
 	onObservations func(row rowstore.Row)
-	secretKnown    atomic.Bool
 	synced         atomic.Bool
 	leaving        atomic.Bool
 	// rewrite makes Run write the row of this router again.
 	rewrite chan struct{}
 
+	// The goroutine of the watcher uses the following.
+
+	// restored is set if the next snapshot is of a restored store.
+	restored bool
+	// secret is the newest one that was read, and secretStored whether the store has
+	// it.
+	secret       string
+	secretStored bool
+
 	mu      sync.Mutex // guards all below; never held during a call to the store
 	self    member
 	members map[string]*member // other routers by VM
+	ended   map[string]string  // incarnation that ended last, by VM
 	// available caches Available until validUntil, when a suspicion ends; nil if it
 	// must be computed.
 	available  []prepaid.Member
@@ -102,7 +113,7 @@
 func New(self prepaid.Member, store rowstore.Store, c clock.Clock, log *slog.Logger, onSecret func(secret string)) *Directory {
 	return &Directory{
 		store: store, clock: c, log: log, onSecret: onSecret, rewrite: make(chan struct{}, 1),
-		self: member{Member: self}, members: make(map[string]*member),
+		self: member{Member: self}, members: make(map[string]*member), ended: make(map[string]string),
 	}
 }
 
@@ -163,10 +174,10 @@
 	}
 }
 
-// writeRow writes the row of this router, unless it is leaving.
+// writeRow writes the row of this router, or removes it if the router is leaving.
 func (d *Directory) writeRow(ctx context.Context) error {
 	if d.leaving.Load() {
-		return nil
+		return d.removeRow(ctx)
 	}
 	d.mu.Lock()
 	value, err := json.Marshal(row{Incarnation: d.self.ID.Incarnation, Domain: d.self.Domain, Addr: d.self.addr, Weight: d.self.Weight})
@@ -194,35 +205,47 @@
 	d.mu.Lock()
 	d.available = nil // this router is no lender any more
 	d.mu.Unlock()
+	if err := d.removeRow(ctx); err != nil {
+		d.log.Info("member row not removed, peers notice the stop by themselves", "err", err.Error())
+	}
+}
+
+// removeRow removes the row of this router.
+func (d *Directory) removeRow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if _, err := d.store.Commit(ctx, rowstore.Tx{Remove: []rowstore.Key{d.key()}}); err != nil {
-		d.log.Info("member row not removed, peers notice the stop by themselves", "err", err.Error())
+		return fmt.Errorf("remove member row: %w", err)
 	}
+	return nil
 }
 
 // watch follows the table until ctx ends.
 func (d *Directory) watch(ctx context.Context) {
 	watcher := rowstore.Watcher{Store: d.store, Table: table, Wait: feedWait, Clock: d.clock, Log: d.log}
 	watcher.OnSnapshot, watcher.OnChange = d.replace, d.update
+	watcher.OnNewEra = func(int64, int64) { d.restored = true }
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
-		if !d.secretKnown.Load() {
-			d.createSecret(ctx)
+		d.dropUnlisted()
+		if !d.secretStored {
+			d.storeSecret(ctx)
 		}
 		_ = clock.Sleep(ctx, d.clock, feedInterval) // the loop condition checks ctx
 	}
 }
 
-// createSecret stores a new secret of the peer link, unless another router was first.
-func (d *Directory) createSecret(ctx context.Context) {
+// storeSecret stores the secret of the peer link, a new one if none is known, unless
+// another router was first.
+func (d *Directory) storeSecret(ctx context.Context) {
+	secret := cmp.Or(d.secret, uuid.NewString())
 	key := rowstore.Key{Table: table, Name: secretName}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := d.store.Commit(ctx, rowstore.Tx{Expect: []rowstore.Expect{{Key: key}}, Put: []rowstore.Put{{Key: key, Value: []byte(uuid.NewString())}}})
+	_, err := d.store.Commit(ctx, rowstore.Tx{Expect: []rowstore.Expect{{Key: key}}, Put: []rowstore.Put{{Key: key, Value: []byte(secret)}}})
 	var conflict *rowstore.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
-		d.log.Info("secret of the peer link not created, another router's is awaited", "err", err.Error())
+		d.log.Info("secret of the peer link not stored, another router's is awaited", "err", err.Error())
 	}
 }
 
@@ -232,31 +255,24 @@
 	for _, r := range rows {
 		present[r.Key.Name] = true
 	}
-	d.mu.Lock()
-	for vm := range d.members {
-		if !present[rowPrefix+vm] {
-			delete(d.members, vm)
-		}
-	}
-	d.available = nil
-	d.mu.Unlock()
-	if !present[d.key().Name] {
+	d.removeMissing(present)
+	if !present[d.key().Name] && !d.leaving.Load() {
 		d.requestRewrite()
 	}
+	d.secretStored = present[secretName]
 	d.update(rows)
+	d.restored = false
 	d.synced.Store(true)
 }
 
 // update applies changed rows. If this router's own row was removed, or an earlier
-// process on its VM has overwritten it, the row is written again.
+// process on its VM has overwritten it, the row is written again. If the row is back
+// although this router is leaving, it is removed again.
 func (d *Directory) update(rows []rowstore.Row) {
 	for _, r := range rows {
 		switch {
 		case r.Key.Name == secretName:
-			if !r.Removed {
-				d.secretKnown.Store(true)
-				d.onSecret(string(r.Value))
-			}
+			d.updateSecret(r)
 		case strings.HasPrefix(r.Key.Name, observationsPrefix):
 			if d.onObservations != nil && !r.Removed {
 				d.onObservations(r)
@@ -269,6 +285,15 @@
 	}
 }
 
+// updateSecret applies the row of the secret.
+func (d *Directory) updateSecret(r rowstore.Row) {
+	d.secretStored = !r.Removed
+	if !r.Removed {
+		d.secret = string(r.Value)
+		d.onSecret(d.secret)
+	}
+}
+
 // updateMember applies the row of one VM.
 func (d *Directory) updateMember(vm string, r rowstore.Row) {
 	var decoded row
@@ -281,17 +306,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if vm == d.self.ID.VM {
-		if r.Removed || decoded.Incarnation != d.self.ID.Incarnation {
+		listed := !r.Removed && decoded.Incarnation == d.self.ID.Incarnation
+		if listed == d.leaving.Load() {
 			d.requestRewrite()
 		}
 		return
 	}
+	if d.restored && !r.Removed && d.ended[vm] == decoded.Incarnation {
+		return // the copy was made before it ended
+	}
 	d.available = nil
-	if r.Removed {
-		delete(d.members, vm)
+	known := d.members[vm]
+	if known != nil && known.ID.Incarnation == decoded.Incarnation {
+		known.keptUntil = time.Time{}
 		return
 	}
-	if known := d.members[vm]; known != nil && known.ID.Incarnation == decoded.Incarnation {
+	if known != nil {
+		d.ended[vm] = known.ID.Incarnation
+	}
+	if r.Removed {
+		delete(d.members, vm)
 		return
 	}
 	d.members[vm] = &member{addr: decoded.Addr, Member: prepaid.Member{
