Report the loss of a peer connection before it can be replaced

Requests to a peer could dial a new connection, and mark the peer as reachable, before the old connection's loss was recorded: a connection counted as ended once its context was, while the loss was counted, and the peer reported as suspect, only after its loops had stopped. The late report then made the directory pass over a peer that had just responded.

A connection now ends in one place, which records the loss before the context ends. Errors that follow from the stop of the link are not losses, as before.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -45,8 +45,9 @@
 	lastReceived atomic.Int64
 	lastRequest  atomic.Int64
 
-	ctx  context.Context // ends with the connection
-	stop context.CancelCauseFunc
+	ctx     context.Context         // ends with the connection
+	stop    context.CancelCauseFunc // called by end only
+	endOnce sync.Once
 
 	mu      sync.Mutex                // guards all fields below
 	nextID  uint64                    // id of the latest request sent
@@ -72,8 +73,8 @@
 	return c
 }
 
-// run serves the connection until it ends and returns the cause.
-func (c *conn) run() error {
+// run serves the connection until it ends.
+func (c *conn) run() {
 	var loops sync.WaitGroup
 	loops.Go(c.readLoop)
 	loops.Go(c.writeLoop)
@@ -81,7 +82,6 @@
 	<-c.ctx.Done()
 	c.ws.CloseNow()
 	loops.Wait()
-	return context.Cause(c.ctx)
 }
 
 // closeNormally closes the connection with the normal WebSocket status, so that
@@ -90,7 +90,19 @@
 	if err := c.ws.Close(websocket.StatusNormalClosure, cause.Error()); err != nil {
 		c.link.log.Debug("peer connection could not be closed normally", "peer", c.peer.ID.String(), "err", err)
 	}
-	c.stop(cause)
+	c.end(cause)
+}
+
+// end ends the connection with a cause. An unexpected end is reported before any
+// request can dial a new connection, so that the report doesn't count against that one.
+func (c *conn) end(cause error) {
+	c.endOnce.Do(func() {
+		// Errors that follow from the stop of the link are no causes of their own.
+		if c.ctx.Err() == nil && !isExpectedClose(cause) {
+			c.link.reportLoss(c.peer.ID, cause)
+		}
+		c.stop(cause)
+	})
 }
 
 // readLoop reads messages until the connection ends. A message that cannot be
@@ -99,14 +111,14 @@
 	for {
 		_, data, err := c.ws.Read(c.ctx)
 		if err != nil {
-			c.stop(err)
+			c.end(err)
 			return
 		}
 		c.lastReceived.Store(c.link.nanosSinceStart())
 		c.link.metrics.countReceived(len(data))
 		e, err := decodeEnvelope(data)
 		if err != nil {
-			c.stop(err)
+			c.end(err)
 			return
 		}
 		c.link.hlc.Observe(e.Stamp)
@@ -236,7 +248,7 @@
 			err := c.ws.Write(ctx, websocket.MessageBinary, data)
 			cancel()
 			if err != nil {
-				c.stop(err)
+				c.end(err)
 				return
 			}
 			c.link.metrics.countSent(len(data))
@@ -273,7 +285,7 @@
 		err := c.ws.Ping(ctx)
 		cancel()
 		if err != nil {
-			c.stop(errPingTimeout)
+			c.end(errPingTimeout)
 			return
 		}
 		c.lastReceived.Store(c.link.nanosSinceStart())
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -275,28 +275,25 @@
 	return c, nil
 }
 
-// serve runs a connection until it ends and removes it from the link. It reports
-// the peer to the directory as suspect if it did not respond to a ping.
-func (l *Link) serve(c *conn) {
-	cause := c.run()
-	if !isExpectedClose(cause) {
-		// Counted before the connection is removed, hence before a request can
-		// replace it.
-		l.metrics.connectionsLost.Inc()
+// reportLoss records that a connection was lost. It reports the peer to the directory as
+// suspect if it did not respond to a ping.
+func (l *Link) reportLoss(peer bus.ID, cause error) {
+	l.metrics.connectionsLost.Inc()
+	l.log.Debug("peer connection lost", "peer", peer.String(), "err", cause)
+	l.events.Record(event.Event{Component: event.ComponentPeer, Kind: event.PeerDisconnected, Peer: peer.String(), Detail: cause.Error()})
+	if errors.Is(cause, errPingTimeout) {
+		l.directory.Suspect(peer)
 	}
+}
+
+// serve runs a connection until it ends and removes it from the link.
+func (l *Link) serve(c *conn) {
+	c.run()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conns[c.peer.ID] == c {
 		delete(l.conns, c.peer.ID)
 	}
-	l.mu.Unlock()
-	if isExpectedClose(cause) {
-		return
-	}
-	l.log.Debug("peer connection lost", "peer", c.peer.ID.String(), "err", cause)
-	l.events.Record(event.Event{Component: event.ComponentPeer, Kind: event.PeerDisconnected, Peer: c.peer.ID.String(), Detail: cause.Error()})
-	if errors.Is(cause, errPingTimeout) {
-		l.directory.Suspect(c.peer.ID)
-	}
 }
 
 // isExpectedClose reports whether either side closed the connection on purpose.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -339,6 +339,36 @@
 	}
 }
 
+// TestLossIsReportedBeforeRedial guards against a connection that ends before its loss is
+// reported: requests then dial a new one, and the late report makes the peer suspect
+// although it has just responded.
+func TestLossIsReportedBeforeRedial(t *testing.T) {
+	dir := newFakeDirectory()
+	s := testSettings()
+	s.PingTimeout = 20 * time.Millisecond
+	one, two := startLink(t, "one", s, dir), startLink(t, "two", s, dir)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	proxy := &middlebox{Listener: listener}
+	defer proxy.Close()
+	go proxy.serve(two.Self().Addr)
+	proxied := two.Self()
+	proxied.Addr = listener.Addr().String()
+	dir.add(proxied)
+	for lost := 1; lost <= 20; lost++ {
+		c, err := one.connect(t.Context(), proxied.ID)
+		assert.NilError(t, err)
+		proxy.blackhole()
+		c.requestPing()
+		<-c.ctx.Done()
+		assert.Equal(t, one.metrics.connectionsLost.Get(), uint64(lost))
+		dir.mu.Lock()
+		suspected := dir.suspected[proxied.ID]
+		dir.mu.Unlock()
+		assert.Equal(t, suspected, lost)
+	}
+}
+
 // TestIdleConnectionCloses guards against idle connections that stay open, and against
 // their planned close being counted as a loss or making the peer suspect.
 func TestIdleConnectionCloses(t *testing.T) {
