Return grants without waiting for the retry of a failed write

A holder that was closed after its account had failed to write several times did not return its grant in time, although the store was reachable again: the account waited out its retry interval of 1.5 to 3 s, and once more if the response to that write was lost. Only the heartbeat shortens this wait, and it has ended when a holder is closed after Run, as TestRandomSchedulesStayWithinLimit does; two waits exceed its 5 s in about a fifth of such schedules. A router has 0.4 s or more for the return of its grants, and its heartbeat still runs then.

Close now wakes the accounts, which retry after RetryInterval while the holder closes.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -356,8 +356,10 @@
 		h.options.Log.Warn("grant writes failed, waiting for the store", "workspace", a.workspace, "err", err.Error(),
 			"granted", a.granted, "cleared", a.activated, "spent", a.spent, "open", a.reserved)
 	}
-	backoff := h.options.Settings.RetryInterval
-	if a.failures > 0 {
+	backoff, closeStarted := h.options.Settings.RetryInterval, h.closeStarted
+	if h.closing.Load() {
+		closeStarted = nil // it has been handled
+	} else if a.failures > 0 {
 		backoff = unreachableRetryInterval
 	}
 	a.failures++
@@ -374,6 +376,8 @@
 			a.spreadWrite()
 		}
 		return true
+	case <-closeStarted:
+		return true
 	case <-h.ctx.Done():
 		a.mu.Lock()
 		a.writing = false
@@ -384,7 +388,7 @@
 
 // unreachableRetryInterval is the interval at which an account retries an
 // unreachable store by itself if the heartbeat does not report that the store
-// responds.
+// responds. A holder that closes has no time to wait that long.
 const unreachableRetryInterval = 3 * time.Second
 
 // shortageReason returns the exported error that waiters get for a shortage.
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -59,6 +59,8 @@
 	stats     Stats
 	closing   atomic.Bool
 	heartbeat heartbeat
+	// closeStarted is closed once closing is set.
+	closeStarted chan struct{}
 
 	tasks *tasks.Group
 	ctx   context.Context // ends when tasks stops
@@ -77,7 +79,7 @@
 
 // NewHolder returns a holder. Run must be called for it to send heartbeats.
 func NewHolder(o Options) *Holder {
-	h := &Holder{options: o, tasks: tasks.NewGroup()}
+	h := &Holder{options: o, tasks: tasks.NewGroup(), closeStarted: make(chan struct{})}
 	h.ctx = h.tasks.Context()
 	h.heartbeat.init(h)
 	return h
@@ -260,7 +262,9 @@
 // Close refuses further reservations and returns what is not spent. Tokens of
 // reservations that are not settled stay in the grant.
 func (h *Holder) Close(ctx context.Context) error {
-	h.closing.Store(true)
+	if h.closing.CompareAndSwap(false, true) {
+		close(h.closeStarted)
+	}
 	accounts := h.accounts.All()
 	for _, a := range accounts {
 		a.startClose()
--- a/coord/prepaid/holder_test.go
+++ b/coord/prepaid/holder_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -116,6 +117,26 @@
 	r.Settle(900)
 }
 
+// TestCloseDoesNotWaitForRetry guards against a close that waits out the backoff of an
+// unreachable store, longer than a router has for it, although the store is back.
+func TestCloseDoesNotWaitForRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1_000_000)
+		h := f.newHolder()
+		r, err := h.Reserve(t.Context(), "coop-7", 1000)
+		assert.NilError(t, err)
+		r.Settle(10)
+		f.store.SetFaults(memory.Faults{Outage: true})
+		_, err = h.Reserve(t.Context(), "coop-7", 900_000)
+		assert.ErrorIs(t, err, prepaid.ErrUnavailable)
+		time.Sleep(time.Second) // the account waits for its next try
+		f.store.SetFaults(memory.Faults{LoseResponses: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+		defer cancel()
+		assert.NilError(t, h.Close(ctx))
+	})
+}
+
 // TestLostResponseGrantsOnce guards against a draw that is applied twice because
 // the response to the first transaction was lost.
 func TestLostResponseGrantsOnce(t *testing.T) {
