Change the fleet's secret without a race on the link's settings

What callers see: nothing known; undefined by Go's memory model. SetSecret wrote the secret into the settings while the ping loop of each connection copied them without the lock. A router calls it while it is connected whenever its table of the fleet is read again, which a new era of the store makes the usual case.

Evidence: TestConnectionOutlivesChangeOfSecret, which checks that connected routers keep each other while they take over another secret one after the other, passes its checks but reports the race on the code before (go test -race ./internal/peer: write in SetSecret, read in pingLoop).

Change: the secret is a field of its own under the link's lock; the settings are not written after New.

go test -race -count=10 -run Secret ./internal/peer, go test -race -short ./internal/peer: ok.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -77,6 +77,7 @@
 
 	mu       sync.Mutex // guards all fields below; never held over a network call
 	self     bus.Peer
+	secret   string // of the fleet
 	handlers map[bus.Kind]bus.Handler
 	conns    map[bus.ID]*conn
 	dialing  map[bus.ID]*dialing
@@ -98,7 +99,7 @@
 func New(s Settings, self bus.Peer, d Dependencies) *Link {
 	ctx, stop := context.WithCancelCause(context.Background())
 	l := &Link{
-		settings: s, self: self, directory: d.Directory, hlc: d.Clock, events: d.Events, log: d.Log,
+		settings: s, self: self, secret: s.Secret, directory: d.Directory, hlc: d.Clock, events: d.Events, log: d.Log,
 		metrics: newLinkMetrics(d.Metrics), started: time.Now(), ctx: ctx, stop: stop, scheme: schemePlain,
 		handlers: make(map[bus.Kind]bus.Handler), conns: make(map[bus.ID]*conn), dialing: make(map[bus.ID]*dialing),
 	}
@@ -310,14 +311,14 @@
 func (l *Link) SetSecret(secret string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.settings.Secret = secret
+	l.secret = secret
 }
 
 // currentSecret returns the secret of the fleet, or "" before it is known.
 func (l *Link) currentSecret() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.settings.Secret
+	return l.secret
 }
 
 // SetOperatorURL sets the base URL of this member's operator API, which the
