Keep waiting at a silent endpoint until another one has accepted the request

Callers lost responses of sound endpoints that sent nothing for a second and went on. After headTimeout or gapTimeout the router closed the connection to the endpoint and only then asked whether the request may be retried. If the retry budget was empty, or the other endpoints were full, unreachable or failed, the caller's stream was broken off, or it got 502, 504 or the other endpoint's failure.

A pause was taken for an end. The silent attempt now goes on in parallel: a takeover first makes sure that everything permits another attempt (attempts, quarantine, an endpoint that is not ejected, retry budget, rate limit) and ends the silent attempt only once the other endpoint has accepted the request, by the head of a success or by no refusal within 300 ms of being connected. The bound keeps two endpoints from working on one request for long. Whichever endpoint goes on first serves; an attempt that is not needed any more is ended at once and counts against the attempts of the route. If no takeover is possible, that is logged once with the request's id ("endpoint silent, request stays there") and tried again after the same time.

As the endpoint is asked for at the time of the silence, a request at the only endpoint also moves once another one has been added.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -21,68 +21,117 @@
 // times the usual time to the first event of a stream.
 const suspectAfter = 900 * time.Millisecond
 
+// attempt is one attempt to have an endpoint serve the request.
+type attempt struct {
+	endpoint  endpoints.Endpoint
+	startedAt time.Time
+	progress  responseProgress // how far the response has come
+	events    int              // events that were forwarded
+	ctx       context.Context  // ends the exchange with the endpoint
+	cancel    context.CancelFunc
+	connected chan struct{} // closed before the first byte is sent
+	abandoned bool          // another endpoint has taken over while this one was silent
+
+	// opened is closed once there is the head of a response, or an error. The fields
+	// below are valid from then on.
+	opened   chan struct{}
+	response *upstream.Response
+	metadata exchange.Response
+	err      error
+}
+
 // sendWithRetries sends the request to one endpoint after another until one
 // serves it, no further attempt is allowed or no endpoint remains. It returns the
 // refusal that is still to be written, or nil if a response was forwarded, at
 // least in part, or the caller has disconnected.
 func (q *request) sendWithRetries(ctx context.Context) *refusal {
 	h := q.handler
-	excluded := make(map[string]bool)
-	retriedExcluded := false
+	q.excluded = make(map[string]bool)
+	for {
+		a, started := q.accepted, true
+		if q.accepted = nil; a == nil {
+			var refused *refusal
+			if a, refused = q.nextAttempt(ctx); a == nil {
+				return refused
+			}
+			started = false
+		}
+		outcome, observation, err := q.attempt(ctx, a, started)
+		q.endAttempt(a, outcome, observation)
+		switch outcome {
+		case completed:
+			h.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
+			return nil
+		case callerDisconnected:
+			q.disconnected = true
+			return nil
+		}
+		if q.accepted != nil {
+			q.logFailedAttempt(a, outcome, err, "")
+			continue
+		}
+		if !q.decideRetry(a, outcome, err) {
+			return q.fail(outcome, err)
+		}
+	}
+}
+
+// nextAttempt returns an attempt at an endpoint that has not been tried. Without one it
+// ends the request like sendWithRetries, and the attempt is nil.
+func (q *request) nextAttempt(ctx context.Context) (*attempt, *refusal) {
+	h := q.handler
 	for {
 		if q.attempts > 0 {
 			if refused := q.checkQuarantine(); refused != nil {
-				return q.refuseRetry(refused)
+				return nil, q.refuseRetry(refused)
 			}
 		}
 		open, opensIn := q.openEndpoints()
-		choice, ok := h.deps.Balancer.Begin(open, q.affinity, excluded)
-		if !ok {
-			if opensIn > 0 && q.executions == 0 {
-				return refuseAtRateLimit(q.pool, opensIn)
-			}
-			if len(excluded) > 0 && q.executions == 0 {
-				return refuseNoEndpoint(fmt.Sprintf("%d endpoints tried, none ran it", len(excluded)))
-			}
-			if q.lastFailure != nil && !retriedExcluded {
-				retriedExcluded = true // an endpoint that failed once is better than none
-				clear(excluded)
-				continue
+		choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
+		if ok {
+			if h.deps.Limits.Acquire(ctx, startOf(choice.Endpoint)) {
+				return q.newAttempt(ctx, choice), nil
 			}
-			if q.executions > 0 {
-				return q.fail(connectionBroken, errors.New("no other endpoint"))
-			}
-			return refuseNoEndpoint("no endpoint in pool " + q.pool)
-		}
-		e := choice.Endpoint
-		if !h.deps.Limits.Acquire(ctx, startOf(e)) {
-			h.deps.Balancer.End(e, placement.Inconclusive)
+			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
 			continue // the endpoint is closed now
 		}
-		q.logPlacement(choice)
-		q.endpointID, q.candidates = e.ID, choice.Candidates
-		q.attempts++
-		outcome, observation, err := q.attempt(ctx, e)
-		h.deps.Balancer.End(e, observation)
-		if outcome.mayHaveExecuted() {
-			q.executions++
-		}
-		if outcome == completed {
-			h.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
-			return nil
+		if opensIn > 0 && q.executions == 0 {
+			return nil, refuseAtRateLimit(q.pool, opensIn)
 		}
-		if outcome == connectionBroken && q.progress != eventsForwarded {
-			h.ends.responseLost(q, e)
+		if len(q.excluded) > 0 && q.executions == 0 {
+			return nil, refuseNoEndpoint(fmt.Sprintf("%d endpoints tried, none ran it", len(q.excluded)))
 		}
-		if outcome == callerDisconnected {
-			q.disconnected = true
-			return nil
+		if q.lastFailure != nil && !q.retriedExcluded {
+			q.retriedExcluded = true // an endpoint that failed once is better than none
+			clear(q.excluded)
+			continue
 		}
-		excluded[e.ID] = true
-		remaining := q.deadline.Sub(h.deps.Clock.Now())
-		if !q.decideRetry(outcome, remaining, err) {
-			return q.fail(outcome, err)
+		if q.executions > 0 {
+			return nil, q.fail(connectionBroken, errors.New("no other endpoint"))
 		}
+		return nil, refuseNoEndpoint("no endpoint in pool " + q.pool)
+	}
+}
+
+// newAttempt returns the attempt at a chosen endpoint, which is not tried again.
+func (q *request) newAttempt(ctx context.Context, choice placement.Choice) *attempt {
+	q.logPlacement(choice)
+	q.attempts++
+	q.excluded[choice.Endpoint.ID] = true
+	a := &attempt{endpoint: choice.Endpoint, startedAt: q.handler.deps.Clock.Now(), progress: noResponse, connected: make(chan struct{}), opened: make(chan struct{})}
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	return a
+}
+
+// endAttempt records the outcome of an attempt.
+func (q *request) endAttempt(a *attempt, outcome attemptOutcome, observation placement.Observation) {
+	a.cancel()
+	q.handler.deps.Balancer.End(a.endpoint, observation)
+	if outcome.mayHaveExecuted() {
+		q.executions++
+	}
+	if outcome == connectionBroken && a.progress != eventsForwarded {
+		q.handler.ends.responseLost(q, a)
 	}
 }
 
@@ -106,31 +155,44 @@
 
 // decideRetry reports whether the request may be sent to another endpoint after
 // an attempt with the given outcome, logs the decision and counts it in the
-// metrics. Remaining is the time until the deadline of the request, and cause is
-// only logged. A retry of a request that was sent takes one retry from the retry
-// budget of the pool.
-func (q *request) decideRetry(outcome attemptOutcome, remaining time.Duration, cause error) bool {
+// metrics. Cause is only logged. A retry of a request that was sent takes one retry
+// from the retry budget of the pool.
+func (q *request) decideRetry(a *attempt, outcome attemptOutcome, cause error) bool {
 	h := q.handler
-	retry := mayRetry(q.route, outcome, q.executions, q.attempts, remaining)
-	reason := "kind of route, attempts or time"
-	if retry && outcome == connectionBroken && q.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), q.endpointID) {
-		retry, reason = false, "a segment of the prompt is suspected of crashing endpoints"
-	}
+	deniedBy := ""
+	switch {
+	case !mayRetry(q.route, outcome, q.executions, q.attempts, q.remaining()):
+		deniedBy = deniedByRoute
+	case outcome == connectionBroken && a.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID):
+		deniedBy = "a segment of the prompt is suspected of crashing endpoints"
 	// If nothing was sent, the next attempt does not make endpoints receive the
 	// request twice, so it takes nothing from the retry budget.
-	if retry && outcome != notSent && !h.deps.Retries.AllowRetry(q.pool) {
-		retry, reason = false, "retry budget"
+	case outcome != notSent && !h.deps.Retries.AllowRetry(q.pool):
+		deniedBy = deniedByRetryBudget
 		h.stats.retriesRefused.Inc()
-	}
-	if retry {
+	default:
 		h.stats.retries.Inc()
-		reason = ""
 	}
-	h.stats.countFailedAttempt(outcome, q.progress)
-	h.deps.Log.Info("attempt failed", "request", q.params.ID, "endpoint", q.endpointID, "end", outcome.String(), "err", errorText(cause),
-		"progress", q.progress.String(), "segments", q.loggedSegments(),
-		"again", retry, "denied_by", reason, "runs", q.executions, "sends", q.attempts, "left_ms", remaining.Milliseconds(), "last_event", q.stream.lastEventID)
-	return retry
+	q.logFailedAttempt(a, outcome, cause, deniedBy)
+	return deniedBy == ""
+}
+
+// Reasons in log lines for which a request is not sent to another endpoint.
+const (
+	deniedByRoute       = "kind of route, attempts or time"
+	deniedByRetryBudget = "retry budget"
+)
+
+// remaining returns the time until the deadline of the request.
+func (q *request) remaining() time.Duration { return q.deadline.Sub(q.handler.deps.Clock.Now()) }
+
+// logFailedAttempt logs an attempt without a complete response and counts it in the
+// metrics. DeniedBy is the reason for which no other attempt follows; "" if one does.
+func (q *request) logFailedAttempt(a *attempt, outcome attemptOutcome, cause error, deniedBy string) {
+	q.handler.stats.countFailedAttempt(outcome, a.progress)
+	q.handler.deps.Log.Info("attempt failed", "request", q.params.ID, "endpoint", a.endpoint.ID, "end", outcome.String(), "err", errorText(cause),
+		"progress", a.progress.String(), "segments", q.loggedSegments(),
+		"again", deniedBy == "", "denied_by", deniedBy, "runs", q.executions, "sends", q.attempts, "left_ms", q.remaining().Milliseconds(), "last_event", q.stream.lastEventID)
 }
 
 // errorText returns the text of err, or "" if err is nil.
@@ -173,39 +235,80 @@
 		slog.Int64("config", q.table.Revision), slog.Bool("shared_prompt", q.affinity != 0))
 }
 
-// attempt sends the request to e once and forwards the response. It returns the
-// outcome of the attempt, what the attempt shows of the endpoint, and the cause
-// if the outcome is not completed.
-func (q *request) attempt(ctx context.Context, e endpoints.Endpoint) (attemptOutcome, placement.Observation, error) {
-	h := q.handler
-	q.progress, q.attemptEvents = noResponse, 0
-	now := h.deps.Clock.Now()
-	q.attemptAt = now
-	remaining := q.deadline.Sub(now)
-	if remaining <= 0 {
-		return deadlineExceeded, placement.Inconclusive, errors.New("time over")
+// attempt sends the request to the endpoint of a, unless that was started already, and
+// forwards the response. It returns the outcome of the attempt, what the attempt shows
+// of the endpoint, and the cause if the outcome is not completed. If another endpoint
+// has taken over, q.accepted is the attempt there.
+func (q *request) attempt(ctx context.Context, a *attempt, started bool) (attemptOutcome, placement.Observation, error) {
+	q.endpointID = a.endpoint.ID
+	q.armTakeover(ctx, a, headTimeout(q.route))
+	if started {
+		<-a.opened
+	} else {
+		q.open(a)
 	}
-	if !h.deps.Endpoints.AcceptsRequests(e.ID) {
-		return notSent, placement.Inconclusive, fmt.Errorf("endpoint %s left the pool", e.ID)
+	outcome, observation, err := q.serveOpened(ctx, a)
+	switch outcome {
+	case completed, deadlineExceeded, callerDisconnected:
+		q.endTakeover(errGoesOn)
+		if q.accepted != nil {
+			q.abandon(q.accepted)
+			q.accepted = nil
+		}
+		return outcome, observation, err
+	}
+	q.endTakeover(errEnded)
+	if !a.abandoned {
+		return outcome, observation, err
 	}
-	headDeadline := q.deadline.Add(responseGrace)
-	if q.mayRetryElsewhere() {
-		headDeadline = earlier(headDeadline, now.Add(headTimeout(q.route)))
+	if outcome == notSent {
+		return notSent, placement.Inconclusive, errTakenOver
 	}
-	suspectTimer := time.AfterFunc(suspectAfter, func() { h.deps.Balancer.Suspect(e) })
+	// The silence that lets another endpoint take over is short, so it counts as one
+	// failure. The balancer is notified that the endpoint stalls only after suspectAfter.
+	return stalled, placement.Failed, errTakenOver
+}
+
+// serveOpened forwards the response of an attempt that was opened.
+func (q *request) serveOpened(ctx context.Context, a *attempt) (attemptOutcome, placement.Observation, error) {
+	if a.err != nil {
+		return q.classifyNoResponse(ctx, a.err)
+	}
+	if a.serves() && !q.pauseTakeover() {
+		a.response.Abort()
+		return q.classifyIncomplete(ctx, errTakenOver)
+	}
+	return q.handleResponse(ctx, a)
+}
+
+// errLeftPool: the endpoint was removed or drains since it was chosen.
+var errLeftPool = errors.New("endpoint left the pool")
+
+// open sends the request to the endpoint of a and waits for the head of the response.
+func (q *request) open(a *attempt) {
+	defer close(a.opened)
+	h := q.handler
+	if !h.deps.Endpoints.AcceptsRequests(a.endpoint.ID) {
+		a.err = fmt.Errorf("%w: %w", upstream.ErrNotSent, errLeftPool)
+		return
+	}
+	remaining := q.remaining()
+	if remaining <= 0 {
+		a.err = fmt.Errorf("%w: time over", upstream.ErrSilent)
+		return
+	}
+	suspectTimer := time.AfterFunc(suspectAfter, func() { h.deps.Balancer.Suspect(a.endpoint) })
 	defer suspectTimer.Stop()
-	response, err := h.deps.Upstream.Do(ctx, e.Addr, q.upstreamRequest(e, remaining), headDeadline, q.responseID)
-	if err != nil {
-		return q.classifyNoResponse(ctx, err)
+	a.response, a.err = h.deps.Upstream.Do(a.ctx, a.endpoint.Addr, q.upstreamRequest(a, remaining), q.deadline.Add(responseGrace), q.responseID)
+	if a.err != nil {
+		return
 	}
-	suspectTimer.Stop()
-	q.progress = responseStarted
-	metadata := h.deps.Codec.DecodeResponse(response.Status, response.Header)
-	if metadata.Load != nil {
-		h.deps.Balancer.Report(e.ID, *metadata.Load)
+	a.progress = responseStarted
+	a.metadata = h.deps.Codec.DecodeResponse(a.response.Status, a.response.Header)
+	if a.metadata.Load != nil {
+		h.deps.Balancer.Report(a.endpoint.ID, *a.metadata.Load)
 	}
-	q.learnLimit(e, metadata)
-	return q.handleResponse(ctx, e, response, metadata)
+	q.learnLimit(a)
 }
 
 // startOf names the start of an endpoint for the rate limits.
@@ -231,31 +334,18 @@
 	return open, opensIn
 }
 
-// learnLimit takes in the rate limit that a response of e states.
-func (q *request) learnLimit(e endpoints.Endpoint, metadata exchange.Response) {
+// learnLimit takes in the rate limit that the response of an attempt states.
+func (q *request) learnLimit(a *attempt) {
+	metadata := a.metadata
 	if metadata.WrongInstance {
 		return // another endpoint has responded
 	}
-	start := startOf(e)
+	start := startOf(a.endpoint)
 	if metadata.InvalidRateLimit != "" {
 		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
 		return // a limit that was stated before stays
 	}
-	q.handler.deps.Limits.Learn(start, metadata.RateLimit, q.attemptAt)
-}
-
-// mayRetryElsewhere reports whether the request may be executed once more after
-// the current attempt and the pool has another endpoint for it.
-func (q *request) mayRetryElsewhere() bool {
-	return q.candidates > 1 && q.route.Retryable() && q.executions+1 < q.route.MaxAttempts
-}
-
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	q.handler.deps.Limits.Learn(start, metadata.RateLimit, a.startedAt)
 }
 
 // responseID returns the id of the request that a response with header h belongs
@@ -264,10 +354,10 @@
 	return q.handler.deps.Codec.DecodeResponse(0, h).ID
 }
 
-// upstreamRequest returns the request as it is sent to e. Remaining is the time
-// until the deadline of the request.
-func (q *request) upstreamRequest(e endpoints.Endpoint, remaining time.Duration) *upstream.Request {
-	f := exchange.ForwardMetadata{Remaining: remaining, Endpoint: e.ID, ResumeAfter: q.stream.lastEventID}
+// upstreamRequest returns the request as it is sent in an attempt. Remaining is the
+// time until the deadline of the request.
+func (q *request) upstreamRequest(a *attempt, remaining time.Duration) *upstream.Request {
+	f := exchange.ForwardMetadata{Remaining: remaining, Endpoint: a.endpoint.ID, ResumeAfter: q.stream.lastEventID}
 	if q.workspace != nil {
 		f.Workspace = q.workspace.Name
 	}
@@ -275,6 +365,7 @@
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host,
 		Header: q.handler.deps.Codec.ForwardHeader(q.httpRequest.Header, f),
 		Body:   q.body, ID: q.params.ID, AtMostOnce: !q.route.Retryable(),
+		OnConnected: func() { close(a.connected) },
 	}
 }
 
@@ -285,6 +376,9 @@
 		if ctx.Err() != nil {
 			return q.interruptedOutcome(true), placement.Inconclusive, err
 		}
+		if errors.Is(err, errLeftPool) {
+			return notSent, placement.Inconclusive, err
+		}
 		return notSent, placement.Unreachable, err
 	}
 	return q.classifyIncomplete(ctx, err)
@@ -306,17 +400,11 @@
 // classifyIncomplete returns the outcome of an attempt whose response ended
 // before it was complete, and what it shows of the endpoint.
 func (q *request) classifyIncomplete(ctx context.Context, err error) (attemptOutcome, placement.Observation, error) {
-	now := q.handler.deps.Clock.Now()
 	switch {
 	case q.httpRequest.Context().Err() != nil:
 		return callerDisconnected, placement.Inconclusive, err
-	case ctx.Err() != nil || errors.Is(err, upstream.ErrSilent) && !now.Before(q.deadline):
+	case ctx.Err() != nil || errors.Is(err, upstream.ErrSilent):
 		return deadlineExceeded, placement.Inconclusive, err
-	case errors.Is(err, upstream.ErrSilent):
-		// The read timeout of a request that can be retried elsewhere is short,
-		// so its expiry counts as one failure of the endpoint. The balancer is
-		// notified that the endpoint stalls only after suspectAfter.
-		return stalled, placement.Failed, err
 	}
 	return connectionBroken, placement.Failed, err
 }
--- a/internal/ingress/ended.go
+++ b/internal/ingress/ended.go
@@ -56,16 +56,17 @@
 	c.checks.Wait()
 }
 
-// responseLost records that the response to q broke at e before its first event, and
-// checks whether e has ended.
-func (c *endChecker) responseLost(q *request, e endpoints.Endpoint) {
+// responseLost records that the response to q broke before its first event, and checks
+// whether the endpoint of the attempt has ended.
+func (c *endChecker) responseLost(q *request, a *attempt) {
+	e := a.endpoint
 	shared := q.params.Generation.SharedSegments()
 	if len(shared) == 0 {
 		return
 	}
 	now := c.deps.Clock.Now()
 	lost := lostResponse{request: q.params.ID, at: now, report: quarantine.Report{
-		Pool: q.pool, Endpoint: e.ID, StartedMs: e.StartedMs, Started: q.progress == responseStarted, SentBeforeMS: now.Sub(q.attemptAt).Milliseconds(),
+		Pool: q.pool, Endpoint: e.ID, StartedMs: e.StartedMs, Started: a.progress == responseStarted, SentBeforeMS: now.Sub(a.startedAt).Milliseconds(),
 	}}
 	for _, s := range shared {
 		lost.report.Segments = append(lost.report.Segments, s.ID)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 
-	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/routetable"
@@ -20,24 +19,37 @@
 // why it must not be forwarded: the endpoint did not execute the request, or the
 // response is a success that lacks the endpoint's signature or has a content
 // encoding.
-func (q *request) handleResponse(ctx context.Context, e endpoints.Endpoint, response *upstream.Response, metadata exchange.Response) (attemptOutcome, placement.Observation, error) {
-	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+func (q *request) handleResponse(ctx context.Context, a *attempt) (attemptOutcome, placement.Observation, error) {
+	response, metadata := a.response, a.metadata
+	success := isSuccess(response)
 	switch {
 	case metadata.NotExecuted || metadata.WrongInstance:
 		q.discard(response)
 		if metadata.WrongInstance {
-			q.handler.deps.Endpoints.Remove(e.ID, "another endpoint has its address")
+			q.handler.deps.Endpoints.Remove(a.endpoint.ID, "another endpoint has its address")
 		}
 		return notExecuted, placement.AtCapacity, fmt.Errorf("endpoint did not run it, status %d", response.Status)
-	case success && (!metadata.Signed || response.Header.Get("Content-Encoding") != ""):
+	case success && !a.serves():
 		response.Abort()
 		return connectionBroken, placement.Failed, errors.New("success that is not the endpoint's own")
 	case success && q.route.Kind == routetable.Streaming && isEventStream(response.Header):
-		return q.forwardStream(ctx, e, response)
+		return q.forwardStream(ctx, a)
 	}
 	return q.forwardBuffered(ctx, response, metadata, success)
 }
 
+// isSuccess reports whether a response has a status in the 2xx range.
+func isSuccess(response *upstream.Response) bool {
+	return response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+}
+
+// serves reports whether the head of the response is that of a success that may be
+// forwarded. The attempt must have been opened.
+func (a *attempt) serves() bool {
+	return a.response != nil && isSuccess(a.response) && !a.metadata.NotExecuted && !a.metadata.WrongInstance &&
+		a.metadata.Signed && a.response.Header.Get("Content-Encoding") == ""
+}
+
 // isEventStream reports whether a response with header h is a stream of
 // server-sent events.
 func isEventStream(h http.Header) bool {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -41,12 +41,12 @@
 	// attempts counts all attempts, and executions those that may have executed
 	// the request.
 	attempts, executions int
-	endpointID           string           // endpoint of the last attempt
-	progress             responseProgress // how far its response has come
-	attemptEvents        int              // events of it that were forwarded
-	attemptAt            time.Time        // when the last attempt began
-	candidates           int              // endpoints among which it was chosen
-	status               int              // HTTP status written to the caller; 0 before
+	endpointID           string          // endpoint of the last attempt
+	excluded             map[string]bool // endpoints that have been tried, by id
+	retriedExcluded      bool            // excluded was cleared once, for lack of other endpoints
+	takeover             *takeover       // of the current attempt; nil if it has none
+	accepted             *attempt        // attempt that has taken over from the last one
+	status               int             // HTTP status written to the caller; 0 before
 	stream               streamState
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
 	truncated            bool             // the response is incomplete, and the caller must notice
--- a/internal/ingress/retry.go
+++ b/internal/ingress/retry.go
@@ -23,8 +23,11 @@
 	// had a content encoding.
 	connectionBroken
 	// stalled: the endpoint sent nothing for longer than headTimeout or gapTimeout
-	// allows.
+	// allows, and another endpoint has taken over the request.
 	stalled
+	// notNeeded: the endpoint was to take over the request from a silent one, which went
+	// on.
+	notNeeded
 	// deadlineExceeded: the deadline of the request has passed.
 	deadlineExceeded
 	// callerDisconnected: the caller closed its connection.
@@ -33,7 +36,7 @@
 
 // String returns the name of the outcome in log lines.
 func (o attemptOutcome) String() string {
-	return [...]string{"whole", "not sent", "not run", "failed", "broken", "silent", "time over", "caller gone"}[o]
+	return [...]string{"whole", "not sent", "not run", "failed", "broken", "silent", "not needed", "time over", "caller gone"}[o]
 }
 
 // mayHaveExecuted reports whether the endpoint may have started to execute the
@@ -65,8 +68,8 @@
 	return false
 }
 
-// Multiples of a route's objectives after which an attempt is abandoned in favour
-// of another endpoint if the endpoint has sent nothing.
+// Multiples of a route's objectives after which another endpoint is to take over if
+// the endpoint has sent nothing.
 const (
 	// headTimeoutFactor applies to the latency objective of routes without
 	// streaming. It leaves enough time for an average response of another endpoint
@@ -75,8 +78,8 @@
 	// streamHeadTimeoutFactor applies to the latency objective of streaming
 	// routes. It is well above 1, since first events are also late under load.
 	streamHeadTimeoutFactor = 2.5
-	// gapTimeoutFactor applies to the gap objective of streaming routes. It
-	// abandons an endpoint only after a gap in which several events are overdue.
+	// gapTimeoutFactor applies to the gap objective of streaming routes. In such a
+	// gap several events are overdue.
 	gapTimeoutFactor = 3
 )
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
@@ -32,8 +31,6 @@
 	// lastEventAt is when the last events were forwarded, or when the current
 	// endpoint's response began if that is later.
 	lastEventAt time.Time
-	// readLate is set once a read was given lateReadTime since the last event.
-	readLate bool
 }
 
 // maxEventBytes bounds the bytes of an incomplete event.
@@ -48,25 +45,27 @@
 var errSequence = errors.New("events do not follow on those passed on")
 
 // forwardStream forwards events as they arrive, until the stream ends or breaks.
-func (q *request) forwardStream(ctx context.Context, e endpoints.Endpoint, response *upstream.Response) (attemptOutcome, placement.Observation, error) {
+func (q *request) forwardStream(ctx context.Context, a *attempt) (attemptOutcome, placement.Observation, error) {
+	e, response := a.endpoint, a.response
 	if q.stream.forwardedEvents > 0 {
 		q.handler.stats.resumed.Inc()
 		q.handler.deps.Log.Info("stream resumed", "request", q.params.ID, "endpoint", e.ID, "after_event", q.stream.lastEventID, "events", q.stream.forwardedEvents)
 	}
-	q.stream.pending, q.stream.readLate = nil, false
+	q.stream.pending = nil
 	q.stream.lastEventAt = q.handler.deps.Clock.Now()
 	buffer := make([]byte, streamReadBytes)
 	suspectTimer := time.AfterFunc(suspectAfter, func() { q.handler.deps.Balancer.Suspect(e) })
 	defer suspectTimer.Stop()
+	if err := response.SetReadDeadline(q.deadline.Add(responseGrace)); err != nil {
+		response.Abort()
+		return q.classifyIncomplete(ctx, fmt.Errorf("%w: %w", upstream.ErrBroken, err))
+	}
 	for {
-		if err := response.SetReadDeadline(q.readDeadline()); err != nil {
-			response.Abort()
-			return q.classifyIncomplete(ctx, fmt.Errorf("%w: %w", upstream.ErrBroken, err))
-		}
+		q.armTakeover(ctx, a, q.eventTimeout())
 		n, err := response.Read(buffer)
 		if n > 0 {
 			forwarded := q.stream.forwardedEvents
-			if forwardErr := q.forwardEvents(response, buffer[:n]); forwardErr != nil {
+			if forwardErr := q.forwardEvents(a, buffer[:n]); forwardErr != nil {
 				response.Abort()
 				return q.classifyForwardError(ctx, forwardErr)
 			}
@@ -85,28 +84,13 @@
 	}
 }
 
-// lateReadTime is the time for one more read of a stream whose next event is overdue.
-const lateReadTime = 50 * time.Millisecond
-
-// readDeadline returns until when to wait for the next event of the stream. Bytes that
-// complete no event do not extend it. If no
-// other endpoint can serve or resume the stream, it is the deadline of the request
-// plus responseGrace, however long the endpoint sends nothing.
-func (q *request) readDeadline() time.Time {
-	deadline := q.deadline.Add(responseGrace)
-	switch {
-	case q.mayRetryElsewhere() && q.stream.forwardedEvents == 0:
-		return earlier(deadline, q.stream.lastEventAt.Add(headTimeout(q.route)))
-	case q.mayRetryElsewhere():
-		next, now := q.stream.lastEventAt.Add(gapTimeout(q.route)), q.handler.deps.Clock.Now()
-		if !q.stream.readLate && !now.Before(next) {
-			// The router itself may have been suspended; events may have arrived.
-			q.stream.readLate = true
-			next = now.Add(lateReadTime)
-		}
-		return earlier(deadline, next)
+// eventTimeout is how long an endpoint may take to send the next event before another
+// one is to take over.
+func (q *request) eventTimeout() time.Duration {
+	if q.stream.forwardedEvents > 0 {
+		return gapTimeout(q.route)
 	}
-	return deadline
+	return headTimeout(q.route)
 }
 
 // finishStream handles the end of an endpoint's response. A response that ends
@@ -149,8 +133,12 @@
 
 // forwardEvents appends b to the pending bytes and forwards all complete events,
 // except those that the caller already has.
-func (q *request) forwardEvents(response *upstream.Response, b []byte) error {
+func (q *request) forwardEvents(a *attempt, b []byte) error {
 	q.stream.pending = append(q.stream.pending, b...)
+	// Bytes that complete no event do not show that the endpoint goes on.
+	if eventLength(q.stream.pending) > 0 && !q.pauseTakeover() {
+		return errTakenOver
+	}
 	var ready []byte
 	count := 0
 	for {
@@ -180,7 +168,7 @@
 	if count == 0 {
 		return nil
 	}
-	return q.writeEvents(response, ready, count)
+	return q.writeEvents(a, ready, count)
 }
 
 // servedEvents is the number of events after which a response has got past its
@@ -189,19 +177,19 @@
 
 // writeEvents writes and flushes the bytes of count complete events, after the
 // head if that was not written yet.
-func (q *request) writeEvents(response *upstream.Response, ready []byte, count int) error {
+func (q *request) writeEvents(a *attempt, ready []byte, count int) error {
 	if !q.stream.headForwarded {
-		q.forwardHead(response)
+		q.forwardHead(a.response)
 	}
 	now := q.handler.deps.Clock.Now()
 	if q.stream.forwardedEvents > 0 {
 		q.handler.stats.eventGap.Update(now.Sub(q.stream.lastEventAt).Seconds())
 	}
-	q.stream.lastEventAt, q.stream.readLate = now, false
+	q.stream.lastEventAt = now
 	q.stream.forwardedEvents += count
-	q.progress = eventsForwarded
-	q.attemptEvents += count
-	if q.attemptEvents >= servedEvents && q.attemptEvents-count < servedEvents {
+	a.progress = eventsForwarded
+	a.events += count
+	if a.events >= servedEvents && a.events-count < servedEvents {
 		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
 	}
 	if _, err := q.writer.Write(ready); err != nil {
--- /dev/null
+++ b/internal/ingress/takeover.go
@@ -0,0 +1,258 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/upstream"
+)
+
+// takeover sends a request to another endpoint while the current one is silent. The
+// silent attempt goes on until another endpoint has accepted the request, since the
+// silence may end and the other endpoints may all refuse.
+//
+// It runs in a goroutine of its own. Meanwhile that of the request only waits for the
+// silent endpoint, and ends the takeover before it uses the state of the request.
+type takeover struct {
+	request *request
+	silent  *attempt
+	delay   time.Duration // silence after which it starts
+	dueAt   time.Time     // when it starts
+	timer   *time.Timer
+	paused  bool            // the timer is stopped
+	parent  context.Context // of the request
+	ctx     context.Context
+	end     context.CancelCauseFunc
+	done    chan struct{} // closed at the end of run
+	// accepted is the attempt at the endpoint that has taken over; nil if none has.
+	// It is valid once done is closed.
+	accepted *attempt
+}
+
+// maxOverlap is how long two endpoints may work on one request. An endpoint that has
+// not refused it by then has accepted it, even if the head of its response is not there.
+const maxOverlap = 300 * time.Millisecond
+
+// lateReadTime is the time for one more read of a response if the timer of a takeover
+// is late. The router itself may have been suspended, and events may have arrived.
+const lateReadTime = 50 * time.Millisecond
+
+// Causes for the end of a takeover.
+var (
+	// errGoesOn: the silent endpoint goes on, or nobody waits for a response.
+	errGoesOn = errors.New("silent endpoint goes on")
+	// errEnded: the attempt at the silent endpoint has failed.
+	errEnded = errors.New("attempt at silent endpoint has failed")
+)
+
+// errTakenOver is the error of an attempt at a silent endpoint from which another one
+// has taken over.
+var errTakenOver = errors.New("silent, another endpoint has taken over")
+
+// armTakeover starts a takeover once the endpoint of a has sent nothing for a time, if
+// the kind of the request permits that. It does nothing if one is armed already.
+func (q *request) armTakeover(ctx context.Context, a *attempt, delay time.Duration) {
+	dueAt := q.handler.deps.Clock.Now().Add(delay)
+	if t := q.takeover; t != nil {
+		if t.paused {
+			t.paused, t.delay, t.dueAt = false, delay, dueAt
+			t.timer.Reset(delay)
+		}
+		return
+	}
+	if !q.route.Retryable() || q.executions+1 >= q.route.MaxAttempts {
+		return
+	}
+	t := &takeover{request: q, silent: a, delay: delay, dueAt: dueAt, parent: ctx, done: make(chan struct{})}
+	t.ctx, t.end = context.WithCancelCause(ctx)
+	q.takeover = t
+	t.timer = time.AfterFunc(delay, t.run)
+}
+
+// pauseTakeover is called when the endpoint of the current attempt goes on. It returns
+// false if another endpoint has taken over already. Otherwise none does before the next
+// call of armTakeover.
+func (q *request) pauseTakeover() bool {
+	t := q.takeover
+	switch {
+	case t == nil:
+		return true
+	case t.paused || t.timer.Stop():
+		t.paused = true
+		return true
+	}
+	q.endTakeover(errGoesOn)
+	return q.accepted == nil
+}
+
+// endTakeover ends the takeover of the current attempt. If an endpoint has accepted the
+// request, q.accepted is the attempt there afterwards.
+func (q *request) endTakeover(cause error) {
+	t := q.takeover
+	if t == nil {
+		return
+	}
+	q.takeover = nil
+	started := !t.paused && !t.timer.Stop()
+	t.end(cause)
+	if started {
+		<-t.done
+		q.accepted = t.accepted
+	}
+}
+
+// run tries other endpoints until one accepts the request or the takeover ends.
+func (t *takeover) run() {
+	defer close(t.done)
+	if late := t.request.handler.deps.Clock.Now().Sub(t.dueAt); late > lateReadTime && t.sleep(lateReadTime) != nil {
+		return
+	}
+	logged := false
+	for t.ctx.Err() == nil {
+		next, deniedBy := t.begin()
+		if next == nil {
+			if !logged {
+				logged = true
+				t.logDenied(deniedBy)
+			}
+			if t.sleep(t.delay) != nil {
+				return
+			}
+			continue
+		}
+		if t.accepts(next) {
+			t.accepted = next
+			t.silent.abandoned = !errors.Is(context.Cause(t.ctx), errEnded)
+			t.silent.cancel()
+			return
+		}
+	}
+}
+
+// begin chooses another endpoint and starts an attempt there. It returns nil and the
+// reason if there is none or the request may not be sent again.
+func (t *takeover) begin() (next *attempt, deniedBy string) {
+	q, h := t.request, t.request.handler
+	if !mayRetry(q.route, stalled, q.executions+1, q.attempts, q.remaining()) || q.attempts >= maxAttemptsPerRequest {
+		return nil, deniedByRoute
+	}
+	if refused := q.checkQuarantine(); refused != nil {
+		return nil, refused.reason
+	}
+	open, _ := q.openEndpoints()
+	choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
+	switch {
+	case !ok:
+		return nil, "no other endpoint"
+	case choice.Ejected:
+		deniedBy = "other endpoints are ejected"
+	case !h.deps.Retries.AllowRetry(q.pool):
+		deniedBy = deniedByRetryBudget
+	case !h.deps.Limits.Acquire(t.ctx, startOf(choice.Endpoint)):
+		deniedBy = "rate limit of other endpoint"
+	}
+	if deniedBy != "" {
+		h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+		return nil, deniedBy
+	}
+	h.stats.retries.Inc()
+	next = q.newAttempt(t.parent, choice)
+	go q.open(next)
+	return next, ""
+}
+
+// accepts waits until the endpoint of next has accepted the request, or it is clear that
+// it does not take over. In that case the attempt is ended.
+func (t *takeover) accepts(next *attempt) bool {
+	opened := t.awaitHead(next)
+	switch {
+	case t.needless():
+		t.request.abandon(next)
+		return false
+	case opened && !next.serves():
+		t.refuse(next)
+		return false
+	}
+	return true
+}
+
+// needless reports whether no other endpoint is needed any more.
+func (t *takeover) needless() bool {
+	return t.ctx.Err() != nil && !errors.Is(context.Cause(t.ctx), errEnded)
+}
+
+// awaitHead waits for the head of the response to next, or an error. It returns false if
+// the takeover or maxOverlap ends before.
+func (t *takeover) awaitHead(next *attempt) bool {
+	connected, overlapped := next.connected, (<-chan time.Time)(nil)
+	for {
+		select {
+		case <-next.opened:
+			return true
+		case <-connected:
+			connected, overlapped = nil, time.After(maxOverlap)
+		case <-overlapped:
+			return false
+		case <-t.ctx.Done():
+			return false
+		}
+	}
+}
+
+// refuse ends an attempt whose endpoint does not serve the request, while the silent one
+// is still waited for.
+func (t *takeover) refuse(next *attempt) {
+	q := t.request
+	stop := context.AfterFunc(t.ctx, func() {
+		if t.needless() {
+			next.cancel() // interrupts the read of a failure response
+		}
+	})
+	defer stop()
+	var outcome attemptOutcome
+	var observation placement.Observation
+	err := next.err
+	if err != nil {
+		outcome, observation, err = q.classifyNoResponse(t.parent, err)
+	} else {
+		outcome, observation, err = q.handleResponse(t.parent, next)
+	}
+	if outcome == connectionBroken && t.needless() {
+		outcome, observation = notNeeded, placement.Inconclusive
+	}
+	q.endAttempt(next, outcome, observation)
+	q.logFailedAttempt(next, outcome, err, "")
+}
+
+// abandon ends an attempt that is not needed any more.
+func (q *request) abandon(a *attempt) {
+	a.cancel()
+	<-a.opened
+	outcome := notNeeded
+	switch {
+	case a.response != nil:
+		a.response.Abort()
+	case errors.Is(a.err, upstream.ErrNotSent):
+		outcome = notSent
+	}
+	q.endAttempt(a, outcome, placement.Inconclusive)
+	q.logFailedAttempt(a, outcome, a.err, "")
+}
+
+// sleep waits for a time. It returns an error if the takeover ends before.
+func (t *takeover) sleep(d time.Duration) error {
+	return clock.Sleep(t.ctx, t.request.handler.deps.Clock, d)
+}
+
+// logDenied logs that no other endpoint takes over at present.
+func (t *takeover) logDenied(reason string) {
+	q := t.request
+	if reason == deniedByRetryBudget {
+		q.handler.stats.retriesRefused.Inc()
+	}
+	q.handler.deps.Log.Info("endpoint silent, request stays there", "request", q.params.ID, "endpoint", t.silent.endpoint.ID,
+		"denied_by", reason, "runs", q.executions, "sends", q.attempts, "left_ms", q.remaining().Milliseconds(), "last_event", q.stream.lastEventID)
+}
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -124,6 +124,8 @@
 	ReportAge time.Duration
 	// Candidates is the number of endpoints among which the choice was made.
 	Candidates int
+	// Ejected is set if the endpoint is ejected, as there was no other.
+	Ejected bool
 }
 
 // Begin chooses an endpoint from the available ones that are not excluded, and
@@ -150,7 +152,8 @@
 		candidates = append(candidates, Candidate{ID: e.ID, Load: b.loadLocked(s, now), Slots: e.Slots, Local: e.Domain == b.failureDomain})
 		chosenFrom = append(chosenFrom, e)
 	}
-	if len(chosenFrom) == 0 {
+	onlyEjected := len(chosenFrom) == 0
+	if onlyEjected {
 		// An ejected endpoint may work after all, so using it is better than
 		// refusing the request.
 		for _, e := range ejected {
@@ -167,7 +170,7 @@
 	s.inFlight++
 	s.startedSinceReport++
 	s.probing = s.consecutiveEjections > 0
-	choice := Choice{Endpoint: chosenFrom[i], Load: candidates[i].Load, Candidates: len(candidates)}
+	choice := Choice{Endpoint: chosenFrom[i], Load: candidates[i].Load, Candidates: len(candidates), Ejected: onlyEjected}
 	if !s.reportedAt.IsZero() {
 		choice.ReportAge = now.Sub(s.reportedAt)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -31,6 +31,8 @@
 	// turns out to be stale. It is only sent on connections that were in use
 	// recently; see Settings.AtMostOnceMaxIdle.
 	AtMostOnce bool
+	// OnConnected is called once there is a connection, before the first byte is sent.
+	OnConnected func()
 }
 
 // Errors of exchanges. They are wrapped with the failed step and the endpoint.
@@ -87,6 +89,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrNotSent, err)
 	}
+	if r.OnConnected != nil {
+		r.OnConnected()
+	}
 	detachContext := context.AfterFunc(ctx, c.interrupt)
 	resp := &Response{conn: c, detachContext: detachContext}
 	write := c.writeRequest(r)
