Log why a response was broken off

The line "request ended" with the outcome "broken off" gave no reason. If no endpoint was left or a segment was quarantined after the last attempt, no other line of the request had it either. No test; nothing was measured.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -209,7 +209,7 @@
 // returns a refusal.
 func (q *request) fail(outcome attemptOutcome, cause error) *refusal {
 	if q.stream.headForwarded {
-		q.truncated = true
+		q.truncated, q.truncatedBy = true, cause
 		return nil
 	}
 	if failure := q.lastFailure; failure != nil && (outcome == failed || outcome == connectionBroken && q.executions > 0) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -50,6 +50,7 @@
 	stream               streamState
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
 	truncated            bool             // the response is incomplete, and the caller must notice
+	truncatedBy          error            // why; only logged
 	disconnected         bool             // the caller has disconnected
 	billedTokens         int64
 	firstByteAt          time.Time // start of forwarding a successful response; zero before
@@ -238,6 +239,9 @@
 		h.stats.firstByte.Update(q.firstByteAt.Sub(q.startedAt).Seconds())
 		h.stats.responseTime.Update(now.Sub(q.startedAt).Seconds())
 	}
+	if q.truncatedBy != nil {
+		attrs = append(attrs, slog.String("reason", q.truncatedBy.Error()))
+	}
 	if refused != nil {
 		attrs = append(attrs, slog.String("reason", refused.reason), slog.Int64("retry_after_ms", refused.retryAfter.Milliseconds()))
 		if refused.code == string(failure.Quarantined) {
