--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -47,6 +47,7 @@
 func (q *request) sendWithRetries(ctx context.Context) *refusal {
 	h := q.handler
 	q.excluded = make(map[string]bool)
+	defer q.endTakeover(errGoesOn) // of an attempt that panicked
 	for {
 		a, started := q.accepted, true
 		if q.accepted = nil; a == nil {
