--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -52,6 +53,7 @@
 	truncated            bool             // the response is incomplete, and the caller must notice
 	truncatedBy          error            // why; only logged
 	disconnected         bool             // the caller has disconnected
+	writeErr             error            // of the first write to the caller that failed
 	billedTokens         int64
 	firstByteAt          time.Time // start of forwarding a successful response; zero before
 }
@@ -206,6 +208,10 @@
 	h := q.handler
 	level, outcome := slog.LevelInfo, "answered"
 	switch {
+	case q.disconnected && h.cutOff.Load():
+		level, outcome = slog.LevelWarn, "cut off"
+	case errors.Is(q.writeErr, os.ErrDeadlineExceeded):
+		level, outcome = slog.LevelWarn, "caller not reading"
 	case q.disconnected:
 		outcome = "caller gone"
 		h.stats.callersDisconnected.Inc()
@@ -242,6 +248,9 @@
 	if q.truncatedBy != nil {
 		attrs = append(attrs, slog.String("reason", q.truncatedBy.Error()))
 	}
+	if q.writeErr != nil {
+		attrs = append(attrs, slog.String("write_err", q.writeErr.Error()))
+	}
 	if refused != nil {
 		attrs = append(attrs, slog.String("reason", refused.reason), slog.Int64("retry_after_ms", refused.retryAfter.Milliseconds()))
 		if refused.code == string(failure.Quarantined) {
