Trust a failure without an id only as a connection's first response

Callers were told 503, "not executed, retry", for a request that an endpoint was executing, or the request was executed at a second endpoint: an endpoint had written the refusal of an earlier request once more, without its id, on the kept connection. Bytes that arrive before a request is sent make the connection stale, but these arrived after it. readHead accepted any failure without an id as the response to the current request; a repeated 421 also removed the endpoint, and a repeated error of the endpoint could reach the caller of another request.

The id is what tells responses apart. A failure without one is now the response only if no other response was read on its connection, where there is nothing to repeat (a refusal at the connection limit). Later it is malformed: the connection is closed, a request that may run only once ends with 502, one that may be repeated is retried.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,8 @@
 	// An idle connection may be reused until maxIdle after idleSince.
 	idleSince time.Time
 	maxIdle   time.Duration
+	// hadResponse is set once the head of a response was read that is not interim.
+	hadResponse bool
 
 	mu          sync.Mutex // guards interrupted, so that no deadline is set after interrupt
 	interrupted bool
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -103,8 +103,9 @@
 	return resp, nil
 }
 
-// readHead reads response heads until one carries the request's id. Failure
-// responses without an id are accepted, too.
+// readHead reads response heads until one carries the request's id. A failure without an
+// id is accepted, too, if it is the first response on its connection: later ones can be
+// repetitions of the response to an earlier request.
 func (resp *Response) readHead(r *Request, headDeadline time.Time, idOf func(http.Header) string) error {
 	if err := resp.conn.setReadDeadline(headDeadline); err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
@@ -123,7 +124,14 @@
 		if httpResponse.StatusCode > maxStatus {
 			return fmt.Errorf("%w: status %d", ErrMalformed, httpResponse.StatusCode)
 		}
-		if id := idOf(httpResponse.Header); id != r.ID && (id != "" || httpResponse.StatusCode < http.StatusMultipleChoices) {
+		first := !resp.conn.hadResponse
+		resp.conn.hadResponse = true
+		id := idOf(httpResponse.Header)
+		failure := httpResponse.StatusCode >= http.StatusMultipleChoices
+		if id == "" && failure && !first {
+			return fmt.Errorf("%w: status %d without an id after other answers", ErrMalformed, httpResponse.StatusCode)
+		}
+		if id != r.ID && (id != "" || !failure) {
 			// A late or duplicate response to another request.
 			if _, err := io.Copy(io.Discard, httpResponse.Body); err != nil || httpResponse.Close {
 				return fmt.Errorf("%w: answer to request %q", ErrMalformed, id)
