Forward only responses that continue a stream once it has begun

A resumable stream broke off, and the endpoint at which it was resumed answered with a success that was no continuation. Callers found its text in the middle of their stream, or the stream ended as if it was complete. Answers with a failure status were kept back before, and are.

A response that is no event stream went to forwardBuffered, which writes a head and the body, whatever was written before. Another success status was forwarded like 200. An event without a number has no known order, so it was forwarded as the next one. And a response that ended without an event completed the stream.

After the head was forwarded, a response must have its status and be an event stream. From an endpoint that resumes, every event must have the next number; comments, which are no events, are dropped. A response without an event does not end a resumed stream. Otherwise the attempt is broken: the stream is resumed at a further endpoint if the route allows it, and else its connection is aborted.

So a stream of which all events were forwarded, but not the end, is broken off now if the endpoint at which it is resumed confirms the end with an empty response. It can't be told from a wrong one, and a caller may resume by itself, which is answered as before. An unframed empty response to a caller that resumes by itself is broken, too, as it was for one that does not.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -18,8 +18,8 @@
 
 // handleResponse forwards a response to the caller, or discards it and returns
 // why it must not be forwarded: the endpoint did not execute the request, or the
-// response is a success that lacks the endpoint's signature or has a content
-// encoding.
+// response is a success that lacks the endpoint's signature, has a content encoding
+// or does not continue the stream of which the head was forwarded.
 func (q *request) handleResponse(ctx context.Context, e endpoints.Endpoint, response *upstream.Response, metadata exchange.Response) (attemptOutcome, placement.Observation, error) {
 	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	switch {
@@ -32,6 +32,9 @@
 	case success && (!metadata.Signed || response.Header.Get("Content-Encoding") != ""):
 		response.Abort()
 		return connectionBroken, placement.Failed, errors.New("success that is not the endpoint's own")
+	case success && q.stream.headForwarded && (response.Status != q.status || !isEventStream(response.Header)):
+		response.Abort()
+		return connectionBroken, placement.Failed, fmt.Errorf("status %d that does not continue the stream", response.Status)
 	case success && q.route.Kind == routetable.Streaming && isEventStream(response.Header):
 		return q.forwardStream(ctx, e, response)
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -116,8 +116,9 @@
 	case len(q.stream.pending) > 0:
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends within an event", upstream.ErrBroken))
-	case !response.Framed && q.stream.forwardedEvents == 0 && q.stream.lastEventID == "":
-		// The end of the connection is the only sign of the end of the response.
+	case q.attemptEvents == 0 && (!response.Framed || q.resumed()):
+		// The end of an unframed response looks the same if it was broken off, and an
+		// empty response does not show that a stream that broke off has no more events.
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends without an event", upstream.ErrBroken))
 	}
@@ -161,6 +162,9 @@
 		event := q.stream.pending[:size]
 		q.stream.pending = q.stream.pending[size:]
 		id := eventID(event)
+		if q.resumed() && isComment(event) {
+			continue
+		}
 		skip, err := q.checkSequence(id)
 		if err != nil {
 			return err
@@ -215,11 +219,15 @@
 
 // checkSequence compares an event's id with that of the last forwarded event. It
 // returns true for an event that the caller already has, which is skipped. The error
-// wraps errSequence if an event is missing in between.
+// wraps errSequence if an event is missing in between, or if another endpoint has
+// resumed the stream with an event that has no number.
 func (q *request) checkSequence(id string) (skip bool, err error) {
 	lastNumber, lastErr := strconv.ParseInt(q.stream.lastEventID, 10, 64)
 	number, numberErr := strconv.ParseInt(id, 10, 64)
-	if lastErr != nil || numberErr != nil {
+	switch {
+	case lastErr == nil && numberErr != nil && q.resumed():
+		return false, fmt.Errorf("%w: %w: id %.32q after %d", upstream.ErrMalformed, errSequence, id, lastNumber)
+	case lastErr != nil || numberErr != nil:
 		return false, nil // ids that are not numbers have no known order
 	}
 	if number <= lastNumber {
@@ -231,6 +239,10 @@
 	return false, nil
 }
 
+// resumed reports whether the current endpoint resumes a stream of which the caller has
+// events from another attempt.
+func (q *request) resumed() bool { return q.stream.forwardedEvents > q.attemptEvents }
+
 // eventLength returns the length in bytes of the first event in b, including its
 // blank line, or 0 if the event is incomplete.
 func eventLength(b []byte) int {
@@ -244,6 +256,16 @@
 	return lf + len("\n\n")
 }
 
+// isComment reports whether an event has no field, so that callers ignore it.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the id field of an event, or "".
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
