Do not retry a response of which a part was forwarded

A caller of an idempotent route got the beginning of one endpoint's response and then the whole response of another; with a length, the sum was cut at that length and looked complete. A response of 256 KiB or more is forwarded while it is read. When it broke off, the outcome was that of a response of which nothing was forwarded, so the request was sent to a second endpoint and its response written after the first.

Found while looking for answers in the middle of a stream: the same cause, a second response after the head of a first.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -111,7 +111,7 @@
 // budget of the pool.
 func (q *request) decideRetry(outcome attemptOutcome, remaining time.Duration, cause error) bool {
 	h := q.handler
-	retry := mayRetry(q.route, outcome, q.executions, q.attempts, remaining)
+	retry := !q.partForwarded && mayRetry(q.route, outcome, q.executions, q.attempts, remaining)
 	reason := "kind of route, attempts or time"
 	if retry && outcome == connectionBroken && q.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), q.endpointID) {
 		retry, reason = false, "a segment of the prompt is suspected of crashing endpoints"
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -96,7 +96,7 @@
 // forwardRemaining forwards a response that is too large to be buffered. Prefix
 // is the part of the body that was already read.
 func (q *request) forwardRemaining(ctx context.Context, response *upstream.Response, prefix []byte) (attemptOutcome, placement.Observation, error) {
-	q.stream.headForwarded = true
+	q.stream.headForwarded, q.partForwarded = true, true
 	q.writeResponse(response.Status, response.Header, prefix, int(response.Length))
 	if _, err := io.Copy(q.writer, response); err != nil {
 		response.Abort()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -49,6 +49,7 @@
 	status               int              // HTTP status written to the caller; 0 before
 	stream               streamState
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
+	partForwarded        bool             // part of a response that is no stream was written, which nothing can continue
 	truncated            bool             // the response is incomplete, and the caller must notice
 	disconnected         bool             // the caller has disconnected
 	billedTokens         int64
