--- a/internal/storehttp/storehttp.go
+++ b/internal/storehttp/storehttp.go
@@ -34,6 +34,10 @@
 	maxResponseBytes = 4 << 20
 )
 
+// ErrTooLarge is wrapped by the error of a call whose response has more bytes than are
+// read.
+var ErrTooLarge = fmt.Errorf("response over %d bytes", maxResponseBytes)
+
 // Client makes calls to one store. It is safe for concurrent use.
 type Client struct {
 	base   string
@@ -79,10 +83,13 @@
 		return Response{}, classifyTransportError(err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, err)
 	}
+	if len(data) > maxResponseBytes {
+		return Response{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ErrTooLarge)
+	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
