--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -26,7 +26,6 @@
 	endpoint  endpoints.Endpoint
 	startedAt time.Time
 	progress  responseProgress // how far the response has come
-	events    int              // events that were forwarded
 	ctx       context.Context  // ends the exchange with the endpoint
 	cancel    context.CancelFunc
 	connected chan struct{} // closed before the first byte is sent
@@ -162,7 +161,7 @@
 	h := q.handler
 	deniedBy := ""
 	switch {
-	case !mayRetry(q.route, outcome, q.executions, q.attempts, q.remaining()):
+	case q.partForwarded || !mayRetry(q.route, outcome, q.executions, q.attempts, q.remaining()):
 		deniedBy = deniedByRoute
 	case outcome == connectionBroken && a.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID):
 		deniedBy = "a segment of the prompt is suspected of crashing endpoints"
@@ -241,7 +240,7 @@
 // of the endpoint, and the cause if the outcome is not completed. If another endpoint
 // has taken over, q.accepted is the attempt there.
 func (q *request) attempt(ctx context.Context, a *attempt, started bool) (attemptOutcome, placement.Observation, error) {
-	q.endpointID = a.endpoint.ID
+	q.endpointID, q.attemptEvents = a.endpoint.ID, 0
 	q.armTakeover(ctx, a, headTimeout(q.route))
 	if started {
 		<-a.opened
@@ -275,7 +274,7 @@
 	if a.err != nil {
 		return q.classifyNoResponse(ctx, a.err)
 	}
-	if a.serves() && !q.pauseTakeover() {
+	if q.serves(a) && !q.pauseTakeover() {
 		a.response.Abort()
 		return q.classifyIncomplete(ctx, errTakenOver)
 	}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -17,8 +17,8 @@
 
 // handleResponse forwards a response to the caller, or discards it and returns
 // why it must not be forwarded: the endpoint did not execute the request, or the
-// response is a success that lacks the endpoint's signature or has a content
-// encoding.
+// response is a success that lacks the endpoint's signature, has a content encoding
+// or does not continue the stream of which the head was forwarded.
 func (q *request) handleResponse(ctx context.Context, a *attempt) (attemptOutcome, placement.Observation, error) {
 	response, metadata := a.response, a.metadata
 	success := isSuccess(response)
@@ -29,7 +29,10 @@
 			q.handler.deps.Endpoints.Remove(a.endpoint.ID, "another endpoint has its address")
 		}
 		return notExecuted, placement.AtCapacity, fmt.Errorf("endpoint did not run it, status %d", response.Status)
-	case success && !a.serves():
+	case success && !q.continuesStream(response):
+		response.Abort()
+		return connectionBroken, placement.Failed, fmt.Errorf("status %d that does not continue the stream", response.Status)
+	case success && !q.serves(a):
 		response.Abort()
 		return connectionBroken, placement.Failed, errors.New("success that is not the endpoint's own")
 	case success && q.route.Kind == routetable.Streaming && isEventStream(response.Header):
@@ -45,9 +48,14 @@
 
 // serves reports whether the head of the response is that of a success that may be
 // forwarded. The attempt must have been opened.
-func (a *attempt) serves() bool {
+func (q *request) serves(a *attempt) bool {
 	return a.response != nil && isSuccess(a.response) && !a.metadata.NotExecuted && !a.metadata.WrongInstance &&
-		a.metadata.Signed && a.response.Header.Get("Content-Encoding") == ""
+		a.metadata.Signed && a.response.Header.Get("Content-Encoding") == "" && q.continuesStream(a.response)
+}
+
+// continuesStream reports whether a success can follow on what was forwarded.
+func (q *request) continuesStream(response *upstream.Response) bool {
+	return !q.stream.headForwarded || response.Status == q.status && isEventStream(response.Header)
 }
 
 // isEventStream reports whether a response with header h is a stream of
@@ -105,7 +113,7 @@
 // forwardRemaining forwards a response that is too large to be buffered. Prefix
 // is the part of the body that was already read.
 func (q *request) forwardRemaining(ctx context.Context, response *upstream.Response, prefix []byte) (attemptOutcome, placement.Observation, error) {
-	q.stream.headForwarded = true
+	q.stream.headForwarded, q.partForwarded = true, true
 	q.writeResponse(response.Status, response.Header, prefix, int(response.Length))
 	if _, err := io.Copy(q.writer, response); err != nil {
 		response.Abort()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -43,6 +43,7 @@
 	// the request.
 	attempts, executions int
 	endpointID           string          // endpoint of the last attempt
+	attemptEvents        int             // events of it that were forwarded
 	excluded             map[string]bool // endpoints that have been tried, by id
 	retriedExcluded      bool            // excluded was cleared once, for lack of other endpoints
 	takeover             *takeover       // of the current attempt; nil if it has none
@@ -50,6 +51,7 @@
 	status               int             // HTTP status written to the caller; 0 before
 	stream               streamState
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
+	partForwarded        bool             // part of a response that is no stream was written, which nothing can continue
 	truncated            bool             // the response is incomplete, and the caller must notice
 	truncatedBy          error            // why; only logged
 	disconnected         bool             // the caller has disconnected
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -172,7 +172,7 @@
 	case t.needless():
 		t.request.abandon(next)
 		return false
-	case opened && !next.serves():
+	case opened && !t.request.serves(next):
 		t.refuse(next)
 		return false
 	}
