--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -42,15 +42,18 @@
 	// attempts counts all attempts, and executions those that may have executed
 	// the request.
 	attempts, executions int
-	endpointID           string           // endpoint of the last attempt
-	progress             responseProgress // how far its response has come
-	attemptEvents        int              // events of it that were forwarded
-	attemptAt            time.Time        // when the last attempt began
-	candidates           int              // endpoints among which it was chosen
-	status               int              // HTTP status written to the caller; 0 before
+	endpointID           string          // endpoint of the last attempt
+	attemptEvents        int             // events of it that were forwarded
+	excluded             map[string]bool // endpoints that have been tried, by id
+	retriedExcluded      bool            // excluded was cleared once, for lack of other endpoints
+	takeover             *takeover       // of the current attempt; nil if it has none
+	accepted             *attempt        // attempt that has taken over from the last one
+	status               int             // HTTP status written to the caller; 0 before
 	stream               streamState
 	lastFailure          *bufferedFailure // last failure response of an endpoint, not forwarded yet
+	partForwarded        bool             // part of a response that is no stream was written, which nothing can continue
 	truncated            bool             // the response is incomplete, and the caller must notice
+	truncatedBy          error            // why; only logged
 	disconnected         bool             // the caller has disconnected
 	writeErr             error            // of the first write to the caller that failed
 	billedTokens         int64
@@ -244,6 +247,9 @@
 		h.stats.firstByte.Update(q.firstByteAt.Sub(q.startedAt).Seconds())
 		h.stats.responseTime.Update(now.Sub(q.startedAt).Seconds())
 	}
+	if q.truncatedBy != nil {
+		attrs = append(attrs, slog.String("reason", q.truncatedBy.Error()))
+	}
 	if q.writeErr != nil {
 		attrs = append(attrs, slog.String("write_err", q.writeErr.Error()))
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
@@ -32,8 +31,6 @@
 	// lastEventAt is when the last events were forwarded, or when the current
 	// endpoint's response began if that is later.
 	lastEventAt time.Time
-	// readLate is set once a read was given lateReadTime since the last event.
-	readLate bool
 }
 
 // maxEventBytes bounds the bytes of an incomplete event.
@@ -48,25 +45,27 @@
 var errSequence = errors.New("events do not follow on those passed on")
 
 // forwardStream forwards events as they arrive, until the stream ends or breaks.
-func (q *request) forwardStream(ctx context.Context, e endpoints.Endpoint, response *upstream.Response) (attemptOutcome, placement.Observation, error) {
+func (q *request) forwardStream(ctx context.Context, a *attempt) (attemptOutcome, placement.Observation, error) {
+	e, response := a.endpoint, a.response
 	if q.stream.forwardedEvents > 0 {
 		q.handler.stats.resumed.Inc()
 		q.handler.deps.Log.Info("stream resumed", "request", q.params.ID, "endpoint", e.ID, "after_event", q.stream.lastEventID, "events", q.stream.forwardedEvents)
 	}
-	q.stream.pending, q.stream.readLate = nil, false
+	q.stream.pending = nil
 	q.stream.lastEventAt = q.handler.deps.Clock.Now()
 	buffer := make([]byte, streamReadBytes)
 	suspectTimer := time.AfterFunc(suspectAfter, func() { q.handler.deps.Balancer.Suspect(e) })
 	defer suspectTimer.Stop()
+	if err := response.SetReadDeadline(q.deadline.Add(responseGrace)); err != nil {
+		response.Abort()
+		return q.classifyIncomplete(ctx, fmt.Errorf("%w: %w", upstream.ErrBroken, err))
+	}
 	for {
-		if err := response.SetReadDeadline(q.readDeadline()); err != nil {
-			response.Abort()
-			return q.classifyIncomplete(ctx, fmt.Errorf("%w: %w", upstream.ErrBroken, err))
-		}
+		q.armTakeover(ctx, a, q.eventTimeout())
 		n, err := response.Read(buffer)
 		if n > 0 {
 			forwarded := q.stream.forwardedEvents
-			if forwardErr := q.forwardEvents(response, buffer[:n]); forwardErr != nil {
+			if forwardErr := q.forwardEvents(a, buffer[:n]); forwardErr != nil {
 				response.Abort()
 				return q.classifyForwardError(ctx, forwardErr)
 			}
@@ -85,28 +84,13 @@
 	}
 }
 
-// lateReadTime is the time for one more read of a stream whose next event is overdue.
-const lateReadTime = 50 * time.Millisecond
-
-// readDeadline returns until when to wait for the next event of the stream. Bytes that
-// complete no event do not extend it. If no
-// other endpoint can serve or resume the stream, it is the deadline of the request
-// plus responseGrace, however long the endpoint sends nothing.
-func (q *request) readDeadline() time.Time {
-	deadline := q.deadline.Add(responseGrace)
-	switch {
-	case q.mayRetryElsewhere() && q.stream.forwardedEvents == 0:
-		return earlier(deadline, q.stream.lastEventAt.Add(headTimeout(q.route)))
-	case q.mayRetryElsewhere():
-		next, now := q.stream.lastEventAt.Add(gapTimeout(q.route)), q.handler.deps.Clock.Now()
-		if !q.stream.readLate && !now.Before(next) {
-			// The router itself may have been suspended; events may have arrived.
-			q.stream.readLate = true
-			next = now.Add(lateReadTime)
-		}
-		return earlier(deadline, next)
+// eventTimeout is how long an endpoint may take to send the next event before another
+// one is to take over.
+func (q *request) eventTimeout() time.Duration {
+	if q.stream.forwardedEvents > 0 {
+		return gapTimeout(q.route)
 	}
-	return deadline
+	return headTimeout(q.route)
 }
 
 // finishStream handles the end of an endpoint's response. A response that ends
@@ -116,8 +100,9 @@
 	case len(q.stream.pending) > 0:
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends within an event", upstream.ErrBroken))
-	case !response.Framed && q.stream.forwardedEvents == 0 && q.stream.lastEventID == "":
-		// The end of the connection is the only sign of the end of the response.
+	case q.attemptEvents == 0 && (!response.Framed || q.resumed()):
+		// The end of an unframed response looks the same if it was broken off, and an
+		// empty response does not show that a stream that broke off has no more events.
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends without an event", upstream.ErrBroken))
 	}
@@ -149,8 +134,12 @@
 
 // forwardEvents appends b to the pending bytes and forwards all complete events,
 // except those that the caller already has.
-func (q *request) forwardEvents(response *upstream.Response, b []byte) error {
+func (q *request) forwardEvents(a *attempt, b []byte) error {
 	q.stream.pending = append(q.stream.pending, b...)
+	// Bytes that complete no event do not show that the endpoint goes on.
+	if eventLength(q.stream.pending) > 0 && !q.pauseTakeover() {
+		return errTakenOver
+	}
 	var ready []byte
 	count := 0
 	for {
@@ -161,6 +150,9 @@
 		event := q.stream.pending[:size]
 		q.stream.pending = q.stream.pending[size:]
 		id := eventID(event)
+		if q.resumed() && isComment(event) {
+			continue
+		}
 		skip, err := q.checkSequence(id)
 		if err != nil {
 			return err
@@ -180,7 +172,7 @@
 	if count == 0 {
 		return nil
 	}
-	return q.writeEvents(response, ready, count)
+	return q.writeEvents(a, ready, count)
 }
 
 // servedEvents is the number of events after which a response has got past its
@@ -189,17 +181,17 @@
 
 // writeEvents writes and flushes the bytes of count complete events, after the
 // head if that was not written yet.
-func (q *request) writeEvents(response *upstream.Response, ready []byte, count int) error {
+func (q *request) writeEvents(a *attempt, ready []byte, count int) error {
 	if !q.stream.headForwarded {
-		q.forwardHead(response)
+		q.forwardHead(a.response)
 	}
 	now := q.handler.deps.Clock.Now()
 	if q.stream.forwardedEvents > 0 {
 		q.handler.stats.eventGap.Update(now.Sub(q.stream.lastEventAt).Seconds())
 	}
-	q.stream.lastEventAt, q.stream.readLate = now, false
+	q.stream.lastEventAt = now
 	q.stream.forwardedEvents += count
-	q.progress = eventsForwarded
+	a.progress = eventsForwarded
 	q.attemptEvents += count
 	if q.attemptEvents >= servedEvents && q.attemptEvents-count < servedEvents {
 		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
@@ -217,11 +209,15 @@
 
 // checkSequence compares an event's id with that of the last forwarded event. It
 // returns true for an event that the caller already has, which is skipped. The error
-// wraps errSequence if an event is missing in between.
+// wraps errSequence if an event is missing in between, or if another endpoint has
+// resumed the stream with an event that has no number.
 func (q *request) checkSequence(id string) (skip bool, err error) {
 	lastNumber, lastErr := strconv.ParseInt(q.stream.lastEventID, 10, 64)
 	number, numberErr := strconv.ParseInt(id, 10, 64)
-	if lastErr != nil || numberErr != nil {
+	switch {
+	case lastErr == nil && numberErr != nil && q.resumed():
+		return false, fmt.Errorf("%w: %w: id %.32q after %d", upstream.ErrMalformed, errSequence, id, lastNumber)
+	case lastErr != nil || numberErr != nil:
 		return false, nil // ids that are not numbers have no known order
 	}
 	if number <= lastNumber {
@@ -233,6 +229,10 @@
 	return false, nil
 }
 
+// resumed reports whether the current endpoint resumes a stream of which the caller has
+// events from another attempt.
+func (q *request) resumed() bool { return q.stream.forwardedEvents > q.attemptEvents }
+
 // eventLength returns the length in bytes of the first event in b, including its
 // blank line, or 0 if the event is incomplete.
 func eventLength(b []byte) int {
@@ -246,6 +246,16 @@
 	return lf + len("\n\n")
 }
 
+// isComment reports whether an event has no field, so that callers ignore it.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the id field of an event, or "".
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
