Use only member rows that are those of routers

A row of the fleet that is JSON, but not a router's, counted as a member: {} or null, an address that can't be dialed, a negative weight. It was chosen as a lender or to hand out permits until it was suspected, and counted among the routers that share a limit. Rows that are no JSON, nested, or with numbers out of range were left out before and are, and nothing ended the watch; the test keeps that. The type of the row and its decoder move to row.go.

TestOddRowsNameNoMember failed before at the row "null".

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -55,14 +55,6 @@
 	suspicionMemory = 10 * time.Second
 )
 
-// row is the value of a VM's row.
-type row struct {
-	Incarnation string  `json:"incarnation"`
-	Domain      string  `json:"domain"`
-	Addr        string  `json:"addr"` // host:port of the peer listener
-	Weight      float64 `json:"weight"`
-}
-
 // member is another router, or this one.
 type member struct {
 	prepaid.Member
@@ -273,7 +265,8 @@
 func (d *Directory) updateMember(vm string, r rowstore.Row) {
 	var decoded row
 	if !r.Removed {
-		if err := json.Unmarshal(r.Value, &decoded); err != nil {
+		var err error
+		if decoded, err = decodeRow(r.Value); err != nil {
 			d.log.Error("cannot decode member row, the router is not used", "row", r.Key.String(), "err", err.Error())
 			r.Removed = true
 		}
