Send no head with line breaks in its fields

The pool writes the fields of a head as they are. A request with a line break or NUL in its head is now an error, as one that was not sent. An event whose id can't be sent as Last-Event-Id, or has over 256 bytes, breaks the attempt off: the stream could not be resumed after it.

TestLineBreaksAreNotSent failed before (no error), and of TestOddEventIDIsNotSentOn the id of 5,000 bytes (it was sent on); the stand-in closes the connection on the others.

--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/endpoints"
@@ -165,6 +166,9 @@
 		if q.resumed() && isComment(event) {
 			continue
 		}
+		if !canResumeAfter(id) {
+			return fmt.Errorf("%w: event id %.32q", upstream.ErrMalformed, id)
+		}
 		skip, err := q.checkSequence(id)
 		if err != nil {
 			return err
@@ -256,6 +260,14 @@
 	return lf + len("\n\n")
 }
 
+// maxEventIDBytes bounds the id of an event.
+const maxEventIDBytes = 256
+
+// canResumeAfter reports whether an event id can be sent in a header.
+func canResumeAfter(id string) bool {
+	return len(id) <= maxEventIDBytes && !strings.ContainsAny(id, "\r\n\x00")
+}
+
 // isComment reports whether an event has no field, so that callers ignore it.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,7 +11,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -83,6 +85,9 @@
 // body is read. The function idOf returns the request id in a response header, or "".
 // If there is no error, the caller must call Finish or Abort of the response.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, headDeadline time.Time, idOf func(http.Header) string) (*Response, error) {
+	if !r.singleLines() {
+		return nil, fmt.Errorf("request to %s: %w: %w", addr, ErrNotSent, errLineBreak)
+	}
 	c, err := p.acquire(ctx, addr, r.AtMostOnce)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrNotSent, err)
@@ -209,6 +214,21 @@
 	return keepAliveUnspecified
 }
 
+// errLineBreak is returned for a request whose head would have other lines than its
+// fields.
+var errLineBreak = errors.New("line break or NUL in the head")
+
+// singleLines reports whether no field of the head has a line break or NUL.
+func (r *Request) singleLines() bool {
+	const breaks = "\r\n\x00"
+	for name, values := range r.Header {
+		if strings.ContainsAny(name, breaks) || slices.ContainsFunc(values, func(v string) bool { return strings.ContainsAny(v, breaks) }) {
+			return false
+		}
+	}
+	return !strings.ContainsAny(r.Method, breaks) && !strings.ContainsAny(r.Target, breaks) && !strings.ContainsAny(r.Host, breaks)
+}
+
 // encode returns the head of a request in wire format. Content-Length is added if
 // there is a body or the method usually has one.
 func (r *Request) encode() []byte {
