Start the tests of the path once the router knows the fleet

The router's log shows why: the second attempt was denied by the retry budget. A router is ready once it has a configuration and the endpoints. If it has not read the list of routers by then, it assumes 500 of them, and its share of the allowance (0.8 * (0.5 * 1 + 50/500) = 0.48) has no retry yet. That is intended: shares that are too small keep the fleet within its bound, and the caller got the endpoint's own response all the same. What was wrong is the test's assumption that a ready router may retry at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -354,6 +354,10 @@
 // UsableEndpoints returns the number of endpoints of a pool that may get requests.
 func (g *Gateway) UsableEndpoints(pool string) int { return len(g.endpoints.Usable(pool)) }
 
+// FleetKnown reports whether the list of routers was read. Before, the router takes the
+// least share of what the fleet may retry.
+func (g *Gateway) FleetKnown() bool { return g.members.Synced() }
+
 // Addresses are the addresses that a router listens on, as host:port.
 type Addresses struct{ Callers, Ready, Metrics string }
 
