Give up a store call that stalls, not one that takes long

After an outage a call for the changes of the configuration table had to transfer more in 2.2 s than the link carries.

The timeout of a call of the table watch now bounds the time until something of the response arrives, and from then on each pause. Stores report progress through the context of the call; a store that does not is bounded as before. A response that trickles is given up after 10 s.

--- a/coord/rowstore/watcher.go
+++ b/coord/rowstore/watcher.go
@@ -66,12 +66,18 @@
 
 // Timeouts of calls to the store.
 const (
-	// snapshotTimeout bounds a read of the table. A store responds within some
-	// milliseconds, and within some hundred milliseconds while it is slow.
+	// snapshotTimeout bounds the wait for the response to a read of the table. A store
+	// responds within some milliseconds, and within some hundred milliseconds while it
+	// is slow.
 	snapshotTimeout = 1500 * time.Millisecond
 	// changesTimeoutSlack is how much longer than its wait a call for changes may
-	// take.
+	// take to begin its response.
 	changesTimeoutSlack = 700 * time.Millisecond
+	// stallTimeout is how long a response may pause. It allows for a retransmission.
+	stallTimeout = 700 * time.Millisecond
+	// maxTransferTime bounds a response that has begun. A large table takes seconds on a
+	// narrow link that is in use, and an aborted transfer starts anew.
+	maxTransferTime = 10 * time.Second
 )
 
 // call reads the whole table or its next changes.
@@ -80,7 +86,7 @@
 	if readAll {
 		timeout = snapshotTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := withStallTimeout(ctx, timeout, stallTimeout, timeout+maxTransferTime)
 	defer cancel()
 	if readAll {
 		return w.Store.Read(ctx, w.Table, "")
--- a/internal/storehttp/storehttp.go
+++ b/internal/storehttp/storehttp.go
@@ -79,13 +79,29 @@
 		return Response{}, classifyTransportError(err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	rowstore.ReportProgress(ctx)
+	data, err := io.ReadAll(io.LimitReader(progressReader{ctx: ctx, body: response.Body}, maxResponseBytes))
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, err)
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
+// progressReader reads the body of a response and reports the progress of the call.
+type progressReader struct {
+	ctx  context.Context
+	body io.Reader
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if n > 0 {
+		rowstore.ReportProgress(r.ctx)
+	}
+	return n, err
+}
+
 // classifyTransportError wraps err with rowstore.ErrUnavailable if dialing failed, so
 // that the call was not sent, and otherwise with rowstore.ErrUnknown.
 func classifyTransportError(err error) error {
