Read a table anew after an outage instead of all its versions

After more than 2 s without the store a watcher now reads the table, which holds each row once. All callbacks for a whole table are in use already, at the start and after the store has dropped its history. For the lists of endpoints and routers the read is smaller, too, since their rows are written every second.

--- a/coord/rowstore/watcher.go
+++ b/coord/rowstore/watcher.go
@@ -28,7 +28,7 @@
 	// nil.
 	OnDisconnect, OnRead func()
 
-	since            int64 // version of the last snapshot; 0 requests a read of the whole table
+	since            int64 // version of the last snapshot; 0 if the whole table must be read
 	backoff          time.Duration
 	unreachableSince time.Time // when calls began to fail; zero while they succeed
 }
@@ -44,7 +44,7 @@
 // Step makes one call to the store and hands over its rows. After a failed call it
 // waits for the backoff.
 func (w *Watcher) Step(ctx context.Context) {
-	readAll := w.since == 0
+	readAll := w.since == 0 || w.unreachableFor() > resyncAfter
 	snap, err := w.call(ctx, readAll)
 	switch {
 	case errors.Is(err, ErrCompacted):
@@ -64,6 +64,19 @@
 	w.since = max(w.since, snap.Version)
 }
 
+// resyncAfter is how long the store may be unreachable before the table is read instead
+// of its changes. The changes hold a row once for each time it was written, of which only
+// the last counts.
+const resyncAfter = 2 * time.Second
+
+// unreachableFor returns for how long calls to the store have failed.
+func (w *Watcher) unreachableFor() time.Duration {
+	if w.unreachableSince.IsZero() {
+		return 0
+	}
+	return w.Clock.Now().Sub(w.unreachableSince)
+}
+
 // Timeouts of calls to the store.
 const (
 	// snapshotTimeout bounds the wait for the response to a read of the table. A store
@@ -114,7 +127,7 @@
 // handleSuccess ends a series of failures and calls OnRead.
 func (w *Watcher) handleSuccess() {
 	if !w.unreachableSince.IsZero() {
-		w.Log.Info("store reachable again, table watch resumed", "table", w.Table, "away_ms", w.Clock.Now().Sub(w.unreachableSince).Milliseconds(), "version", w.since)
+		w.Log.Info("store reachable again, table watch resumed", "table", w.Table, "away_ms", w.unreachableFor().Milliseconds(), "version", w.since)
 		w.unreachableSince, w.backoff = time.Time{}, 0
 	}
 	if w.OnRead != nil {
