--- a/coord/rowstore/watcher.go
+++ b/coord/rowstore/watcher.go
@@ -60,13 +60,15 @@
 }
 
 // canFollow reports whether the changes since the last snapshot are all that the rows
-// handed over lack.
-func (w *Watcher) canFollow() bool { return w.synced && w.Store.Era() <= w.era }
+// handed over lack, and worth reading.
+func (w *Watcher) canFollow() bool {
+	return w.synced && w.Store.Era() <= w.era && w.unreachableFor() <= resyncAfter
+}
 
 // stepTable hands over the whole table.
 func (w *Watcher) stepTable(ctx context.Context) {
 	newest := w.Store.Era()
-	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	callCtx, cancel := withStallTimeout(ctx, snapshotTimeout, stallTimeout, snapshotTimeout+maxTransferTime)
 	defer cancel()
 	snap, err := w.Store.Read(callCtx, w.Table, "")
 	if err == nil {
@@ -117,20 +119,40 @@
 	return nil
 }
 
+// resyncAfter is how long the store may be unreachable before the table is read instead
+// of its changes. The changes hold a row once for each time it was written, of which only
+// the last counts.
+const resyncAfter = 2 * time.Second
+
+// unreachableFor returns for how long calls to the store have failed.
+func (w *Watcher) unreachableFor() time.Duration {
+	if w.unreachableSince.IsZero() {
+		return 0
+	}
+	return w.Clock.Now().Sub(w.unreachableSince)
+}
+
 // Timeouts of calls to the store.
 const (
-	// snapshotTimeout bounds a read of the table. A store responds within some
-	// milliseconds, and within some hundred milliseconds while it is slow.
+	// snapshotTimeout bounds the wait for the response to a read of the table. A store
+	// responds within some milliseconds, and within some hundred milliseconds while it
+	// is slow.
 	snapshotTimeout = 1500 * time.Millisecond
 	// changesTimeoutSlack is how much longer than its wait a call for changes may
-	// take.
+	// take to begin its response.
 	changesTimeoutSlack = 700 * time.Millisecond
+	// stallTimeout is how long a response may pause. It allows for a retransmission.
+	stallTimeout = 700 * time.Millisecond
+	// maxTransferTime bounds a response that has begun. A large table takes seconds on a
+	// narrow link that is in use, and an aborted transfer starts anew.
+	maxTransferTime = 10 * time.Second
 )
 
 // changes reads the next changes. It returns early once another call has shown that
 // the era of the last snapshot has ended.
 func (w *Watcher) changes(ctx context.Context) (Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.Wait+changesTimeoutSlack)
+	timeout := w.Wait + changesTimeoutSlack
+	ctx, cancel := withStallTimeout(ctx, timeout, stallTimeout, timeout+maxTransferTime)
 	defer cancel()
 	eraEnded := w.Store.EraEnded(w.era)
 	go func() {
@@ -163,7 +185,7 @@
 // handleSuccess ends a series of failures and calls OnRead.
 func (w *Watcher) handleSuccess() {
 	if !w.unreachableSince.IsZero() {
-		w.Log.Info("store reachable again, table watch resumed", "table", w.Table, "away_ms", w.Clock.Now().Sub(w.unreachableSince).Milliseconds(), "version", w.since)
+		w.Log.Info("store reachable again, table watch resumed", "table", w.Table, "away_ms", w.unreachableFor().Milliseconds(), "version", w.since)
 		w.unreachableSince, w.backoff = time.Time{}, 0
 	}
 	if w.OnRead != nil {
