Send nothing more to an endpoint that says it is leaving

The registry then marks the start of the endpoint that the attempt was sent to as leaving, which holds until an entry of another start, as for endpoints whose entry says so. Idle connections to it are closed; what it still responds to goes on.

--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -178,6 +178,20 @@
 	known.endpoint, known.removed = e, false
 }
 
+// MarkLeaving records that the start of an endpoint at startedMs has said that it is
+// leaving, which the list may not state yet or never. It reports whether that is new.
+func (r *Registry) MarkLeaving(id string, startedMs int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[id]
+	if e == nil || e.endpoint.StartedMs != startedMs || e.endpoint.Leaving {
+		return false
+	}
+	e.endpoint.Leaving = true
+	r.log.Info("endpoint is leaving, as it says in a response", "endpoint", id, "pool", e.endpoint.Pool)
+	return true
+}
+
 // supersedes reports whether the known entry is newer than e: written by a later
 // start of the endpoint, or later by the same start. For a removed endpoint an
 // equal entry is outdated, too, since only an entry that was written after the
--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -45,6 +45,29 @@
 	assert.Equal(t, len(r.Usable("app")), 0)
 }
 
+// TestEndpointThatSaidItLeavesGetsNoRequests guards against requests to an endpoint that
+// has said in a response that it is leaving, although the list states otherwise, and
+// against applying that to a later start of it.
+func TestEndpointThatSaidItLeavesGetsNoRequests(t *testing.T) {
+	r, _ := newRegistry()
+	r.Set(entry(1))
+	assert.Assert(t, !r.MarkLeaving("i-1", 400), "an earlier start said so")
+	assert.Assert(t, r.AcceptsRequests("i-1"))
+	assert.Assert(t, r.MarkLeaving("i-1", 500))
+	assert.Assert(t, !r.MarkLeaving("i-1", 500))
+	assert.Assert(t, !r.AcceptsRequests("i-1"))
+	r.Set(entry(2))
+	r.Replace([]endpoints.Endpoint{entry(3)})
+	r.Remove("i-1", "entry removed")
+	r.Set(entry(4))
+	assert.Assert(t, !r.AcceptsRequests("i-1"))
+	assert.Equal(t, len(r.Usable("app")), 0)
+	restarted := entry(1)
+	restarted.StartedMs++
+	r.Set(restarted)
+	assert.Assert(t, r.AcceptsRequests("i-1"))
+}
+
 // TestSyncedOnlyAfterCompleteList guards against a router that reports itself
 // ready once the store has responded but before the endpoints are known, and then
 // refuses its first requests.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -90,6 +90,8 @@
 	// WrongInstance is set if another endpoint than the intended one received the
 	// request, since it now has the address.
 	WrongInstance bool
+	// Leaving is set if the endpoint stops soon and wants no further requests.
+	Leaving bool
 	// Load is nil if the endpoint does not report its load.
 	Load *Load
 	// RateLimit is the number of requests a second that the endpoint takes from all
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -205,6 +205,7 @@
 		h.deps.Balancer.Report(e.ID, *metadata.Load)
 	}
 	q.learnLimit(e, metadata)
+	q.learnLeaving(e, metadata)
 	return q.handleResponse(ctx, e, response, metadata)
 }
 
@@ -244,6 +245,14 @@
 	q.handler.deps.Limits.Learn(start, metadata.RateLimit, q.attemptAt)
 }
 
+// learnLeaving stops sending requests to e if it says that it is leaving. Requests that
+// it has go on.
+func (q *request) learnLeaving(e endpoints.Endpoint, metadata exchange.Response) {
+	if metadata.Leaving && !metadata.WrongInstance && q.handler.deps.Endpoints.MarkLeaving(e.ID, e.StartedMs) {
+		q.handler.deps.Upstream.CloseIdle(e.Addr)
+	}
+}
+
 // mayRetryElsewhere reports whether the request may be executed once more after
 // the current attempt and the pool has another endpoint for it.
 func (q *request) mayRetryElsewhere() bool {
