Keep away from an endpoint for as long as it asks in a refusal

Until now each further request tried it again.

The times are kept for one router, since they are stated to it; a shorter one that arrives later does not replace a longer one.

--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +54,9 @@
 	mu      sync.Mutex          // guards all below; never held over a call
 	invalid map[Start]string    // last stated limit that was none
 	closed  map[Start]time.Time // no permit is asked for before this time
+	refused map[Start]time.Time // the endpoint wants no requests of this router before this time
+
+	refusing atomic.Int64 // length of refused
 }
 
 // stats are the counters of Limits.
@@ -66,7 +70,7 @@
 	l := &Limits{
 		options: o, table: newTable(o.Clock, o.Log, o.Metrics), governor: newGovernor(o.Clock),
 		stats:   stats{granted: permits("granted"), denied: permits("denied"), unanswered: permits("unanswered")},
-		invalid: make(map[Start]string), closed: make(map[Start]time.Time),
+		invalid: make(map[Start]string), closed: make(map[Start]time.Time), refused: make(map[Start]time.Time),
 	}
 	bus.Handle(o.Bus, kindPermit, l.handlePermit)
 	return l
@@ -121,18 +125,49 @@
 	l.options.Log.Warn("rate limit of an endpoint ignored, it is no positive decimal number", "endpoint", s.Endpoint, "value", value)
 }
 
-// None reports whether no endpoint has a limit. It takes no lock.
-func (l *Limits) None() bool { return l.table.limited.Load() == 0 }
+// Refuse records that an endpoint wants no requests of this router for a time. A refusal
+// does not shorten an earlier one, since responses may overtake each other.
+func (l *Limits) Refuse(s Start, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until := l.options.Clock.Now().Add(d)
+	known, found := l.refused[s]
+	if !until.After(known) || !found && len(l.refused) >= maxStates {
+		return
+	}
+	l.refused[s] = until
+	l.refusing.Store(int64(len(l.refused)))
+	l.options.Log.Info("endpoint refuses the requests of this router", "endpoint", s.Endpoint, "for_ms", d.Milliseconds())
+}
+
+// None reports whether every endpoint may get requests without a permit. It takes no
+// lock.
+func (l *Limits) None() bool { return l.table.limited.Load() == 0 && l.refusing.Load() == 0 }
 
-// Closed returns how long it takes until a permit for the endpoint can be asked for, or
-// 0 if it can be now or needs none.
+// Closed returns how long it takes until the endpoint may get a request, or a permit for
+// it can be asked for, and 0 if that is now.
 func (l *Limits) Closed(s Start) time.Duration {
-	if perSecond, _ := l.table.limit(s); perSecond == 0 {
-		return 0
+	perSecond, _ := l.table.limit(s)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until := l.refused[s]
+	if perSecond > 0 && l.closed[s].After(until) {
+		until = l.closed[s]
+	}
+	return max(until.Sub(l.options.Clock.Now()), 0)
+}
+
+// refuses reports whether the endpoint wants no requests of this router now.
+func (l *Limits) refuses(s Start) bool {
+	if l.refusing.Load() == 0 {
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(l.closed[s].Sub(l.options.Clock.Now()), 0)
+	return l.refused[s].After(l.options.Clock.Now())
 }
 
 // permitTimeout bounds the wait for a permit. A request that gets none in time goes
@@ -143,10 +178,13 @@
 // again.
 const unansweredDelay = 250 * time.Millisecond
 
-// Acquire reports whether a request may be sent to an endpoint now: the endpoint states
-// no limit, or its governor has granted a permit. Without a permit the endpoint is
-// closed for a time.
+// Acquire reports whether a request may be sent to an endpoint now: the endpoint does not
+// refuse it, and states no limit or its governor has granted a permit. Without a permit
+// the endpoint is closed for a time.
 func (l *Limits) Acquire(ctx context.Context, s Start) bool {
+	if l.refuses(s) {
+		return false
+	}
 	perSecond, at := l.table.limit(s)
 	if perSecond == 0 {
 		return true
@@ -219,4 +257,10 @@
 			delete(l.closed, s)
 		}
 	}
+	for s, until := range l.refused {
+		if until.Before(l.options.Clock.Now()) {
+			delete(l.refused, s)
+		}
+	}
+	l.refusing.Store(int64(len(l.refused)))
 }
--- a/internal/endpointlimit/limits_test.go
+++ b/internal/endpointlimit/limits_test.go
@@ -299,3 +299,28 @@
 	}
 	assert.Assert(t, len(s.routers[0].invalid) <= maxInvalid)
 }
+
+// TestRefusedEndpointGetsNoRequests guards against requests to an endpoint before the time
+// that it has stated in a refusal is over, and against applying that to a later start.
+func TestRefusedEndpointGetsNoRequests(t *testing.T) {
+	s := newSimulation(1, 0, 1)
+	limits := s.routers[0]
+	later := Start{Endpoint: s.start.Endpoint, StartedMs: s.start.StartedMs + 1}
+	limits.Refuse(s.start, 0)
+	assert.Assert(t, limits.None())
+	limits.Refuse(s.start, 2*time.Second)
+	limits.Refuse(s.start, time.Second) // overtaken by the first
+	assert.Assert(t, !limits.None())
+	s.clock.Advance(1500 * time.Millisecond)
+	limits.Prune()
+	assert.Assert(t, !limits.Acquire(t.Context(), s.start))
+	assert.Equal(t, limits.Closed(s.start), 500*time.Millisecond)
+	assert.Assert(t, limits.Acquire(t.Context(), later))
+	assert.Equal(t, limits.Closed(later), time.Duration(0))
+	s.clock.Advance(500 * time.Millisecond)
+	assert.Assert(t, limits.Acquire(t.Context(), s.start))
+	assert.Equal(t, limits.Closed(s.start), time.Duration(0))
+	s.clock.Advance(time.Millisecond)
+	limits.Prune()
+	assert.Assert(t, limits.None())
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -94,6 +94,9 @@
 	Leaving bool
 	// Load is nil if the endpoint does not report its load.
 	Load *Load
+	// RefusedFor is how long the endpoint wants no further requests of this router, or 0
+	// if it does not say so. Only refusals state it.
+	RefusedFor time.Duration
 	// RateLimit is the number of requests a second that the endpoint takes from all
 	// routers together, or 0 if it states none.
 	RateLimit float64
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -232,12 +232,14 @@
 	return open, opensIn
 }
 
-// learnLimit takes in the rate limit that a response of e states.
+// learnLimit takes in the rate limit that a response of e states, and for how long e
+// wants no further requests.
 func (q *request) learnLimit(e endpoints.Endpoint, metadata exchange.Response) {
 	if metadata.WrongInstance {
 		return // another endpoint has responded
 	}
 	start := startOf(e)
+	q.handler.deps.Limits.Refuse(start, metadata.RefusedFor)
 	if metadata.InvalidRateLimit != "" {
 		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
 		return // a limit that was stated before stays
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -105,9 +105,9 @@
 }
 
 // refuseAtRateLimit refuses a request because the endpoints that could serve it are at
-// their rate limits. The first of them takes a request after opensIn.
+// their rate limits or want no requests. The first of them takes a request after opensIn.
 func refuseAtRateLimit(pool string, opensIn time.Duration) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "endpoints of pool " + pool + " are at their rate limits", retryAfter: opensIn}
+	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "endpoints of pool " + pool + " are at their rate limits or refuse requests", retryAfter: opensIn}
 }
 
 // refuseQuarantined refuses a request whose prompt is suspected of crashing endpoints. A
