--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -309,6 +309,7 @@
 		h.deps.Balancer.Report(a.endpoint.ID, *a.metadata.Load)
 	}
 	q.learnLimit(a)
+	q.learnLeaving(a)
 }
 
 // startOf names the start of an endpoint for the rate limits.
@@ -334,13 +335,15 @@
 	return open, opensIn
 }
 
-// learnLimit takes in the rate limit that the response of an attempt states.
+// learnLimit takes in the rate limit that the response of an attempt states, and for how
+// long its endpoint wants no further requests.
 func (q *request) learnLimit(a *attempt) {
 	metadata := a.metadata
 	if metadata.WrongInstance {
 		return // another endpoint has responded
 	}
 	start := startOf(a.endpoint)
+	q.handler.deps.Limits.Refuse(start, metadata.RefusedFor)
 	if metadata.InvalidRateLimit != "" {
 		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
 		return // a limit that was stated before stays
@@ -348,6 +351,15 @@
 	q.handler.deps.Limits.Learn(start, metadata.RateLimit, a.startedAt)
 }
 
+// learnLeaving stops sending requests to the endpoint of an attempt if its response says
+// that it is leaving. Requests that it has go on.
+func (q *request) learnLeaving(a *attempt) {
+	e := a.endpoint
+	if a.metadata.Leaving && !a.metadata.WrongInstance && q.handler.deps.Endpoints.MarkLeaving(e.ID, e.StartedMs) {
+		q.handler.deps.Upstream.CloseIdle(e.Addr)
+	}
+}
+
 // responseID returns the id of the request that a response with header h belongs
 // to.
 func (q *request) responseID(h http.Header) string {
