Keep the failure of each attempt apart until the attempt ends

A silent endpoint that fails and the endpoint that was to take over wrote the state of the request at the same time, if the failure of the second was still being read. Which of the two failures the caller got was undefined.

TestFailuresOfBothEndpointsAtOnce failed before with -race (write in forwardBuffered, by the goroutine of the request and by that of the takeover). The attempt holds its failure now; the request gets it in endAttempt, which the request calls after the takeover has ended. The test passes with -race -count=2.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -28,8 +28,9 @@
 	progress  responseProgress // how far the response has come
 	ctx       context.Context  // ends the exchange with the endpoint
 	cancel    context.CancelFunc
-	connected chan struct{} // closed before the first byte is sent
-	abandoned bool          // another endpoint has taken over while this one was silent
+	connected chan struct{}    // closed before the first byte is sent
+	abandoned bool             // another endpoint has taken over while this one was silent
+	failure   *bufferedFailure // the endpoint's complete failure response
 
 	// opened is closed once there is the head of a response, or an error. The fields
 	// below are valid from then on.
@@ -130,6 +131,9 @@
 	if outcome.mayHaveExecuted() {
 		q.executions++
 	}
+	if a.failure != nil {
+		q.lastFailure = a.failure
+	}
 	if outcome == connectionBroken && a.progress != eventsForwarded {
 		q.handler.ends.responseLost(q, a)
 	}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 
-	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/routetable"
 	"daisyslip.dev/daisyslip/internal/upstream"
@@ -38,7 +37,7 @@
 	case success && q.route.Kind == routetable.Streaming && isEventStream(response.Header):
 		return q.forwardStream(ctx, a)
 	}
-	return q.forwardBuffered(ctx, response, metadata, success)
+	return q.forwardBuffered(ctx, a, success)
 }
 
 // isSuccess reports whether a response has a status in the 2xx range.
@@ -83,9 +82,10 @@
 const maxBufferedBytes = 256 << 10
 
 // forwardBuffered reads a response completely and forwards it if it is a success.
-// A failure is kept in q.lastFailure instead. A success of maxBufferedBytes or more
+// A failure is kept in a.failure instead. A success of maxBufferedBytes or more
 // is forwarded while it is read.
-func (q *request) forwardBuffered(ctx context.Context, response *upstream.Response, metadata exchange.Response, success bool) (attemptOutcome, placement.Observation, error) {
+func (q *request) forwardBuffered(ctx context.Context, a *attempt, success bool) (attemptOutcome, placement.Observation, error) {
+	response := a.response
 	if err := response.SetReadDeadline(q.deadline.Add(responseGrace)); err != nil {
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: %w", upstream.ErrBroken, err))
@@ -98,7 +98,7 @@
 	}
 	if !success {
 		response.Finish()
-		q.lastFailure = &bufferedFailure{status: response.Status, header: response.Header, body: body.Bytes(), signed: metadata.Signed}
+		a.failure = &bufferedFailure{status: response.Status, header: response.Header, body: body.Bytes(), signed: a.metadata.Signed}
 		return failed, placement.Failed, fmt.Errorf("endpoint responded with status %d", response.Status)
 	}
 	q.firstByteAt = q.handler.deps.Clock.Now()
