Recover from panics in the goroutines of a takeover

A takeover and its attempt run in goroutines of their own, where net/http recovers nothing: a panic there ended the process and with it all requests of the router, while the same panic in the handler ends one request.

TestPanicWhileAnotherEndpointIsTriedLosesNothing failed before: the test's process ended with 'panic: fault of the router' in (*request).open, started by (*takeover).begin. A panic while an attempt is opened is now an outcome that is unknown, and one in the takeover ends only the takeover; the silent endpoint is still waited for. Both are logged with the request and the stack. The tests of silences and panics pass with -race.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -31,6 +31,7 @@
 	connected chan struct{}    // closed before the first byte is sent
 	abandoned bool             // another endpoint has taken over while this one was silent
 	failure   *bufferedFailure // the endpoint's complete failure response
+	ended     bool             // set by endAttempt
 
 	// opened is closed once there is the head of a response, or an error. The fields
 	// below are valid from then on.
@@ -127,6 +128,7 @@
 // endAttempt records the outcome of an attempt.
 func (q *request) endAttempt(a *attempt, outcome attemptOutcome, observation placement.Observation) {
 	a.cancel()
+	a.ended = true
 	q.handler.deps.Balancer.End(a.endpoint, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
@@ -291,6 +293,7 @@
 // open sends the request to the endpoint of a and waits for the head of the response.
 func (q *request) open(a *attempt) {
 	defer close(a.opened)
+	defer q.recoverOpen(a) // a takeover opens its attempt in another goroutine
 	h := q.handler
 	if !h.deps.Endpoints.AcceptsRequests(a.endpoint.ID) {
 		a.err = fmt.Errorf("%w: %w", upstream.ErrNotSent, errLeftPool)
@@ -315,6 +318,20 @@
 	q.learnLimit(a)
 }
 
+// recoverOpen makes a panic the error of an attempt whose outcome is unknown.
+func (q *request) recoverOpen(a *attempt) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	q.logPanic(cause, a.endpoint.ID)
+	if a.response != nil {
+		a.response.Abort()
+		a.response = nil
+	}
+	a.err = fmt.Errorf("%w: %w", upstream.ErrBroken, errHandlerPanicked)
+}
+
 // startOf names the start of an endpoint for the rate limits.
 func startOf(e endpoints.Endpoint) endpointlimit.Start {
 	return endpointlimit.Start{Endpoint: e.ID, StartedMs: e.StartedMs}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -151,7 +151,7 @@
 		if cause == nil {
 			return
 		}
-		q.handler.deps.Log.Error("request handler panicked", "request", q.params.ID, "endpoint", q.endpointID, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		q.logPanic(cause, q.endpointID)
 		if q.status != 0 {
 			q.truncated = true
 			return
@@ -168,6 +168,11 @@
 	return refused
 }
 
+// logPanic logs a panic that was recovered, with its stack.
+func (q *request) logPanic(cause any, endpoint string) {
+	q.handler.deps.Log.Error("request handler panicked", "request", q.params.ID, "endpoint", endpoint, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
+
 // errHandlerPanicked is told to the caller of a request whose handler panicked.
 var errHandlerPanicked = errors.New("internal error of the router")
 
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -27,6 +27,7 @@
 	ctx     context.Context
 	end     context.CancelCauseFunc
 	done    chan struct{} // closed at the end of run
+	tried   *attempt      // the last attempt at another endpoint; used by run only
 	// accepted is the attempt at the endpoint that has taken over; nil if none has.
 	// It is valid once done is closed.
 	accepted *attempt
@@ -107,6 +108,7 @@
 // run tries other endpoints until one accepts the request or the takeover ends.
 func (t *takeover) run() {
 	defer close(t.done)
+	defer t.recoverRun()
 	if late := t.request.handler.deps.Clock.Now().Sub(t.dueAt); late > lateReadTime && t.sleep(lateReadTime) != nil {
 		return
 	}
@@ -132,6 +134,18 @@
 	}
 }
 
+// recoverRun ends the takeover after a panic. The silent endpoint is still waited for.
+func (t *takeover) recoverRun() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	t.request.logPanic(cause, t.silent.endpoint.ID)
+	if t.tried != nil && !t.tried.ended && t.accepted == nil {
+		t.request.abandon(t.tried)
+	}
+}
+
 // begin chooses another endpoint and starts an attempt there. It returns nil and the
 // reason if there is none or the request may not be sent again.
 func (t *takeover) begin() (next *attempt, deniedBy string) {
@@ -160,6 +174,7 @@
 	}
 	h.stats.retries.Inc()
 	next = q.newAttempt(t.parent, choice)
+	t.tried = next
 	go q.open(next)
 	return next, ""
 }
