Do not close an endpoint when a request stops waiting for its permit

A takeover that ends while it waits for the permit of another endpoint, since the silent one goes on, closed that endpoint for 250 to 375 ms for all requests of the router, as if the governor had not responded. The same happened when a caller disconnected.

TestPermitThatNobodyWaitsForDoesNotCloseEndpoint failed before ('277.547434ms != 0s'). Acquire returns without closing the endpoint if its context has ended, and a request whose context has ended does not ask for a further endpoint. The tests of the package and those of limits in pathtest pass.

--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -145,7 +145,7 @@
 
 // Acquire reports whether a request may be sent to an endpoint now: the endpoint states
 // no limit, or its governor has granted a permit. Without a permit the endpoint is
-// closed for a time.
+// closed for a time, unless ctx has ended.
 func (l *Limits) Acquire(ctx context.Context, s Start) bool {
 	perSecond, at := l.table.limit(s)
 	if perSecond == 0 {
@@ -154,6 +154,8 @@
 	now := l.options.Clock.Now()
 	response, err := l.ask(ctx, permitRequest{Statement: Statement{Start: s, PerSecond: perSecond}, AgeMS: now.Sub(at).Milliseconds()})
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return false // shows nothing of the governor
 	case err != nil:
 		l.stats.unanswered.Inc()
 		l.options.Log.Info("no permit for an endpoint with a rate limit, its governor does not respond", "endpoint", s.Endpoint, "err", err.Error())
--- a/internal/endpointlimit/limits_test.go
+++ b/internal/endpointlimit/limits_test.go
@@ -243,6 +243,21 @@
 	assert.Assert(t, s.send(1))
 }
 
+// TestPermitThatNobodyWaitsForDoesNotCloseEndpoint guards against an endpoint that is closed
+// for all requests since one stopped waiting for a permit.
+func TestPermitThatNobodyWaitsForDoesNotCloseEndpoint(t *testing.T) {
+	s := newSimulation(3, 1.5, 1)
+	s.run(time.Second, 20*time.Millisecond)
+	s.clock.Advance(10 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.network.SetPartitioned(s.ids[0], s.ids[2], true)
+	assert.Assert(t, !s.routers[2].Acquire(ctx, s.start))
+	assert.Equal(t, s.routers[2].Closed(s.start), time.Duration(0))
+	s.network.SetPartitioned(s.ids[0], s.ids[2], false)
+	assert.Assert(t, s.send(2))
+}
+
 // TestLimitFollowsWhatTheEndpointSays guards against a limit that outlives its
 // statement, and against an older response that revives or ends it.
 func TestLimitFollowsWhatTheEndpointSays(t *testing.T) {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -95,6 +95,10 @@
 				return q.newAttempt(ctx, choice), nil
 			}
 			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+			if ctx.Err() != nil {
+				q.disconnected = q.httpRequest.Context().Err() != nil
+				return nil, q.fail(deadlineExceeded, ctx.Err())
+			}
 			continue // the endpoint is closed now
 		}
 		if opensIn > 0 && q.executions == 0 {
