Stop a takeover whose prompt is suspected of crashing endpoints

A request whose connection broke before its first event is not repeated if its prompt is suspected of crashing endpoints. A takeover did not ask: while the first endpoint was silent, it sent such a prompt to one endpoint after the other, up to max_attempts.

TestTakeoverStopsAtSuspectedPrompt failed before: a third endpoint ran the request. The takeover now denies further attempts for the same reason as decideRetry. The test passes with -race -count=2.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -173,8 +173,8 @@
 	switch {
 	case q.partForwarded || !mayRetry(q.route, outcome, q.executions, q.attempts, q.remaining()):
 		deniedBy = deniedByRoute
-	case outcome == connectionBroken && a.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID):
-		deniedBy = "a segment of the prompt is suspected of crashing endpoints"
+	case q.suspected(a, outcome):
+		deniedBy = deniedBySuspicion
 	// If nothing was sent, the next attempt does not make endpoints receive the
 	// request twice, so it takes nothing from the retry budget.
 	case outcome != notSent && !h.deps.Retries.AllowRetry(q.pool):
@@ -187,8 +187,16 @@
 	return deniedBy == ""
 }
 
+// suspected reports whether an attempt broke off before its first event, and a segment of
+// the prompt is suspected of crashing endpoints.
+func (q *request) suspected(a *attempt, outcome attemptOutcome) bool {
+	return outcome == connectionBroken && a.progress != eventsForwarded &&
+		q.handler.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID)
+}
+
 // Reasons in log lines for which a request is not sent to another endpoint.
 const (
+	deniedBySuspicion   = "a segment of the prompt is suspected of crashing endpoints"
 	deniedByRoute       = "kind of route, attempts or time"
 	deniedByRetryBudget = "retry budget"
 )
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -27,7 +27,10 @@
 	ctx     context.Context
 	end     context.CancelCauseFunc
 	done    chan struct{} // closed at the end of run
-	tried   *attempt      // the last attempt at another endpoint; used by run only
+	// tried is the last attempt at another endpoint, and suspected is set if the prompt
+	// may have crashed one. Both are used by run only.
+	tried     *attempt
+	suspected bool
 	// accepted is the attempt at the endpoint that has taken over; nil if none has.
 	// It is valid once done is closed.
 	accepted *attempt
@@ -153,6 +156,9 @@
 	if !mayRetry(q.route, stalled, q.executions+1, q.attempts, q.remaining()) || q.attempts >= maxAttemptsPerRequest {
 		return nil, deniedByRoute
 	}
+	if t.suspected {
+		return nil, deniedBySuspicion
+	}
 	if refused := q.checkQuarantine(); refused != nil {
 		return nil, refused.reason
 	}
@@ -239,6 +245,7 @@
 		outcome, observation = notNeeded, placement.Inconclusive
 	}
 	q.endAttempt(next, outcome, observation)
+	t.suspected = t.suspected || q.suspected(next, outcome)
 	q.logFailedAttempt(next, outcome, err, "")
 }
 
