Leave probes and the quarantine alone while a takeover is denied

A silent request asks again and again whether another endpoint is free. Each time it began and ended an attempt at an ejected endpoint, which ended the mark of a probe there, so that further requests were sent to an endpoint that was not known to work again. It also asked the quarantine first, which lets one request through from time to time and counted a takeover that never sent anything.

TestPollsDoNotEndProbe failed with Begin and End in place of BeginNotEjected (request to i-0). The order of the quarantine was changed by reading only; no test.

--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -159,19 +159,18 @@
 	if t.suspected {
 		return nil, deniedBySuspicion
 	}
-	if refused := q.checkQuarantine(); refused != nil {
-		return nil, refused.reason
-	}
 	open, _ := q.openEndpoints()
-	choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
-	switch {
-	case !ok:
-		return nil, "no other endpoint"
-	case choice.Ejected:
-		deniedBy = "other endpoints are ejected"
-	case !h.deps.Retries.AllowRetry(q.pool):
+	choice, ok := h.deps.Balancer.BeginNotEjected(open, q.affinity, q.excluded)
+	if !ok {
+		return nil, "no other endpoint that is not ejected"
+	}
+	// The quarantine lets a request through from time to time, so it is asked only once
+	// there is an endpoint.
+	if refused := q.checkQuarantine(); refused != nil {
+		deniedBy = refused.reason
+	} else if !h.deps.Retries.AllowRetry(q.pool) {
 		deniedBy = deniedByRetryBudget
-	case !h.deps.Limits.Acquire(t.ctx, startOf(choice.Endpoint)):
+	} else if !h.deps.Limits.Acquire(t.ctx, startOf(choice.Endpoint)) {
 		deniedBy = "rate limit of other endpoint"
 	}
 	if deniedBy != "" {
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -124,8 +124,6 @@
 	ReportAge time.Duration
 	// Candidates is the number of endpoints among which the choice was made.
 	Candidates int
-	// Ejected is set if the endpoint is ejected, as there was no other.
-	Ejected bool
 }
 
 // Begin chooses an endpoint from the available ones that are not excluded, and
@@ -134,6 +132,15 @@
 // returns false if there is no endpoint to choose from. If it returns true, the
 // caller must call End exactly once.
 func (b *Balancer) Begin(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool) (Choice, bool) {
+	return b.begin(available, affinity, excluded, true)
+}
+
+// BeginNotEjected is Begin without the ejected endpoints.
+func (b *Balancer) BeginNotEjected(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool) (Choice, bool) {
+	return b.begin(available, affinity, excluded, false)
+}
+
+func (b *Balancer) begin(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool, allowEjected bool) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -152,8 +159,7 @@
 		candidates = append(candidates, Candidate{ID: e.ID, Load: b.loadLocked(s, now), Slots: e.Slots, Local: e.Domain == b.failureDomain})
 		chosenFrom = append(chosenFrom, e)
 	}
-	onlyEjected := len(chosenFrom) == 0
-	if onlyEjected {
+	if len(chosenFrom) == 0 && allowEjected {
 		// An ejected endpoint may work after all, so using it is better than
 		// refusing the request.
 		for _, e := range ejected {
@@ -170,7 +176,7 @@
 	s.inFlight++
 	s.startedSinceReport++
 	s.probing = s.consecutiveEjections > 0
-	choice := Choice{Endpoint: chosenFrom[i], Load: candidates[i].Load, Candidates: len(candidates), Ejected: onlyEjected}
+	choice := Choice{Endpoint: chosenFrom[i], Load: candidates[i].Load, Candidates: len(candidates)}
 	if !s.reportedAt.IsZero() {
 		choice.ReportAge = now.Sub(s.reportedAt)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -174,6 +174,27 @@
 	assert.Assert(t, ok)
 }
 
+// TestPollsDoNotEndProbe guards against further requests to an ejected endpoint during its
+// probe, since a silent request asks again and again whether another endpoint is free.
+func TestPollsDoNotEndProbe(t *testing.T) {
+	b, c := newBalancer()
+	both := endpointList(2)
+	b.Suspect(both[0])
+	c.Advance(placement.DefaultSettings().EjectFor + time.Millisecond)
+	probe, ok := b.Begin(both[:1], 0, nil)
+	assert.Assert(t, ok)
+	for range 3 {
+		_, ok := b.BeginNotEjected(both[:1], 0, nil)
+		assert.Assert(t, !ok)
+	}
+	for range 20 {
+		choice, ok := b.Begin(both, 0, nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Endpoint.ID, both[1].ID)
+	}
+	b.End(probe.Endpoint, placement.Succeeded)
+}
+
 // TestAffinityHashesSharedSegments checks that prompts that differ only in the last
 // segment have the same affinity.
 func TestAffinityHashesSharedSegments(t *testing.T) {
