Read what arrived while the router was suspended before a takeover is settled

An endpoint that had not refused a request within maxOverlap was taken to have accepted it, also if its refusal had arrived but the router had not run since. The silent endpoint was given up then. As at the start of a takeover, one more lateReadTime is waited if the timer is late.

TestHeadThatArrivedWhileSuspendedIsRead failed before.

--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -207,18 +207,37 @@
 // awaitHead waits for the head of the response to next, or an error. It returns false if
 // the takeover or maxOverlap ends before.
 func (t *takeover) awaitHead(next *attempt) bool {
-	connected, overlapped := next.connected, (<-chan time.Time)(nil)
-	for {
-		select {
-		case <-next.opened:
-			return true
-		case <-connected:
-			connected, overlapped = nil, time.After(maxOverlap)
-		case <-overlapped:
-			return false
-		case <-t.ctx.Done():
-			return false
-		}
+	select {
+	case <-next.opened:
+		return true
+	case <-t.ctx.Done():
+		return false
+	case <-next.connected:
+	}
+	c := t.request.handler.deps.Clock
+	connectedAt := c.Now()
+	if t.sleepUntilOpened(next, maxOverlap) {
+		return true
+	}
+	if late := c.Now().Sub(connectedAt) - maxOverlap; late > lateReadTime {
+		return t.sleepUntilOpened(next, lateReadTime) // the head may have arrived meanwhile
+	}
+	return false
+}
+
+// sleepUntilOpened waits until next is opened, the takeover ends or d has passed. It
+// reports whether next is open.
+func (t *takeover) sleepUntilOpened(next *attempt, d time.Duration) bool {
+	select {
+	case <-next.opened:
+	case <-time.After(d):
+	case <-t.ctx.Done():
+	}
+	select {
+	case <-next.opened:
+		return true
+	default:
+		return false
 	}
 }
 
--- /dev/null
+++ b/internal/ingress/takeover_test.go
@@ -0,0 +1,26 @@
+package ingress
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+)
+
+// TestHeadThatArrivedWhileSuspendedIsRead guards against an endpoint that has refused a
+// request and is taken for one that has accepted it, since the router was suspended.
+func TestHeadThatArrivedWhileSuspendedIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.NewFake(time.Unix(1000, 0))
+		q := &request{handler: &Handler{deps: Dependencies{Clock: c}}}
+		next := &attempt{connected: make(chan struct{}), opened: make(chan struct{})}
+		close(next.connected)
+		time.AfterFunc(maxOverlap/2, func() { c.Advance(time.Second) })
+		time.AfterFunc(maxOverlap+lateReadTime/2, func() { close(next.opened) })
+		assert.Assert(t, (&takeover{request: q, ctx: context.Background()}).awaitHead(next))
+	})
+}
