Let a stream be taken over only by an endpoint that continues it

An endpoint that was silent after the last event of a stream lost it: the one that took over accepted with its head and then ended without an event, which does not show that the stream is complete, so that the stream was broken off. The same happened if it broke off or failed between its head and its first event.

TestSilenceBeforeEndOfStreamIsNotTheEnd failed before ('unexpected EOF'). An attempt that continues a stream is open only once the start of its body has arrived; without one it does not take over, and the silent endpoint is still waited for. A takeover is ended before the end of a response without events writes the head, since the takeover reads that state (by reading only).

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -33,11 +34,13 @@
 	failure   *bufferedFailure // the endpoint's complete failure response
 	ended     bool             // set by endAttempt
 
-	// opened is closed once there is the head of a response, or an error. The fields
-	// below are valid from then on.
+	// opened is closed once there is the head of a response, or an error. If the response
+	// continues a stream, the start of its body is there, too. The fields below are
+	// valid from then on.
 	opened   chan struct{}
 	response *upstream.Response
 	metadata exchange.Response
+	first    []byte // of the body, if the response continues a stream
 	err      error
 }
 
@@ -268,11 +271,7 @@
 	outcome, observation, err := q.serveOpened(ctx, a)
 	switch outcome {
 	case completed, deadlineExceeded, callerDisconnected:
-		q.endTakeover(errGoesOn)
-		if q.accepted != nil {
-			q.abandon(q.accepted)
-			q.accepted = nil
-		}
+		q.dropTakeover()
 		return outcome, observation, err
 	}
 	q.endTakeover(errEnded)
@@ -328,6 +327,24 @@
 		h.deps.Balancer.Report(a.endpoint.ID, *a.metadata.Load)
 	}
 	q.learnLimit(a)
+	if q.stream.headForwarded && q.serves(a) {
+		q.readFirst(a)
+	}
+}
+
+// readFirst reads the start of the body of a response that continues a stream.
+func (q *request) readFirst(a *attempt) {
+	a.first = make([]byte, streamReadBytes)
+	n, err := a.response.Read(a.first)
+	if a.first = a.first[:n]; n > 0 {
+		return // an error is returned by the next read, too
+	}
+	a.response.Abort()
+	a.response = nil
+	if errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: stream ends without an event", upstream.ErrBroken)
+	}
+	a.err = err
 }
 
 // recoverOpen makes a panic the error of an attempt whose outcome is unknown.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -62,7 +62,7 @@
 	}
 	for {
 		q.armTakeover(ctx, a, q.eventTimeout())
-		n, err := response.Read(buffer)
+		n, err := a.readBody(buffer)
 		if n > 0 {
 			forwarded := q.stream.forwardedEvents
 			if forwardErr := q.forwardEvents(a, buffer[:n]); forwardErr != nil {
@@ -84,6 +84,16 @@
 	}
 }
 
+// readBody reads the next bytes of the response.
+func (a *attempt) readBody(b []byte) (int, error) {
+	if len(a.first) == 0 {
+		return a.response.Read(b)
+	}
+	n := copy(b, a.first)
+	a.first = a.first[n:]
+	return n, nil
+}
+
 // eventTimeout is how long an endpoint may take to send the next event before another
 // one is to take over.
 func (q *request) eventTimeout() time.Duration {
@@ -106,6 +116,7 @@
 		response.Abort()
 		return q.classifyIncomplete(ctx, fmt.Errorf("%w: stream ends without an event", upstream.ErrBroken))
 	}
+	q.dropTakeover() // it uses the state that is changed below
 	if !q.stream.headForwarded {
 		q.forwardHead(response)
 	}
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -108,6 +108,16 @@
 	}
 }
 
+// dropTakeover ends the takeover of the current attempt, and the attempt at an endpoint
+// that has accepted the request.
+func (q *request) dropTakeover() {
+	q.endTakeover(errGoesOn)
+	if q.accepted != nil {
+		q.abandon(q.accepted)
+		q.accepted = nil
+	}
+}
+
 // run tries other endpoints until one accepts the request or the takeover ends.
 func (t *takeover) run() {
 	defer close(t.done)
