--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -180,7 +180,7 @@
 
 // Acquire reports whether a request may be sent to an endpoint now: the endpoint does not
 // refuse it, and states no limit or its governor has granted a permit. Without a permit
-// the endpoint is closed for a time.
+// the endpoint is closed for a time, unless ctx has ended.
 func (l *Limits) Acquire(ctx context.Context, s Start) bool {
 	if l.refuses(s) {
 		return false
@@ -192,6 +192,8 @@
 	now := l.options.Clock.Now()
 	response, err := l.ask(ctx, permitRequest{Statement: Statement{Start: s, PerSecond: perSecond}, AgeMS: now.Sub(at).Milliseconds()})
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return false // shows nothing of the governor
 	case err != nil:
 		l.stats.unanswered.Inc()
 		l.options.Log.Info("no permit for an endpoint with a rate limit, its governor does not respond", "endpoint", s.Endpoint, "err", err.Error())
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -28,14 +29,18 @@
 	progress  responseProgress // how far the response has come
 	ctx       context.Context  // ends the exchange with the endpoint
 	cancel    context.CancelFunc
-	connected chan struct{} // closed before the first byte is sent
-	abandoned bool          // another endpoint has taken over while this one was silent
+	connected chan struct{}    // closed before the first byte is sent
+	abandoned bool             // another endpoint has taken over while this one was silent
+	failure   *bufferedFailure // the endpoint's complete failure response
+	ended     bool             // set by endAttempt
 
-	// opened is closed once there is the head of a response, or an error. The fields
-	// below are valid from then on.
+	// opened is closed once there is the head of a response, or an error. If the response
+	// continues a stream, the start of its body is there, too. The fields below are
+	// valid from then on.
 	opened   chan struct{}
 	response *upstream.Response
 	metadata exchange.Response
+	first    []byte // of the body, if the response continues a stream
 	err      error
 }
 
@@ -93,6 +98,10 @@
 				return q.newAttempt(ctx, choice), nil
 			}
 			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+			if ctx.Err() != nil {
+				q.disconnected = q.httpRequest.Context().Err() != nil
+				return nil, q.fail(deadlineExceeded, ctx.Err())
+			}
 			continue // the endpoint is closed now
 		}
 		if opensIn > 0 && q.executions == 0 {
@@ -126,10 +135,14 @@
 // endAttempt records the outcome of an attempt.
 func (q *request) endAttempt(a *attempt, outcome attemptOutcome, observation placement.Observation) {
 	a.cancel()
+	a.ended = true
 	q.handler.deps.Balancer.End(a.endpoint, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
 	}
+	if a.failure != nil {
+		q.lastFailure = a.failure
+	}
 	if outcome == connectionBroken && a.progress != eventsForwarded {
 		q.handler.ends.responseLost(q, a)
 	}
@@ -163,8 +176,8 @@
 	switch {
 	case q.partForwarded || !mayRetry(q.route, outcome, q.executions, q.attempts, q.remaining()):
 		deniedBy = deniedByRoute
-	case outcome == connectionBroken && a.progress != eventsForwarded && h.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID):
-		deniedBy = "a segment of the prompt is suspected of crashing endpoints"
+	case q.suspected(a, outcome):
+		deniedBy = deniedBySuspicion
 	// If nothing was sent, the next attempt does not make endpoints receive the
 	// request twice, so it takes nothing from the retry budget.
 	case outcome != notSent && !h.deps.Retries.AllowRetry(q.pool):
@@ -177,8 +190,16 @@
 	return deniedBy == ""
 }
 
+// suspected reports whether an attempt broke off before its first event, and a segment of
+// the prompt is suspected of crashing endpoints.
+func (q *request) suspected(a *attempt, outcome attemptOutcome) bool {
+	return outcome == connectionBroken && a.progress != eventsForwarded &&
+		q.handler.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID)
+}
+
 // Reasons in log lines for which a request is not sent to another endpoint.
 const (
+	deniedBySuspicion   = "a segment of the prompt is suspected of crashing endpoints"
 	deniedByRoute       = "kind of route, attempts or time"
 	deniedByRetryBudget = "retry budget"
 )
@@ -250,11 +271,7 @@
 	outcome, observation, err := q.serveOpened(ctx, a)
 	switch outcome {
 	case completed, deadlineExceeded, callerDisconnected:
-		q.endTakeover(errGoesOn)
-		if q.accepted != nil {
-			q.abandon(q.accepted)
-			q.accepted = nil
-		}
+		q.dropTakeover()
 		return outcome, observation, err
 	}
 	q.endTakeover(errEnded)
@@ -287,6 +304,7 @@
 // open sends the request to the endpoint of a and waits for the head of the response.
 func (q *request) open(a *attempt) {
 	defer close(a.opened)
+	defer q.recoverOpen(a) // a takeover opens its attempt in another goroutine
 	h := q.handler
 	if !h.deps.Endpoints.AcceptsRequests(a.endpoint.ID) {
 		a.err = fmt.Errorf("%w: %w", upstream.ErrNotSent, errLeftPool)
@@ -310,6 +328,38 @@
 	}
 	q.learnLimit(a)
 	q.learnLeaving(a)
+	if q.stream.headForwarded && q.serves(a) {
+		q.readFirst(a)
+	}
+}
+
+// readFirst reads the start of the body of a response that continues a stream.
+func (q *request) readFirst(a *attempt) {
+	a.first = make([]byte, streamReadBytes)
+	n, err := a.response.Read(a.first)
+	if a.first = a.first[:n]; n > 0 {
+		return // an error is returned by the next read, too
+	}
+	a.response.Abort()
+	a.response = nil
+	if errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: stream ends without an event", upstream.ErrBroken)
+	}
+	a.err = err
+}
+
+// recoverOpen makes a panic the error of an attempt whose outcome is unknown.
+func (q *request) recoverOpen(a *attempt) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	q.logPanic(cause, a.endpoint.ID)
+	if a.response != nil {
+		a.response.Abort()
+		a.response = nil
+	}
+	a.err = fmt.Errorf("%w: %w", upstream.ErrBroken, errHandlerPanicked)
 }
 
 // startOf names the start of an endpoint for the rate limits.
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -27,6 +27,10 @@
 	ctx     context.Context
 	end     context.CancelCauseFunc
 	done    chan struct{} // closed at the end of run
+	// tried is the last attempt at another endpoint, and suspected is set if the prompt
+	// may have crashed one. Both are used by run only.
+	tried     *attempt
+	suspected bool
 	// accepted is the attempt at the endpoint that has taken over; nil if none has.
 	// It is valid once done is closed.
 	accepted *attempt
@@ -104,9 +108,20 @@
 	}
 }
 
+// dropTakeover ends the takeover of the current attempt, and the attempt at an endpoint
+// that has accepted the request.
+func (q *request) dropTakeover() {
+	q.endTakeover(errGoesOn)
+	if q.accepted != nil {
+		q.abandon(q.accepted)
+		q.accepted = nil
+	}
+}
+
 // run tries other endpoints until one accepts the request or the takeover ends.
 func (t *takeover) run() {
 	defer close(t.done)
+	defer t.recoverRun()
 	if late := t.request.handler.deps.Clock.Now().Sub(t.dueAt); late > lateReadTime && t.sleep(lateReadTime) != nil {
 		return
 	}
@@ -132,6 +147,18 @@
 	}
 }
 
+// recoverRun ends the takeover after a panic. The silent endpoint is still waited for.
+func (t *takeover) recoverRun() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	t.request.logPanic(cause, t.silent.endpoint.ID)
+	if t.tried != nil && !t.tried.ended && t.accepted == nil {
+		t.request.abandon(t.tried)
+	}
+}
+
 // begin chooses another endpoint and starts an attempt there. It returns nil and the
 // reason if there is none or the request may not be sent again.
 func (t *takeover) begin() (next *attempt, deniedBy string) {
@@ -139,19 +166,21 @@
 	if !mayRetry(q.route, stalled, q.executions+1, q.attempts, q.remaining()) || q.attempts >= maxAttemptsPerRequest {
 		return nil, deniedByRoute
 	}
-	if refused := q.checkQuarantine(); refused != nil {
-		return nil, refused.reason
+	if t.suspected {
+		return nil, deniedBySuspicion
 	}
 	open, _ := q.openEndpoints()
-	choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
-	switch {
-	case !ok:
-		return nil, "no other endpoint"
-	case choice.Ejected:
-		deniedBy = "other endpoints are ejected"
-	case !h.deps.Retries.AllowRetry(q.pool):
+	choice, ok := h.deps.Balancer.BeginNotEjected(open, q.affinity, q.excluded)
+	if !ok {
+		return nil, "no other endpoint that is not ejected"
+	}
+	// The quarantine lets a request through from time to time, so it is asked only once
+	// there is an endpoint.
+	if refused := q.checkQuarantine(); refused != nil {
+		deniedBy = refused.reason
+	} else if !h.deps.Retries.AllowRetry(q.pool) {
 		deniedBy = deniedByRetryBudget
-	case !h.deps.Limits.Acquire(t.ctx, startOf(choice.Endpoint)):
+	} else if !h.deps.Limits.Acquire(t.ctx, startOf(choice.Endpoint)) {
 		deniedBy = "rate limit of other endpoint"
 	}
 	if deniedBy != "" {
@@ -160,6 +189,7 @@
 	}
 	h.stats.retries.Inc()
 	next = q.newAttempt(t.parent, choice)
+	t.tried = next
 	go q.open(next)
 	return next, ""
 }
@@ -187,18 +217,37 @@
 // awaitHead waits for the head of the response to next, or an error. It returns false if
 // the takeover or maxOverlap ends before.
 func (t *takeover) awaitHead(next *attempt) bool {
-	connected, overlapped := next.connected, (<-chan time.Time)(nil)
-	for {
-		select {
-		case <-next.opened:
-			return true
-		case <-connected:
-			connected, overlapped = nil, time.After(maxOverlap)
-		case <-overlapped:
-			return false
-		case <-t.ctx.Done():
-			return false
-		}
+	select {
+	case <-next.opened:
+		return true
+	case <-t.ctx.Done():
+		return false
+	case <-next.connected:
+	}
+	c := t.request.handler.deps.Clock
+	connectedAt := c.Now()
+	if t.sleepUntilOpened(next, maxOverlap) {
+		return true
+	}
+	if late := c.Now().Sub(connectedAt) - maxOverlap; late > lateReadTime {
+		return t.sleepUntilOpened(next, lateReadTime) // the head may have arrived meanwhile
+	}
+	return false
+}
+
+// sleepUntilOpened waits until next is opened, the takeover ends or d has passed. It
+// reports whether next is open.
+func (t *takeover) sleepUntilOpened(next *attempt, d time.Duration) bool {
+	select {
+	case <-next.opened:
+	case <-time.After(d):
+	case <-t.ctx.Done():
+	}
+	select {
+	case <-next.opened:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -224,6 +273,7 @@
 		outcome, observation = notNeeded, placement.Inconclusive
 	}
 	q.endAttempt(next, outcome, observation)
+	t.suspected = t.suspected || q.suspected(next, outcome)
 	q.logFailedAttempt(next, outcome, err, "")
 }
 
