Confirm prepaid totals after the store came back from a copy

The store had forgotten draws and granted the same tokens again, while their holders went on spending them. Versions were given out again, too, so that a conditional write could pass on another row.

TestRestoredStoreStaysWithinLimit plays that with restores from copies 1 to 9 s old. It also checks that a total that is confirmed in the present era includes what was consumed and reserved.

After the era has risen, each holder now reads its rows and writes its grant again as it is in memory, with the difference in the total. No tokens are drawn, and no grants reclaimed, until the total is confirmed in the era: after 1 s, a holder that has asked all routers for their records adds what the rows lack of the grants of dead or silent holders. To that end each holder tells up to four lender candidates of a draw before it can use it, and a candidate that starts asks the others. Grants that their holder did not write again count as fully spent. Each transaction expects that the mark of the next era is absent, so that one of an earlier era cannot pass. A response of another era than the rows is an unknown outcome.

Not exact are draws that only dead processes knew of; the package comment says which.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -30,6 +30,15 @@
 	unlockRate float64
 	spent      int64
 	reserved   int64
+	// storedGranted is what the stored grant row has as granted, which the total
+	// includes. It differs from granted after the store was restored from a copy, until
+	// the grant is written again.
+	storedGranted int64
+	// grantEra is the era of the store in which this holder last wrote its grant row or
+	// found that it has none. seq is the number of its writes of the row. openedMs is the
+	// store's clock when the grant was opened. closed is set once the grant was returned.
+	grantEra, seq, openedMs int64
+	closed                  bool
 	// pendingWrites are writes that may still be applied by the store.
 	pendingWrites []pendingWrite
 
@@ -94,6 +103,11 @@
 	total                    totalRow
 	totalRead                bool
 	orphanedGrants           []rowstore.Row
+	// foreignRows are the grant rows of all other holders while the total is not
+	// confirmed. readEra is the era of the rows, and markedEra the newest one that they
+	// mark.
+	foreignRows        []rowstore.Row
+	readEra, markedEra int64
 }
 
 // newAccount returns the account of a workspace, without a grant.
@@ -289,7 +303,7 @@
 // readDueLocked reports whether the rows must be read. A process that is expected to hold
 // no grant reads them only for waiters, or for a grant that it or a predecessor has.
 func (a *account) readDueLocked() bool {
-	if a.totalRead && !a.rereadRows {
+	if a.totalRead && !a.rereadRows && a.readEra == a.holder.eras.observe() {
 		return false
 	}
 	return a.reclaiming || a.granted > 0 || a.returnAll || len(a.waiters) > 0 || len(a.pendingWrites) > 0 || a.holder.isLender(a.workspace)
@@ -350,7 +364,12 @@
 		}
 		return false
 	}
+	if errors.Is(err, errUnconfirmed) {
+		a.mu.Unlock()
+		return a.awaitConfirmation()
+	}
 	h.stats.Failures.Add(1)
+	h.eras.callFailed()
 	if !a.unreachable {
 		a.unreachable, a.unreachableSince = true, a.now()
 		h.options.Log.Warn("grant writes failed, waiting for the store", "workspace", a.workspace, "err", err.Error(),
@@ -375,10 +394,26 @@
 		}
 		return true
 	case <-h.ctx.Done():
-		a.mu.Lock()
-		a.writing = false
-		a.mu.Unlock()
-		return false
+		return a.endWriteLoop()
+	}
+}
+
+// endWriteLoop ends writeLoop since the holder stops.
+func (a *account) endWriteLoop() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writing = false
+	return false
+}
+
+// awaitConfirmation waits until the total may be confirmed, and reports whether writeLoop
+// continues.
+func (a *account) awaitConfirmation() bool {
+	select {
+	case <-a.holder.options.Clock.After(a.holder.options.Settings.RetryInterval):
+		return true
+	case <-a.holder.ctx.Done():
+		return a.endWriteLoop()
 	}
 }
 
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -33,7 +32,9 @@
 // the smaller of both outcomes.
 func (a *account) applyPlan(p *plan) error {
 	a.mu.Lock()
-	mustRead, mustSpread := !a.totalRead || a.rereadRows, a.rereadRows && len(a.waiters) == 0
+	restored := a.totalRead && a.readEra != a.holder.eras.observe()
+	// While the store was unreachable, it can have been restored.
+	mustRead, mustSpread := !a.totalRead || a.rereadRows || restored || a.unreachable, (a.rereadRows || restored) && len(a.waiters) == 0
 	a.mu.Unlock()
 	if mustSpread {
 		a.spreadWrite()
@@ -84,8 +85,12 @@
 	defer cancel()
 	started := a.now()
 	result, err := a.holder.options.Store.Commit(ctx, *tx)
+	era := a.holder.eras.observe()
 	var conflict *rowstore.ConflictError
 	switch {
+	case err == nil && (result.Era != a.readEra || era != a.readEra):
+		// The write is lost, or its expectations held for other rows than those known.
+		return a.readAfterConflict()
 	case err == nil:
 		a.holder.heartbeat.observeStoreClock(result.Now)
 		a.holder.heartbeat.observeResponseTime(a.now().Sub(started))
@@ -94,6 +99,12 @@
 		return nil
 	case errors.As(err, &conflict):
 		a.holder.stats.Conflicts.Add(1)
+		a.mu.Lock()
+		mustRead := conflict.Era != a.readEra || era != a.readEra || a.unconfirmedLocked()
+		a.mu.Unlock()
+		if mustRead {
+			return a.readAfterConflict()
+		}
 		if err := a.updateFromConflict(tx, conflict); err != nil {
 			return err
 		}
@@ -105,9 +116,18 @@
 	return fmt.Errorf("write grant of %s: %w", a.workspace, err)
 }
 
+// readAfterConflict reads the rows again, since those of a conflict do not suffice, and
+// returns errConflict.
+func (a *account) readAfterConflict() error {
+	if _, err := a.readRows(); err != nil {
+		return err
+	}
+	return errConflict
+}
+
 // baseExpectations is the number of rows that a transaction expects apart from
-// orphaned grants: the total and this holder's grant.
-const baseExpectations = 2
+// orphaned grants: the total, this holder's grant and the mark of the next era.
+const baseExpectations = 3
 
 // updateFromConflict updates the account with the current rows that a conflict
 // returns. Rows that the transaction did not expect are not among them and stay as
@@ -200,11 +220,16 @@
 	if err := decode(storedGrant, &grant); err != nil {
 		return err
 	}
+	if a.restoresGrantLocked() {
+		a.keepGrantLocked(storedGrant, grant)
+		return nil
+	}
 	if storedGrant.Version == 0 && a.storedGrant.Version != 0 {
 		a.spent = 0 // the grant was closed; the total includes what was spent
 	}
 	a.storedGrant = storedGrant
 	a.granted, a.activated, a.unlockRate, a.reportedSpent = grant.Granted, grant.Activated, grant.UnlockRate, grant.Spent
+	a.storedGranted, a.grantEra, a.seq = grant.Granted, a.readEra, max(a.seq, grant.Seq)
 	a.storedInUse, a.reportUse = grant.InUse, a.reportUse && grant.InUse != a.inUseLocked()
 	a.dropSupersededLocked()
 	a.serveWaitersLocked()
@@ -219,10 +244,16 @@
 	if err != nil {
 		return snap, fmt.Errorf("read grants of %s: %w", a.workspace, err)
 	}
+	if snap.Era < a.holder.eras.observe() {
+		return snap, fmt.Errorf("read grants of %s: response of an earlier era: %w", a.workspace, rowstore.ErrUnavailable)
+	}
 	a.holder.heartbeat.observeStoreClock(snap.Now)
 	storedTotal, storedGrant := rowstore.Row{Key: a.storedTotal.Key}, rowstore.Row{Key: a.storedGrant.Key}
-	var orphans []rowstore.Row
+	var orphans, foreign []rowstore.Row
 	for _, row := range snap.Rows {
+		if row.Key != a.storedGrant.Key && strings.HasPrefix(row.Key.Name, grantPrefix) {
+			foreign = append(foreign, row)
+		}
 		switch {
 		case row.Key == a.storedTotal.Key:
 			storedTotal = row
@@ -232,7 +263,16 @@
 			orphans = append(orphans, row)
 		}
 	}
+	a.mu.Lock()
+	a.readEra, a.markedEra = snap.Era, newestMark(snap.Rows)
+	a.mu.Unlock()
 	err = a.updateRows(storedTotal, storedGrant, orphans)
+	a.mu.Lock()
+	a.foreignRows = nil
+	if a.unconfirmedLocked() {
+		a.foreignRows = foreign
+	}
+	a.mu.Unlock()
 	a.storeReached()
 	return snap, err
 }
@@ -247,139 +287,6 @@
 	return incarnation
 }
 
-// prepareTx returns the transaction of a plan and a function to call with its
-// version once it is applied. It returns errShortage if the total has too few
-// tokens, the workspace has no limit or there is nothing to write.
-func (a *account) prepareTx(p *plan) (*rowstore.Tx, func(version int64), error) {
-	limit, ok := a.newestLimit()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	total := a.total
-	tx := &rowstore.Tx{Expect: []rowstore.Expect{{Key: a.storedTotal.Key, Version: a.storedTotal.Version}, {Key: a.storedGrant.Key, Version: a.storedGrant.Version}}}
-	if a.canReclaimLocked() {
-		if err := a.reclaimOrphans(tx, &total); err != nil {
-			return nil, nil, err
-		}
-	}
-	reclaimed := len(tx.Remove)
-	inUse := a.inUseLocked()
-	drawn := p.granted - a.granted
-	if drawn > 0 {
-		if !ok {
-			return nil, nil, fmt.Errorf("%w: %w", errShortage, ErrUnlimited)
-		}
-		drawn = max(min(drawn, limit.Tokens-total.Granted), 0)
-		if a.granted+drawn < inUse+p.firstWaiter {
-			return nil, nil, errShortage
-		}
-	}
-	grant := grantRow{Granted: max(a.granted+drawn, inUse), Spent: a.spent, InUse: inUse, StoreMs: a.holder.heartbeat.storeMs()}
-	grant.UnlockRate = a.holder.options.Settings.UnlockFactor * a.usage.perSecond(a.now())
-	grant.Activated = max(min(p.activated, grant.Granted), inUse)
-	drawn = grant.Granted - a.granted
-	if drawn == 0 && !p.due || drawn == 0 && grant.Activated == a.activated && !a.reportUse && len(tx.Remove) == 0 && a.storedGrant.Version != 0 && !a.returnAll && len(a.pendingWrites) == 0 {
-		return nil, nil, errShortage // no tokens can be drawn and nothing else is to be written
-	}
-	if a.storedGrant.Version == 0 && a.returnAll && grant.Granted == 0 {
-		a.returnAll = false // there is no grant to return
-		return nil, nil, errShortage
-	}
-	if drawn == 0 && a.storedGrant.Version != 0 && len(tx.Remove) == 0 && !a.returnAll {
-		return a.prepareGrantOnly(grant)
-	}
-	total.Granted += drawn
-	total.Spent += a.spent - a.reportedSpent
-	total.RecentSpent, total.RecentAsOfMs = total.recentSpentAt(grant.StoreMs)+float64(a.spent-a.reportedSpent), grant.StoreMs
-	if ok {
-		total.Limit, total.Revision = limit.Tokens, limit.Revision
-	}
-	closed := a.holder.closing.Load() && a.reserved == 0 && a.returnAll
-	if a.storedGrant.Version == 0 {
-		total.OpenGrants++
-	}
-	if closed {
-		total.OpenGrants--
-		tx.Remove = append(tx.Remove, a.storedGrant.Key)
-	} else {
-		tx.Put = append(tx.Put, rowstore.Put{Key: a.storedGrant.Key, Value: encode(grant)})
-	}
-	tx.Put = append(tx.Put, rowstore.Put{Key: a.storedTotal.Key, Value: encode(total)})
-	a.addPendingWriteLocked(grant, true)
-	return tx, func(version int64) { a.txApplied(total, grant, version, reclaimed, closed) }, nil
-}
-
-// prepareGrantOnly returns a transaction that leaves the total unchanged, so that
-// it cannot conflict with writes of other holders.
-func (a *account) prepareGrantOnly(grant grantRow) (*rowstore.Tx, func(version int64), error) {
-	grant.Spent = a.reportedSpent // the total does not include more than that
-	tx := &rowstore.Tx{
-		Expect: []rowstore.Expect{{Key: a.storedGrant.Key, Version: a.storedGrant.Version}},
-		Put:    []rowstore.Put{{Key: a.storedGrant.Key, Value: encode(grant)}},
-	}
-	a.addPendingWriteLocked(grant, false)
-	return tx, func(version int64) {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.storedGrant.Version, a.activated, a.unlockRate = version, grant.Activated, grant.UnlockRate
-		a.storedInUse, a.reportUse = grant.InUse, false
-		a.dropSupersededLocked()
-		a.holder.stats.Writes.Add(1)
-		a.serveWaitersLocked()
-	}, nil
-}
-
-// reclaimOrphans adds to a transaction the return of the tokens in orphaned grants
-// that the predecessors cannot have spent, and the removal of these grants.
-func (a *account) reclaimOrphans(tx *rowstore.Tx, total *totalRow) error {
-	for _, row := range a.orphanedGrants {
-		var grant grantRow
-		if err := decode(row, &grant); err != nil {
-			return err
-		}
-		maxSpent := grant.Activated + a.holder.heartbeat.unlockedToPredecessor(a.predecessorOf(row), grant.Granted-grant.Activated, grant.UnlockRate)
-		total.Granted -= grant.Granted - maxSpent
-		total.Spent += max(maxSpent-grant.Spent, 0)
-		total.OpenGrants--
-		tx.Expect = append(tx.Expect, rowstore.Expect{Key: row.Key, Version: row.Version})
-		tx.Remove = append(tx.Remove, row.Key)
-	}
-	return nil
-}
-
-// txApplied updates the account after its transaction was applied at version.
-// reclaimed is the number of orphaned grants in it; closed says that it removed
-// this holder's grant.
-func (a *account) txApplied(total totalRow, grant grantRow, version int64, reclaimed int, closed bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	drawn := grant.Granted - a.granted
-	if reclaimed > 0 {
-		a.holder.stats.Reclaims.Add(int64(reclaimed))
-		a.holder.options.Log.Info("orphaned grants of predecessors reclaimed", "workspace", a.workspace, "grants", reclaimed,
-			"came_back", a.total.Granted+drawn-total.Granted, "version", version)
-	}
-	if reclaimed > 0 {
-		a.orphanedGrants = nil
-	}
-	a.total, a.storedTotal.Version, a.storedGrant.Version = total, version, version
-	a.granted, a.activated, a.unlockRate, a.reportedSpent = grant.Granted, grant.Activated, grant.UnlockRate, grant.Spent
-	a.storedInUse, a.reportUse = grant.InUse, false
-	a.dropSupersededLocked()
-	if closed {
-		// The total keeps what was spent; a later grant starts from zero.
-		a.storedGrant.Version, a.granted, a.activated, a.spent, a.reportedSpent = 0, 0, 0, 0, 0
-	}
-	a.returnAll = a.returnAll && a.granted > a.inUseLocked()
-	a.holder.stats.Writes.Add(1)
-	level := slog.LevelDebug
-	if drawn != 0 {
-		level = slog.LevelInfo
-	}
-	a.holder.options.Log.Log(context.Background(), level, "grant changed", "workspace", a.workspace, "drawn", drawn, "granted", a.granted,
-		"cleared", a.activated, "spent", a.spent, "open", a.reserved, "total_granted", total.Granted, "limit", total.Limit, "version", version)
-	a.serveWaitersLocked()
-}
-
 // newestLimit returns the limit with the greater revision of those that this
 // process and the stored total have.
 func (a *account) newestLimit() (Limit, bool) {
--- a/coord/prepaid/heartbeat.go
+++ b/coord/prepaid/heartbeat.go
@@ -61,6 +61,9 @@
 	row                 rowstore.Row
 }
 
+// errHeartbeatPostponed reports that the store was reached but no row was sent.
+var errHeartbeatPostponed = errors.New("heartbeat postponed, inactive tokens are in use")
+
 // maxPredecessors bounds the number of predecessors that a row lists.
 const maxPredecessors = 8
 
@@ -224,7 +227,11 @@
 			continue
 		}
 		err := hb.write(ctx)
+		hb.holder.eras.observe()
 		hb.lastFailed = err != nil
+		if err != nil && !errors.Is(err, errHeartbeatPostponed) {
+			hb.holder.eras.callFailed()
+		}
 		if err != nil && ctx.Err() == nil {
 			hb.holder.options.Log.Debug("heartbeat failed", "err", err.Error())
 			interval = hb.holder.options.Settings.RetryInterval + rand.N(hb.holder.options.Settings.RetryInterval)
@@ -263,7 +270,7 @@
 			return err
 		}
 		hb.notifyStoreReached()
-		return errors.New("heartbeat postponed, inactive tokens are in use")
+		return errHeartbeatPostponed
 	}
 	result, err := hb.holder.options.Store.Commit(ctx, rowstore.Tx{
 		Expect: []rowstore.Expect{{Key: hb.key, Version: hb.row.Version}},
--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -59,6 +59,7 @@
 	stats     Stats
 	closing   atomic.Bool
 	heartbeat heartbeat
+	eras      eras
 
 	tasks *tasks.Group
 	ctx   context.Context // ends when tasks stops
@@ -80,6 +81,7 @@
 	h := &Holder{options: o, tasks: tasks.NewGroup()}
 	h.ctx = h.tasks.Context()
 	h.heartbeat.init(h)
+	h.eras.holder = h
 	return h
 }
 
@@ -172,6 +174,7 @@
 	components.Go(func() { h.heartbeat.run(ctx) })
 	components.Go(func() { h.watchRecalls(ctx) })
 	for clock.Sleep(ctx, h.options.Clock, jitter(h.options.Settings.CheckInterval)) == nil {
+		h.eras.observe()
 		for _, a := range h.accounts.All() {
 			a.check()
 		}
@@ -274,6 +277,9 @@
 	if err := h.heartbeat.removeRow(ctx, len(errs) == 0); err != nil {
 		errs = append(errs, err)
 	}
+	if p := h.lends.Load(); p != nil {
+		p.records.flush(ctx)
+	}
 	h.tasks.Stop()
 	return errors.Join(errs...)
 }
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -61,7 +61,7 @@
 	activationSurplus := float64(a.activated-inUse) > activateSurplus*float64(activateAhead)+a.meanRequest && len(a.waiters) == 0
 	activationDue = activationDue || activationSurplus
 	// A successful write supersedes the pending ones, whose outcome is unknown.
-	p.due = a.canReclaimLocked() || a.reportUse && a.storedGrant.Version != 0 && a.storedInUse != inUse || activationDue || len(a.waiters) > 0 || len(a.pendingWrites) > 0
+	p.due = a.canReclaimLocked() || a.restoresGrantLocked() || a.confirmsTotalLocked() || a.reportUse && a.storedGrant.Version != 0 && a.storedInUse != inUse || activationDue || len(a.waiters) > 0 || len(a.pendingWrites) > 0
 	unused := a.granted - needed
 	s := a.holder.options.Settings
 	// Less than the mean size of a request is neither drawn nor returned, except that
@@ -90,7 +90,7 @@
 // canReclaimLocked reports whether there are orphaned grants of predecessors and it
 // is known how much of them may have been spent.
 func (a *account) canReclaimLocked() bool {
-	return len(a.orphanedGrants) > 0 && a.holder.heartbeat.predecessorsKnown.Load()
+	return len(a.orphanedGrants) > 0 && a.holder.heartbeat.predecessorsKnown.Load() && !a.unconfirmedLocked()
 }
 
 // firstDrawSpread is the time, per holder, over which first draws ahead of need are
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -47,6 +47,7 @@
 	options PoolOptions
 	holder  *Holder
 	loans   loans
+	records records
 	stats   PoolStats
 
 	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
@@ -72,8 +73,16 @@
 	lenders int      // number of lenders
 	lender  bool     // this router is one of them
 	order   []Member // in which this router asks for tokens; it may contain this router
+	// witnesses are told of this router's draws. They do not contain this router.
+	witnesses []Member
+	candidate bool // this router may be a witness, like all in others
+	others    []Member
 }
 
+// maxWitnesses bounds the number of witnesses of a draw. They are in different failure
+// domains, like lenders.
+const maxWitnesses = 4
+
 // exhaustion is a total that had too few tokens for a reservation. Until a time,
 // reservations of as many tokens or more are refused without asking a lender.
 type exhaustion struct {
@@ -98,6 +107,7 @@
 func NewPool(o PoolOptions) *Pool {
 	p := &Pool{options: o, holder: o.Holder, ranks: make(map[string]workspaceRank), exhausted: make(map[string]exhaustion)}
 	p.loans.init(p)
+	p.records.init(p)
 	p.settler.init(p)
 	o.Holder.lends.Store(p)
 	return p
@@ -131,6 +141,8 @@
 	startedAt := p.options.Clock.Now()
 	for clock.Sleep(ctx, p.options.Clock, maintenanceInterval) == nil {
 		p.loans.prune()
+		p.records.prune()
+		p.records.exchange()
 		if p.options.Clock.Now().Sub(startedAt) < settleMembersFor {
 			continue
 		}
@@ -196,9 +208,14 @@
 	}
 	lenders := LenderCount(limit.Tokens, len(domains))
 	r := workspaceRank{lenders: lenders, order: borrowingOrder(ranked, lenders, p.options.Self)}
-	for _, m := range ranked[:min(lenders, len(ranked))] {
-		r.lender = r.lender || m.ID == p.options.Self.ID
+	for i, m := range ranked {
+		if m.ID == p.options.Self.ID {
+			r.lender, r.candidate = i < lenders, true
+		} else {
+			r.others = append(r.others, m)
+		}
 	}
+	r.witnesses = r.others[:min(len(r.others), maxWitnesses)]
 	p.ranks[workspace] = r
 	return r
 }
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -12,10 +12,20 @@
 //
 // Pool makes the grants of a few processes, the lenders, serve a whole fleet.
 //
+// A store that is restored from a copy has forgotten the newest draws. Before the
+// holder can use a draw, it therefore tells a few other processes, the witnesses, of it.
+// After a restore, tokens are drawn again only once the total was confirmed; see
+// repair.go. What is held is spent meanwhile. Only draws that nobody knows of any more
+// are forgotten: those that a process made, in the time that the copy lacks, while it
+// was cut off from all others, or less than a message's duration before it died, if it
+// is dead or cut off from the store until the total is confirmed; and all of that time
+// if all processes die before. In the latter case, an estimate of them is set aside.
+//
 // Rows, each in the partition of its workspace except for the last two:
 //
 //	prepaid/WORKSPACE/total      the sum of all grants
 //	prepaid/WORKSPACE/grant/...  one grant, written by its holder only
+//	prepaid/WORKSPACE/era/...    marks an era in which the total was written
 //	prepaid_heartbeats/VM/last   the last heartbeat of a VM's process
 //	prepaid_wanted//WORKSPACE    a recall request: holders return what they do not need
 package prepaid
@@ -244,10 +254,13 @@
 	// tokens.
 	Limit    int64 `json:"limit"`
 	Revision int64 `json:"revision"`
+	// Era is the era of the store in which the total was last confirmed.
+	Era int64 `json:"era,omitempty"`
 }
 
 // grantRow is the grant of one holder, in tokens. Only that holder writes it, and
-// after its death a successor on its VM, which removes it.
+// after its death a successor on its VM, which removes it. After the store was restored
+// from a copy, other holders can write it again.
 type grantRow struct {
 	// Granted is what was drawn and not returned.
 	Granted int64 `json:"granted"`
@@ -264,6 +277,12 @@
 	// StoreMs is a lower bound of the store's clock when the row was written, in
 	// milliseconds.
 	StoreMs int64 `json:"store_ms"`
+	// Seq is the number of the write among those that the holder has made.
+	Seq int64 `json:"seq,omitempty"`
+	// Era is the newest era of the store in which the holder wrote the row.
+	Era int64 `json:"era,omitempty"`
+	// OpenedMs is the store's clock when the holder opened the grant.
+	OpenedMs int64 `json:"opened_ms,omitempty"`
 }
 
 // grantPrefix starts the name of a grant row; the VM and the incarnation of the
--- a/coord/prepaid/random_faults_test.go
+++ b/coord/prepaid/random_faults_test.go
@@ -7,6 +7,16 @@
 	"time"
 )
 
+// Numbers of some faults of injectRandomFaults.
+const (
+	faultKill        = 0
+	faultKillAll     = 1
+	faultPartition   = 2
+	faultStop        = 9
+	faultCutPeers    = 13
+	faultCutAllPeers = 14
+)
+
 // injectRandomFaults injects random faults into a fleet: processes die and restart,
 // some or all routers are partitioned from the store or from each other, responses are lost, commits
 // are applied late, and limits rise.
@@ -27,29 +37,33 @@
 			return
 		}
 		vm := int(s.random.int64n(int64(len(s.routers))))
-		switch s.random.int64n(15) {
-		case 13: // one router loses its peers
+		fault := s.random.int64n(15)
+		if s.sparesWitnesses.Load() && s.losesWitnesses(vm, fault) {
+			continue
+		}
+		switch fault {
+		case faultCutPeers: // one router loses its peers
 			s.forEachRouter(func(candidate int, r *router) {
 				if candidate == vm {
 					r.peers.cut.Store(true)
-					later(s.random.durationBetween(200*time.Millisecond, 8*time.Second), func() { r.peers.cut.Store(false) })
+					later(s.random.durationBetween(200*time.Millisecond, 8*time.Second), func() { r.peers.endCut() })
 				}
 			})
-		case 14: // all routers lose each other
+		case faultCutAllPeers: // all routers lose each other
 			s.forEachRouter(func(_ int, r *router) { r.peers.cut.Store(true) })
 			later(s.random.durationBetween(200*time.Millisecond, 4*time.Second), func() {
-				s.forEachRouter(func(_ int, r *router) { r.peers.cut.Store(false) })
+				s.forEachRouter(func(_ int, r *router) { r.peers.endCut() })
 			})
-		case 9:
+		case faultStop:
 			s.stopGracefully(vm)
 		case 10, 11, 12:
 			s.sendRecall()
-		case 0:
+		case faultKill:
 			s.kill(vm, s.random.durationBetween(100*time.Millisecond, 6*time.Second))
-		case 1:
+		case faultKillAll:
 			downtime := s.random.durationBetween(500*time.Millisecond, 3*time.Second)
 			s.forEachRouter(func(vm int, _ *router) { s.kill(vm, downtime) })
-		case 2, 3:
+		case faultPartition, faultPartition + 1:
 			s.forEachRouter(func(candidate int, r *router) {
 				if candidate == vm {
 					r.link.partitioned.Store(true)
--- a/coord/prepaid/recall.go
+++ b/coord/prepaid/recall.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/rowstore"
@@ -142,7 +143,7 @@
 func (a *account) unspentByOthers(rows []rowstore.Row) int64 {
 	now, unspent := a.holder.heartbeat.storeMs(), int64(0)
 	for _, row := range rows {
-		if row.Key == a.storedGrant.Key || row.Key == a.storedTotal.Key {
+		if row.Key == a.storedGrant.Key || !strings.HasPrefix(row.Key.Name, grantPrefix) {
 			continue
 		}
 		var grant grantRow
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -33,6 +33,8 @@
 	random            *lockedRand
 	lateCommits       *sync.WaitGroup
 	dead, partitioned atomic.Bool
+	// away is set during an outage of the store; all links share it.
+	away *atomic.Bool
 	// lossPerMille is the number of commits in 1,000 whose response is lost. Half
 	// of these are applied at once, the others up to maxCommitDelay later.
 	lossPerMille   atomic.Int64
@@ -105,6 +107,9 @@
 	}
 	l.lateCommits.Go(func() {
 		time.Sleep(time.Duration(l.random.int64n(int64(l.maxCommitDelay))))
+		if l.away.Load() {
+			return
+		}
 		_, _ = l.Store.Commit(context.Background(), tx) // the caller no longer waits
 	})
 	return rowstore.Result{}, fmt.Errorf("response lost, commit delayed: %w", rowstore.ErrUnknown)
@@ -145,6 +150,9 @@
 	if l.dead.Load() {
 		return fmt.Errorf("process is dead: %w", rowstore.ErrUnavailable)
 	}
+	if l.away.Load() {
+		return fmt.Errorf("store is away: %w", rowstore.ErrUnavailable)
+	}
 	if !l.partitioned.Load() {
 		return nil
 	}
@@ -162,12 +170,14 @@
 // from its peers, or to one that is, get no response.
 type peerLink struct {
 	bus.Bus
-	s     *simulation
-	self  *router
-	cut   atomic.Bool
-	dead  *atomic.Bool
-	loses *atomic.Int64 // requests in 1,000 whose response is lost
-	delay atomic.Int64  // of requests to this process, in addition to peerDelay
+	s    *simulation
+	self *router
+	cut  atomic.Bool
+	// cutEnded is when the last cut ended, in Unix nanoseconds.
+	cutEnded atomic.Int64
+	dead     *atomic.Bool
+	loses    *atomic.Int64 // requests in 1,000 whose response is lost
+	delay    atomic.Int64  // of requests to this process, in addition to peerDelay
 }
 
 func (l *peerLink) Request(ctx context.Context, to bus.ID, kind bus.Kind, body []byte) ([]byte, error) {
@@ -192,6 +202,12 @@
 	return response, err
 }
 
+// endCut ends a cut of a process from its peers.
+func (l *peerLink) endCut() {
+	l.cutEnded.Store(time.Now().UnixNano())
+	l.cut.Store(false)
+}
+
 // fleetView is the list of routers as one process knows it. A dead process stays
 // listed until the next one on its VM starts.
 type fleetView struct {
@@ -251,6 +267,10 @@
 	// restarts counts the processes that will start again, lateCommits the commits
 	// that links are delaying.
 	restarts, lateCommits sync.WaitGroup
+	// storeAway is set during an outage of the store.
+	storeAway atomic.Bool
+	// sparesWitnesses excludes faults from injectRandomFaults; see losesWitnesses.
+	sparesWitnesses atomic.Bool
 	// settings apply to routers started from now on.
 	settings prepaid.Settings
 
@@ -290,7 +310,7 @@
 func (s *simulation) start(vm int) {
 	s.mu.Lock()
 	s.starts++
-	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn}
+	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn, away: &s.storeAway}
 	lifetime, stop := context.WithCancel(context.Background())
 	r := &router{
 		link: l, lifetime: lifetime, stop: stop, done: make(chan struct{}), vm: fmt.Sprint("vm-", vm),
@@ -642,6 +662,14 @@
 		fail("consumed %d, reserved %d, limit %d", s.consumed[workspace], s.reserved[workspace], s.limits[workspace])
 	}
 	rows, now := s.readRows("prepaid", workspace)
+	if era := s.store.Era(); era > 1 {
+		// The rows of the copy do not show what was used since. Once confirmed, the total
+		// includes it.
+		if total := rows["total"]; total.Era == era && total.Granted < s.consumed[workspace]+s.reserved[workspace] {
+			fail("total of %d confirmed, consumed %d, reserved %d", total.Granted, s.consumed[workspace], s.reserved[workspace])
+		}
+		return
+	}
 	closedTotal, usedOfClosed := rows["total"].Granted, int64(0)
 	for _, r := range s.allRouters {
 		row, found := rows["grant/"+r.vm+"/"+r.incarnation]
@@ -668,6 +696,7 @@
 // without a tag have their names in JSON; Cleared is that of the activated tokens.
 type ledgerRow struct {
 	Granted, Cleared int64
+	Era              int64
 	Incarnation      string
 	StoreMs          int64   `json:"store_ms"`
 	UnlockRate       float64 `json:"release_rate"`
