--- a/coord/prepaid/holder.go
+++ b/coord/prepaid/holder.go
@@ -59,6 +59,7 @@
 	stats     Stats
 	closing   atomic.Bool
 	heartbeat heartbeat
+	eras      eras
 	// closeStarted is closed once closing is set.
 	closeStarted chan struct{}
 
@@ -82,6 +83,7 @@
 	h := &Holder{options: o, tasks: tasks.NewGroup(), closeStarted: make(chan struct{})}
 	h.ctx = h.tasks.Context()
 	h.heartbeat.init(h)
+	h.eras.holder = h
 	return h
 }
 
@@ -174,6 +176,7 @@
 	components.Go(func() { h.heartbeat.run(ctx) })
 	components.Go(func() { h.watchRecalls(ctx) })
 	for clock.Sleep(ctx, h.options.Clock, jitter(h.options.Settings.CheckInterval)) == nil {
+		h.eras.observe()
 		for _, a := range h.accounts.All() {
 			a.check()
 		}
@@ -278,6 +281,9 @@
 	if err := h.heartbeat.removeRow(ctx, len(errs) == 0); err != nil {
 		errs = append(errs, err)
 	}
+	if p := h.lends.Load(); p != nil {
+		p.records.flush(ctx)
+	}
 	h.tasks.Stop()
 	return errors.Join(errs...)
 }
