Keep the record of a closed grant over later ones of its holder

A successor that reclaims the grant of a dead process numbers its record after the stored row. The holder can have announced a draw with the same or a greater number that was never written; witnesses then kept that one, and a restored store counted the whole grant as spent. A record that a grant is closed is final now.

--- a/coord/prepaid/records.go
+++ b/coord/prepaid/records.go
@@ -110,7 +110,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, g := range list {
-		if known, found := r.known[g.id()]; !found || known.Seq < g.Seq {
+		// A successor that closes a grant does not know all that its holder has sent.
+		if known, found := r.known[g.id()]; !found || known.Seq < g.Seq && !known.Closed || g.Closed && !known.Closed {
 			r.known[g.id()] = knownGrant{grantRecord: g, at: now.Add(-time.Duration(g.AgeMS) * time.Millisecond)}
 		}
 	}
