Add forgotten grants to a total in bounded transactions

After the store came back from a copy, with many grants of dead or silent holders to add, the total of a workspace was never confirmed and nothing could be drawn from it any more. The store accepts 100 entries in a transaction; the one that confirms a total had two for each such grant, so it was refused for good. Grants of predecessors were reclaimed in one transaction of any size, too.

A transaction now takes as many rows as fit, and only the last one sets the total's era. Nothing is drawn before that, since draws depend on that era. The transactions can come from several holders and be repeated: each row that one puts has the number of the record. So the row of a grant that was closed is put with what was spent, too. When it was removed, the next transaction would have taken it for a row that the copy lacks and added it again. The next process on that VM reclaims the row. After a conflict, orphaned grants that the transaction did not expect stay known.

--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -149,11 +150,15 @@
 }
 
 // currentRows returns the current versions of rows from a conflict, without removed
-// rows.
+// rows. Those that the transaction did not expect stay as they are.
 func currentRows(conflict *rowstore.ConflictError, rows []rowstore.Row) []rowstore.Row {
 	var current []rowstore.Row
 	for _, row := range rows {
-		if row = conflict.Row(row.Key); row.Version != 0 {
+		expected := slices.ContainsFunc(conflict.Rows, func(r rowstore.Row) bool { return r.Key == row.Key })
+		if expected {
+			row = conflict.Row(row.Key)
+		}
+		if row.Version != 0 {
 			current = append(current, row)
 		}
 	}
--- a/coord/prepaid/prepare.go
+++ b/coord/prepaid/prepare.go
@@ -14,8 +14,9 @@
 	tx    *rowstore.Tx
 	total totalRow
 	// restores is set if the grant is written again after the store was restored, and
-	// confirms if the total is confirmed.
-	restores, confirms bool
+	// confirms if the total is confirmed. continues is set if that takes a further
+	// transaction.
+	restores, confirms, continues bool
 	// reclaimed are records of the orphaned grants that are removed. closed says that
 	// this holder's grant is removed.
 	reclaimed []grantRecord
@@ -37,7 +38,7 @@
 		}
 	}
 	if c.confirms {
-		if err := a.confirmTotal(c.tx, &c.total); err != nil {
+		if err := a.confirmTotal(c); err != nil {
 			return nil, err
 		}
 	}
@@ -186,6 +187,9 @@
 // that the predecessors cannot have spent, and the removal of these grants.
 func (a *account) reclaimOrphans(c *change) error {
 	for _, row := range a.orphanedGrants {
+		if !hasRoom(c.tx) {
+			return nil // the next transaction reclaims the others
+		}
 		var grant grantRow
 		if err := decode(row, &grant); err != nil {
 			return err
@@ -217,12 +221,15 @@
 		a.holder.stats.Reclaims.Add(int64(len(c.reclaimed)))
 		a.holder.options.Log.Info("orphaned grants of predecessors reclaimed", "workspace", a.workspace, "grants", len(c.reclaimed),
 			"came_back", a.total.Granted+drawn-c.total.Granted, "version", version)
-		a.orphanedGrants = nil
+		a.orphanedGrants = a.orphanedGrants[len(c.reclaimed):]
 	}
 	for _, record := range c.reclaimed {
 		a.holder.announce(record)
 	}
-	if c.confirms {
+	switch {
+	case c.continues:
+		a.recordsAddedLocked(c.tx, version)
+	case c.confirms:
 		a.totalConfirmedLocked(c.total)
 	}
 	a.total, a.storedTotal.Version, a.storedGrant.Version = c.total, version, version
--- a/coord/prepaid/repair.go
+++ b/coord/prepaid/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -56,14 +57,29 @@
 	return change
 }
 
+// hasRoom reports whether a transaction can expect and write a further row, in addition
+// to those of putRowsLocked: the grant, the total and the marks of eras.
+func hasRoom(tx *rowstore.Tx) bool {
+	const ownEntries, rowEntries = 2 + maxMissedEras, 2
+	return tx.Entries()+ownEntries+rowEntries <= rowstore.MaxEntries
+}
+
 // confirmTotal adds to a transaction what the rows lack of grants of other holders that
-// are known from records, and confirms the total.
-func (a *account) confirmTotal(tx *rowstore.Tx, total *totalRow) error {
+// are known from records. It confirms the total if that is all, otherwise the next
+// transaction continues: the rows that this one puts are as new as the records.
+func (a *account) confirmTotal(c *change) error {
+	tx, total := c.tx, &c.total
 	for _, g := range a.holder.recordsOf(a.workspace, a.holder.eras.seenSince()) {
-		if key := g.id().key(); key != a.storedGrant.Key {
-			if err := a.addRecord(tx, total, g, rowOf(a.foreignRows, key)); err != nil {
-				return err
-			}
+		key := g.id().key()
+		if key == a.storedGrant.Key {
+			continue
+		}
+		if !hasRoom(tx) {
+			c.continues = true
+			return nil
+		}
+		if err := a.addRecord(tx, total, g, rowOf(a.foreignRows, key)); err != nil {
+			return err
 		}
 	}
 	if !a.holder.eras.livedBefore(a.readEra) && !a.holder.eras.hasWitness() {
@@ -90,20 +106,16 @@
 		return nil // the row is as new
 	case row.Version == 0 && g.Closed && !openedLately:
 		return nil // the copy has no row because the grant was closed before
-	case row.Version != 0 && g.Closed:
-		total.Spent += max(g.Granted-grant.Spent, 0)
-		total.OpenGrants--
-		tx.Remove = append(tx.Remove, row.Key)
-	case row.Version == 0 || g.Granted > grant.Granted:
-		if row.Version == 0 {
-			total.OpenGrants++
-		}
-		restored := grant
-		restored.Granted, restored.Activated, restored.Seq, restored.OpenedMs = g.Granted, g.Granted, g.Seq, g.OpenedMS
-		tx.Put = append(tx.Put, rowstore.Put{Key: row.Key, Value: encode(restored)})
-	default:
+	case row.Version != 0 && !g.Closed && g.Granted <= grant.Granted:
 		return nil // the row includes tokens that the holder has returned since
+	case row.Version == 0:
+		total.OpenGrants++
 	}
+	// The row of a closed grant is put, too: a later transaction that also adds the
+	// record would take a removed one for a row that the copy lacks.
+	restored := grant
+	restored.Granted, restored.Activated, restored.Seq, restored.OpenedMs = g.Granted, g.Granted, g.Seq, g.OpenedMS
+	tx.Put = append(tx.Put, rowstore.Put{Key: row.Key, Value: encode(restored)})
 	total.Granted += g.Granted - grant.Granted
 	tx.Expect = append(tx.Expect, rowstore.Expect{Key: row.Key, Version: row.Version})
 	return nil
@@ -135,6 +147,17 @@
 	return rowstore.Row{Key: key}
 }
 
+// recordsAddedLocked updates the rows of other holders with those that a transaction put.
+func (a *account) recordsAddedLocked(tx *rowstore.Tx, version int64) {
+	for _, p := range tx.Put {
+		if !strings.HasPrefix(p.Key.Name, grantPrefix) || p.Key == a.storedGrant.Key {
+			continue
+		}
+		a.foreignRows = slices.DeleteFunc(a.foreignRows, func(row rowstore.Row) bool { return row.Key == p.Key })
+		a.foreignRows = append(a.foreignRows, rowstore.Row{Key: p.Key, Value: p.Value, Version: version})
+	}
+}
+
 // totalConfirmedLocked logs that the total was confirmed, and requests a read of the rows that
 // were written for other holders.
 func (a *account) totalConfirmedLocked(total totalRow) {
--- a/coord/rowstore/memory/memory.go
+++ b/coord/rowstore/memory/memory.go
@@ -162,6 +162,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Commits++
+	if n := tx.Entries(); n > rowstore.MaxEntries {
+		return rowstore.Result{}, fmt.Errorf("commit of %d entries: %w", n, rowstore.ErrInvalid)
+	}
 	if s.faults.DeferCommits > 0 {
 		s.faults.DeferCommits--
 		s.deferred = append(s.deferred, tx)
--- a/coord/rowstore/rowstore.go
+++ b/coord/rowstore/rowstore.go
@@ -59,6 +59,12 @@
 	Remove []Key
 }
 
+// MaxEntries is the greatest number of entries that a store accepts in a transaction.
+const MaxEntries = 100
+
+// Entries returns the number of entries of the transaction.
+func (tx Tx) Entries() int { return len(tx.Expect) + len(tx.Put) + len(tx.Remove) }
+
 // Result describes a transaction that was applied.
 type Result struct {
 	// Version is the version of all rows that the transaction put.
@@ -85,7 +91,7 @@
 // Store is a transactional store. Implementations are safe for concurrent use.
 // Errors wrap one of the errors of this package, or are a *ConflictError.
 type Store interface {
-	// Commit applies tx. If an expectation does not hold, it returns a
+	// Commit applies tx, which has at most MaxEntries entries. If an expectation does not hold, it returns a
 	// *ConflictError with the current rows of all expectations. ErrUnavailable says
 	// that nothing was written. ErrUnknown says that the response was lost: the
 	// transaction may have been applied, or may still be applied later if its
