Keep the greater of two records of a grant with the same number

A holder numbers its record by its newest write, and announces a draw before it sends the write. Asked for its records before the outcome of the draw is known, it states the amount without the draw, under the same number. A router that learned that first ignored the announcement. If such a router confirmed the total after a restore and the holder was dead, the draw was forgotten, and the tokens could be granted twice. Nobody has seen it; found by reading.

The greater amount errs to the safe side.

--- a/coord/prepaid/many_records_test.go
+++ b/coord/prepaid/many_records_test.go
@@ -84,3 +84,15 @@
 		reservation.Settle(600_000)
 	})
 }
+
+// TestRecordOfPendingDrawDoesNotHideIt guards against a draw that is forgotten since a
+// router learned the state before it under the same number.
+func TestRecordOfPendingDrawDoesNotHideIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPoolSimulation(t, 1_000_000)
+		defer s.shutdown()
+		s.tellRecords(1, rawRecord{Seq: 3, Granted: 50})
+		s.restoreWithRecords(1, rawRecord{Seq: 3, Granted: 100})
+		s.checkTotalOf(100)
+	})
+}
--- a/coord/prepaid/records.go
+++ b/coord/prepaid/records.go
@@ -20,7 +20,7 @@
 )
 
 // grantRecord is what a router knows of a grant apart from the store, which may lose
-// it. Of two records of a grant, the one with the greater Seq is newer.
+// it. A later record of a grant has a greater Seq, or the same one.
 type grantRecord struct {
 	Workspace string `cbor:"1,keyasint"`
 	Holder    bus.ID `cbor:"2,keyasint"`
@@ -36,6 +36,16 @@
 
 func (r grantRecord) id() grantID { return grantID{r.Workspace, r.Holder} }
 
+// newerThan reports whether the record replaces another one of the same grant. A
+// successor that closes a grant does not know all that its holder has sent. Before the
+// outcome of a draw is known, the holder also sends records without it.
+func (r grantRecord) newerThan(other grantRecord) bool {
+	if r.Closed || other.Closed {
+		return !other.Closed
+	}
+	return r.Seq > other.Seq || r.Seq == other.Seq && r.Granted > other.Granted
+}
+
 // recordRequest has the new records of a router.
 type recordRequest struct {
 	Grants []grantRecord `cbor:"1,keyasint"`
@@ -110,8 +120,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, g := range list {
-		// A successor that closes a grant does not know all that its holder has sent.
-		if known, found := r.known[g.id()]; !found || known.Seq < g.Seq && !known.Closed || g.Closed && !known.Closed {
+		if known, found := r.known[g.id()]; !found || g.newerThan(known.grantRecord) {
 			r.known[g.id()] = knownGrant{grantRecord: g, at: now.Add(-time.Duration(g.AgeMS) * time.Millisecond)}
 		}
 	}
