Make the naive check of concurrent retries lose every time

It does if its twelve callers happen to run one after the other, so the test depended on the machine. The naive version now pauses between its check and its send until two callers have checked, as that with a lease does; both then send. The check is the same.

--- a/internal/delivery/calls_test.go
+++ b/internal/delivery/calls_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,10 +75,18 @@
 	slow := memory.Faults{Delay: 5 * time.Millisecond}
 	runners := make([]requests.CallRunner, 3)
 	naiveRunners := make([]requests.CallRunner, 3)
+	var checks atomic.Int64
+	twoChecked := make(chan struct{})
+	awaitSecondCheck := func() {
+		if checks.Add(1) == 2 {
+			close(twoChecked)
+		}
+		<-twoChecked
+	}
 	for i := range runners {
 		router := b.startRouter(longTimeoutOptions())
 		router.storeClient.SetFaults(slow)
-		runners[i], naiveRunners[i] = router.calls, &naiveCheck{naiveCaller{testbed: b, store: router.storeClient}}
+		runners[i], naiveRunners[i] = router.calls, &naiveCheck{naiveCaller{testbed: b, store: router.storeClient}, awaitSecondCheck}
 	}
 	runConcurrently(12, func(i int) {
 		response, err := callWithin(runners[i%3], newCall(fmt.Sprint("r", i), "fan-7", "on"), 30*time.Second)
--- a/internal/delivery/naive_calls_test.go
+++ b/internal/delivery/naive_calls_test.go
@@ -83,7 +83,11 @@
 
 // naiveCheck reads whether the call has executed, sends it if not, and writes a record
 // afterwards. Two concurrent calls can both find no record.
-type naiveCheck struct{ naiveCaller }
+type naiveCheck struct {
+	naiveCaller
+	// pause simulates the pause of the process between the check and the send.
+	pause func()
+}
 
 // Call implements requests.CallRunner.
 func (n *naiveCheck) Call(ctx context.Context, c *requests.Call) (*requests.Response, error) {
@@ -94,6 +98,7 @@
 	if rows[0].Version > 0 {
 		return &requests.Response{Status: http.StatusOK, Body: rows[0].Value}, nil
 	}
+	n.pause()
 	response, err := n.send(ctx, c)
 	if err != nil {
 		return nil, err
