--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
@@ -362,54 +361,6 @@
 	a.err = fmt.Errorf("%w: %w", upstream.ErrBroken, errHandlerPanicked)
 }
 
-// startOf names the start of an endpoint for the rate limits.
-func startOf(e endpoints.Endpoint) endpointlimit.Start {
-	return endpointlimit.Start{Endpoint: e.ID, StartedMs: e.StartedMs}
-}
-
-// openEndpoints returns the endpoints of the pool that may get a request now. If some are
-// closed by their rate limits, opensIn is the time until the first of them opens, else 0.
-func (q *request) openEndpoints() (open []endpoints.Endpoint, opensIn time.Duration) {
-	usable := q.handler.deps.Endpoints.Usable(q.pool)
-	if q.handler.deps.Limits.None() {
-		return usable, 0
-	}
-	for _, e := range usable {
-		closedFor := q.handler.deps.Limits.Closed(startOf(e))
-		if closedFor == 0 {
-			open = append(open, e)
-		} else if opensIn == 0 || closedFor < opensIn {
-			opensIn = closedFor
-		}
-	}
-	return open, opensIn
-}
-
-// learnLimit takes in the rate limit that the response of an attempt states, and for how
-// long its endpoint wants no further requests.
-func (q *request) learnLimit(a *attempt) {
-	metadata := a.metadata
-	if metadata.WrongInstance {
-		return // another endpoint has responded
-	}
-	start := startOf(a.endpoint)
-	q.handler.deps.Limits.Refuse(start, metadata.RefusedFor)
-	if metadata.InvalidRateLimit != "" {
-		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
-		return // a limit that was stated before stays
-	}
-	q.handler.deps.Limits.Learn(start, metadata.RateLimit, a.startedAt)
-}
-
-// learnLeaving stops sending requests to the endpoint of an attempt if its response says
-// that it is leaving. Requests that it has go on.
-func (q *request) learnLeaving(a *attempt) {
-	e := a.endpoint
-	if a.metadata.Leaving && !a.metadata.WrongInstance && q.handler.deps.Endpoints.MarkLeaving(e.ID, e.StartedMs) {
-		q.handler.deps.Upstream.CloseIdle(e.Addr)
-	}
-}
-
 // responseID returns the id of the request that a response with header h belongs
 // to.
 func (q *request) responseID(h http.Header) string {
@@ -430,43 +381,3 @@
 		OnConnected: func() { close(a.connected) },
 	}
 }
-
-// classifyNoResponse returns the outcome of an attempt for which no response
-// head was received, and what it shows of the endpoint.
-func (q *request) classifyNoResponse(ctx context.Context, err error) (attemptOutcome, placement.Observation, error) {
-	if errors.Is(err, upstream.ErrNotSent) {
-		if ctx.Err() != nil {
-			return q.interruptedOutcome(true), placement.Inconclusive, err
-		}
-		if errors.Is(err, errLeftPool) {
-			return notSent, placement.Inconclusive, err
-		}
-		return notSent, placement.Unreachable, err
-	}
-	return q.classifyIncomplete(ctx, err)
-}
-
-// interruptedOutcome returns the outcome of an attempt whose context ended, either
-// because the caller disconnected or because the deadline of the request passed.
-// NothingSent is set if no byte of the request was sent.
-func (q *request) interruptedOutcome(nothingSent bool) attemptOutcome {
-	if q.httpRequest.Context().Err() != nil {
-		return callerDisconnected
-	}
-	if nothingSent {
-		return notSent
-	}
-	return deadlineExceeded
-}
-
-// classifyIncomplete returns the outcome of an attempt whose response ended
-// before it was complete, and what it shows of the endpoint.
-func (q *request) classifyIncomplete(ctx context.Context, err error) (attemptOutcome, placement.Observation, error) {
-	switch {
-	case q.httpRequest.Context().Err() != nil:
-		return callerDisconnected, placement.Inconclusive, err
-	case ctx.Err() != nil || errors.Is(err, upstream.ErrSilent):
-		return deadlineExceeded, placement.Inconclusive, err
-	}
-	return connectionBroken, placement.Failed, err
-}
