--- a/internal/storehttp/storehttp.go
+++ b/internal/storehttp/storehttp.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/rowstore"
@@ -42,25 +43,47 @@
 type Client struct {
 	base   string
 	client *http.Client
+	// eraHeader names the header with the store's era in every response.
+	eraHeader string
+	eras      rowstore.Eras
 }
 
-// NewClient returns a client of the store at addr, which is host:port. It connects at
-// the first call.
-func NewClient(addr string) *Client {
-	return &Client{base: "http://" + addr, client: &http.Client{Transport: &http.Transport{
+// NewClient returns a client of the store at addr, which is host:port, and which states
+// its era in the header eraHeader. It connects at the first call.
+func NewClient(addr, eraHeader string) *Client {
+	return &Client{base: "http://" + addr, eraHeader: eraHeader, client: &http.Client{Transport: &http.Transport{
 		DialContext:         tcpalive.Dialer(connectTimeout, unackedTimeout).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
 }
 
+// Era returns the newest era of all responses, as rowstore.Store does.
+func (c *Client) Era() int64 { return c.eras.Newest() }
+
+// EraEnded returns a channel that is closed once a response has carried a later era, as
+// that of rowstore.Store.
+func (c *Client) EraEnded(era int64) <-chan struct{} { return c.eras.Ended(era) }
+
+// observeEra returns the era in the header of a response, or the newest one that is
+// known if the header states none.
+func (c *Client) observeEra(h http.Header) int64 {
+	era, err := strconv.ParseInt(h.Get(c.eraHeader), 10, 64)
+	if err != nil || era < 0 {
+		return c.eras.Newest()
+	}
+	c.eras.Observe(era)
+	return era
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
 // Response is the response to a call.
 type Response struct {
 	Status int
-	Header http.Header
-	Body   []byte
+	// Era is the era of the store that the response states, or the newest known one.
+	Era  int64
+	Body []byte
 }
 
 // Call makes one call, with a JSON body unless body is nil. A status other than 200 is not an error. The error
@@ -91,7 +114,7 @@
 	if len(data) > maxResponseBytes {
 		return Response{}, fmt.Errorf("%w: %w", rowstore.ErrUnknown, ErrTooLarge)
 	}
-	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
+	return Response{Status: response.StatusCode, Era: c.observeEra(response.Header), Body: data}, nil
 }
 
 // progressReader reads the body of a response and reports the progress of the call.
