State in records what a grant can be at most

A router that was asked for its records while the outcome of a return was unknown stated the grant without it.

The record now has the most that the grant can be.

--- a/coord/prepaid/era.go
+++ b/coord/prepaid/era.go
@@ -35,8 +35,8 @@
 const (
 	// confirmAfter is the time from the rise of the era until totals are confirmed. A
 	// router that reaches the store calls it several times in that time, and writes its
-	// grants again. If a router did not answer, it is confirmAfterSilence, and
-	// confirmIsolatedAfter if most did not: those in touch with each other know more.
+	// grants again. If a router did not answer, it is confirmAfterSilence. If most did not,
+	// it is confirmIsolatedAfter, so that the majority confirms first.
 	confirmAfter         = time.Second
 	confirmAfterSilence  = 2500 * time.Millisecond
 	confirmIsolatedAfter = 10 * time.Second
--- a/coord/prepaid/many_records_test.go
+++ b/coord/prepaid/many_records_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/rowstore/memory"
 )
 
 // rawRecord and rawRecords are messages about grants between routers.
@@ -96,3 +97,33 @@
 		s.checkTotalOf(100)
 	})
 }
+
+// TestRecordCoversReturnThatMayBeLost guards against tokens that are granted again since a
+// record took a return for applied whose outcome is unknown, and which the store then lost.
+func TestRecordCoversReturnThatMayBeLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPoolSimulation(t, 1_000_000)
+		defer s.shutdown()
+		lender, other := s.lenderOf("coop-0")
+		reservation, err := lender.Reserve(context.Background(), "coop-0", 100)
+		assert.NilError(t, err)
+		reservation.Settle(100)
+		s.store.SetFaults(memory.Faults{DeferCommits: 1000})
+		s.setLimit("coop-0", 500_000) // the lender returns its grant
+		time.Sleep(10 * time.Millisecond)
+		response, err := bus.Call[struct{}, rawRecords](context.Background(), other.peers, lender.id, "prepaid.gather", struct{}{})
+		assert.NilError(t, err)
+		rows, _ := s.readRows("prepaid", "coop-0")
+		stored := rows["grant/"+lender.id.String()].Granted
+		s.store.SetFaults(memory.Faults{})
+		assert.Assert(t, stored > 100)
+		found := false
+		for _, g := range response.Grants {
+			if g.Workspace == "coop-0" && g.Holder == lender.id {
+				found = true
+				assert.Assert(t, g.Granted >= stored, "%d of %d tokens", g.Granted, stored)
+			}
+		}
+		assert.Assert(t, found)
+	})
+}
--- a/coord/prepaid/pending.go
+++ b/coord/prepaid/pending.go
@@ -44,6 +44,16 @@
 	return g
 }
 
+// possiblyGrantedLocked returns the most that the grant can be, whatever the outcome of the
+// pending writes.
+func (a *account) possiblyGrantedLocked() int64 {
+	most := a.granted
+	for _, p := range a.pendingWrites {
+		most = max(most, p.granted)
+	}
+	return most
+}
+
 // addPendingWriteLocked records a write before it is sent.
 func (a *account) addPendingWriteLocked(grant grantRow, expectsTotal bool) {
 	a.pendingWrites = append(a.pendingWrites, pendingWrite{
--- a/coord/prepaid/records.go
+++ b/coord/prepaid/records.go
@@ -37,8 +37,9 @@
 func (r grantRecord) id() grantID { return grantID{r.Workspace, r.Holder} }
 
 // newerThan reports whether the record replaces another one of the same grant. A
-// successor that closes a grant does not know all that its holder has sent. Before the
-// outcome of a draw is known, the holder also sends records without it.
+// successor that closes a grant does not know all that its holder has sent. Of two records
+// with the same number, the one with more tokens counts, since the outcome of a write may
+// have been unknown.
 func (r grantRecord) newerThan(other grantRecord) bool {
 	if r.Closed || other.Closed {
 		return !other.Closed
@@ -146,8 +147,8 @@
 	var list []grantRecord
 	for _, a := range h.accounts.All() {
 		a.mu.Lock()
-		if a.granted > 0 {
-			list = append(list, a.recordLocked(a.guaranteedLocked().granted))
+		if most := a.possiblyGrantedLocked(); most > 0 {
+			list = append(list, a.recordLocked(most))
 		}
 		a.mu.Unlock()
 	}
--- a/coord/rowstore/watcher.go
+++ b/coord/rowstore/watcher.go
@@ -141,7 +141,7 @@
 	// changesTimeoutSlack is how much longer than its wait a call for changes may
 	// take to begin its response.
 	changesTimeoutSlack = 700 * time.Millisecond
-	// stallTimeout is how long a response may pause. It allows for a retransmission.
+	// stallTimeout is how long a response may pause.
 	stallTimeout = 700 * time.Millisecond
 	// maxTransferTime bounds a response that has begun. A large table takes seconds on a
 	// narrow link that is in use, and an aborted transfer starts anew.
