Wait for late load reports while a request's deadline leaves time

Callers of a busy pool were refused with stale_view ("no endpoint that answers may serve model grain-7b now") within a second or two, with 18 s left to their deadlines.

Cause: a choice reads the report of each endpoint in turn and skips those that do not report within poll_timeout, 500 ms. If every endpoint was late once, the request was refused. A request that joined a read in progress gave the endpoint only the rest of that read's time.

While a report is late, the choice is now repeated until half of the time to the deadline has passed, the share that an attempt's first token may take too; each round confirms the configuration again. Without a fresh report an endpoint still gets no work. Endpoints that respond with an error refuse the request at once, as before. Silent ones refuse it later than before, but before its deadline and with ran: no. A call that is not idempotent chooses by its caller's deadline, since its own bound is two minutes: otherwise its caller would get outcome_unknown for a call that was never sent.

TestCallToSilentServiceIsRefusedInTime fails with outcome_unknown if the call chooses by its own bound.

Not mended: an endpoint whose attempt stalled once gets no further attempt of the same request if others are left, even when those fail.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -97,20 +97,14 @@
 // tried, and assigns it. The error is a *failure.Error with the code StaleView or
 // NoEndpoint, or the error of ConfirmView.
 func (b *Balancer) PickForModel(ctx context.Context, g *requests.Generation, tried map[string]bool) (*Assignment, error) {
-	if err := b.confirmView(ctx); err != nil {
-		return nil, err
-	}
-	members := b.deps.Config.Catalog().ForModel(g.Workspace, g.Model)
+	members := func(i *catalog.Index) []*catalog.Member { return i.ForModel(g.Workspace, g.Model) }
 	return b.pick(ctx, members, g.PrefixBlocks, tried, "model "+g.Model)
 }
 
 // PickForService chooses an instance of a plain service for a call among those that
 // are not in tried, and assigns it. It returns the same errors as PickForModel.
 func (b *Balancer) PickForService(ctx context.Context, c *requests.Call, tried map[string]bool) (*Assignment, error) {
-	if err := b.confirmView(ctx); err != nil {
-		return nil, err
-	}
-	members := b.deps.Config.Catalog().ForService(c.Workspace, c.Service)
+	members := func(i *catalog.Index) []*catalog.Member { return i.ForService(c.Workspace, c.Service) }
 	return b.pick(ctx, members, nil, tried, "service "+c.Service)
 }
 
@@ -122,10 +116,32 @@
 	return b.deps.ConfirmView(ctx)
 }
 
-// pick chooses and assigns one of the members. If the load report of the chosen
+// pick chooses and assigns one of the configuration's members. If none may be used
+// because load reports are late, it chooses again, by the configuration of that
+// time, while more than half of the time to ctx's deadline remains: a busy endpoint
+// is not lost, and the rest of the time is for the attempt. The target names the
+// model or service in errors.
+func (b *Balancer) pick(ctx context.Context, members func(*catalog.Index) []*catalog.Member, promptBlocks []uint64, tried map[string]bool, target string) (*Assignment, error) {
+	var lastRound time.Time
+	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
+		lastRound = deadline.Add(-time.Until(deadline) / 2)
+	}
+	for {
+		if err := b.confirmView(ctx); err != nil {
+			return nil, err
+		}
+		assignment, late, err := b.pickOnce(ctx, members(b.deps.Config.Catalog()), promptBlocks, tried, target)
+		if !late || ctx.Err() != nil || !time.Now().Before(lastRound) {
+			return assignment, err
+		}
+	}
+}
+
+// pickOnce chooses and assigns one of the members. If the load report of the chosen
 // endpoint is too old, a new one is requested first; an endpoint that does not
-// respond is skipped. The target names the model or service in errors.
-func (b *Balancer) pick(ctx context.Context, members []*catalog.Member, promptBlocks []uint64, tried map[string]bool, target string) (*Assignment, error) {
+// respond is skipped. If no endpoint is left, late reports whether one of them did
+// not respond within PollTimeout.
+func (b *Balancer) pickOnce(ctx context.Context, members []*catalog.Member, promptBlocks []uint64, tried map[string]bool, target string) (assignment *Assignment, late bool, err error) {
 	rejected := make(map[string]bool)
 	staleEndpoint := ""
 	for {
@@ -133,19 +149,17 @@
 		if member == nil {
 			break
 		}
-		if b.ensureRecentReport(ctx, member) {
-			if assignment := b.newAssignment(member, promptBlocks); assignment != nil {
-				return assignment, nil
-			}
-		} else {
-			staleEndpoint = member.Name
+		if err := b.ensureRecentReport(ctx, member); err != nil {
+			staleEndpoint, late = member.Name, late || isTimeout(err)
+		} else if assignment := b.newAssignment(member, promptBlocks); assignment != nil {
+			return assignment, false, nil
 		}
 		rejected[member.Name] = true
 	}
 	if staleEndpoint != "" {
-		return nil, failure.New(failure.StaleView, "choose endpoint", staleEndpoint, "no endpoint that answers may serve "+target+" now").WithRetry(time.Second)
+		return nil, late, failure.New(failure.StaleView, "choose endpoint", staleEndpoint, "no endpoint that answers may serve "+target+" now").WithRetry(time.Second)
 	}
-	return nil, failure.New(failure.NoEndpoint, "choose endpoint", "", fmt.Sprintf("no endpoint may serve %s now", target)).WithRetry(time.Second)
+	return nil, false, failure.New(failure.NoEndpoint, "choose endpoint", "", fmt.Sprintf("no endpoint may serve %s now", target)).WithRetry(time.Second)
 }
 
 // choose returns one of the members that are neither excluded nor leaving, or nil
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -68,7 +70,7 @@
 // poll reads an endpoint's load report and, if it is a model engine, the cache
 // events since the last poll.
 func (b *Balancer) poll(ctx context.Context, m *catalog.Member) {
-	if !b.refreshReport(ctx, m) || len(m.Models) == 0 {
+	if b.refreshReport(ctx, m) != nil || len(m.Models) == 0 {
 		return
 	}
 	b.mu.Lock()
@@ -102,23 +104,32 @@
 	}
 }
 
-// ensureRecentReport reports whether the endpoint's load report is at most
+// ensureRecentReport returns nil if the endpoint's load report is at most
 // MaxViewAge old. If it is older, a new report is requested first; the result is
-// false if that request fails.
-func (b *Balancer) ensureRecentReport(ctx context.Context, m *catalog.Member) bool {
+// the error of that request.
+func (b *Balancer) ensureRecentReport(ctx context.Context, m *catalog.Member) error {
 	b.mu.Lock()
 	age := b.deps.Clock.Now().Sub(b.stateLocked(m.Name).reportRequestedAt)
 	b.mu.Unlock()
-	if age <= b.settings.MaxViewAge || b.refreshReport(ctx, m) {
-		return true
+	if age <= b.settings.MaxViewAge {
+		return nil
 	}
-	b.metrics.staleReports.Inc()
-	return false
+	err := b.refreshReport(ctx, m)
+	if err != nil {
+		b.metrics.staleReports.Inc()
+	}
+	return err
+}
+
+// isTimeout reports whether a load report could not be read within PollTimeout.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// refreshReport requests the endpoint's load report and returns whether it was
+// refreshReport requests the endpoint's load report and returns nil if it was
 // received. Concurrent calls for the same endpoint share one request.
-func (b *Balancer) refreshReport(ctx context.Context, m *catalog.Member) bool {
+func (b *Balancer) refreshReport(ctx context.Context, m *catalog.Member) error {
 	b.mu.Lock()
 	s := b.stateLocked(m.Name)
 	if inProgress := s.refreshDone; inProgress != nil {
@@ -127,11 +138,14 @@
 		select {
 		case <-inProgress:
 		case <-ctx.Done():
-			return false
+			return ctx.Err()
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return s.reportRequestedAt.After(previousRequest)
+		if s.reportRequestedAt.After(previousRequest) {
+			return nil
+		}
+		return s.refreshErr
 	}
 	done := make(chan struct{})
 	s.refreshDone = done
@@ -145,16 +159,16 @@
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s.refreshDone = nil
+	s.refreshDone, s.refreshErr = nil, err
 	close(done)
 	if err != nil {
 		b.deps.Log.Debug("could not read the endpoint's load report", "endpoint", m.Name, "err", err)
 		b.handleRefreshFailureLocked(m, s)
-		return false
+		return err
 	}
 	s.report, s.reportRequestedAt, s.inFlightAtReport = report, requestedAt, inFlight
 	b.updateLeavingLocked(m, s, report.Leaving)
-	return true
+	return nil
 }
 
 // handleRefreshFailureLocked counts a missing load report as a failure of the
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -29,8 +29,8 @@
 func (b *Balancer) probe(ctx context.Context, m *catalog.Member) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if !b.refreshReport(ctx, m) {
-		b.handleProbeResult(m, 0, fmt.Errorf("probe endpoint %s: load report could not be read", m.Name))
+	if err := b.refreshReport(ctx, m); err != nil {
+		b.handleProbeResult(m, 0, fmt.Errorf("probe endpoint %s: read load report: %w", m.Name, err))
 		return
 	}
 	if len(m.Models) == 0 {
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -36,6 +36,7 @@
 	reportRequestedAt time.Time
 	inFlightAtReport  int
 	refreshDone       chan struct{} // closed when the current refresh ends; nil if none runs
+	refreshErr        error         // of the latest refresh that ended
 	leaving           bool          // as of the latest report
 
 	meanGap             float64 // moving average of the seconds between tokens
--- a/internal/calls/onetime.go
+++ b/internal/calls/onetime.go
@@ -97,7 +97,7 @@
 		if attempt > r.settings.MaxAttempts {
 			return nil, lastFailure
 		}
-		assignment, err := r.deps.Balancer.PickForService(ctx, c, tried)
+		assignment, err := r.deps.Balancer.PickForService(callerCtx, c, tried)
 		if err != nil {
 			if lastFailure == nil {
 				lastFailure = asFailure(err)
--- a/internal/delivery/calls_test.go
+++ b/internal/delivery/calls_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/platform/memory"
+	"daisyslip.dev/daisyslip/internal/catalog"
 	"daisyslip.dev/daisyslip/internal/requests"
 	"daisyslip.dev/daisyslip/internal/standin"
 )
@@ -65,6 +67,20 @@
 	}
 }
 
+// TestCallToSilentServiceIsRefusedInTime guards against unknown outcomes of calls
+// that were never sent. The only instance accepts connections and gives no load
+// report: the caller must be told before its deadline that nothing was executed.
+func TestCallToSilentServiceIsRefusedInTime(t *testing.T) {
+	t.Parallel()
+	b := newTestbed(t, 0)
+	b.addEndpoint(catalog.Endpoint{Name: "silent", Service: testService, URL: b.addServer(httptest.NewServer(
+		http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })))})
+	router := b.startRouter(longTimeoutOptions())
+	_, err := callWithin(router.calls, newCall("request", "fan-7", "on"), 8*time.Second)
+	assert.Equal(t, failure.CodeOf(err), failure.StaleView)
+	assert.Equal(t, failure.As(err).Ran, failure.RanNo)
+}
+
 // TestConcurrentRetriesExecuteOnce sends the same fan command twelve times at once to
 // three routers that share a slow store. It must execute once. The naive version,
 // which checks for an earlier execution first, must execute it more than once.
