--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -202,7 +202,7 @@
 machine_class = "edge"
 serves = ["edge"]
 ip = "127.0.0.1"
-zone = "mazatlan"
+zone = %q
 region = "mx-pacifico"
 internal_ports = [%d,%d]
 bootstrap = true
@@ -212,6 +212,8 @@
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]
 [zones]
 mazatlan = "mx-pacifico"
+puerto-vallarta = "mx-pacifico"
+manzanillo = "mx-pacifico"
 [listen]
 frontend = "127.0.0.1:%d"
 ready = "127.0.0.1:%d"
@@ -255,14 +257,17 @@
 history_s = 20
 `
 
-// NewRouter writes the settings of a router and starts it.
-func (l *Lab) NewRouter(name string) (*Router, error) {
+// Zones are those of the machines.
+var Zones = []string{"mazatlan", "puerto-vallarta", "manzanillo"}
+
+// NewRouter writes the settings of a router on a machine of a zone and starts it.
+func (l *Lab) NewRouter(name, zone string) (*Router, error) {
 	port, err := freePorts(4)
 	if err != nil {
 		return nil, err
 	}
 	r := &Router{Name: name, lab: l, settings: filepath.Join(l.dir, name+".toml"), Callers: "127.0.0.1:" + strconv.Itoa(port), Ready: "127.0.0.1:" + strconv.Itoa(port+1)}
-	text := fmt.Sprintf(settingsFile, name, port+2, port+3, HeartbeatInterval.Milliseconds(), port, port+1, MemoryMB, l.StoreAddr)
+	text := fmt.Sprintf(settingsFile, name, zone, port+2, port+3, HeartbeatInterval.Milliseconds(), port, port+1, MemoryMB, l.StoreAddr)
 	if err := os.WriteFile(r.settings, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
@@ -342,8 +347,15 @@
 	}
 }
 
-// PeakMB returns the greatest resident memory that the process has had.
-func (r *Router) PeakMB() int {
+// PeakMB returns the greatest resident memory that the process has had, and ResidentMB
+// what it has now.
+func (r *Router) PeakMB() int { return r.memoryMB("VmHWM:") }
+
+// ResidentMB is described at PeakMB.
+func (r *Router) ResidentMB() int { return r.memoryMB("VmRSS:") }
+
+// memoryMB returns a field of the process's status, in MB, or 0 if it has ended.
+func (r *Router) memoryMB(field string) int {
 	r.mu.Lock()
 	pid := r.cmd.Process.Pid
 	r.mu.Unlock()
@@ -352,7 +364,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+		if value, found := strings.CutPrefix(line, field); found {
 			kb, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
 			return kb >> 10
 		}
