--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// The machines of the fleet are lost for good and replaced. The tenant must still get
-// what it has prepaid.
+// A machine of the fleet is lost for good and replaced. The tenant must still get what it
+// has prepaid.
 package main
 
 import (
@@ -108,7 +108,7 @@
 	next := time.Now()
 	for i := range requests {
 		if l.Trouble && i == lostAfter {
-			clients.Wait() // nothing is in flight when the machines are lost
+			clients.Wait() // nothing is in flight when the machine is lost
 			time.Sleep(settle)
 			if fleet, err = replace(l, fleet); err != nil {
 				return err
