Reclaim the grants of routers that are lost for good

A grant was reclaimed only by a process on the same VM. Anyone else had to assume that the holder is alive, cut off from the store, and unlocks and spends the whole grant in the course of 60 s: nobody knew what a holder did without the store. So the use of 10 s and 6 requests was lost with each holder.

A grant row now names up to three replicas. A holder uses inactive tokens only as far as most of these have recorded it (extension.go). A lender of the workspace fences the row of a holder that has been silent for 4 s at the replicas and reduces the grant to the activated tokens, or to the newest extension (lost.go). Since a majority has to record an extension, and as many replicas are fenced as leave no majority, a holder that is cut off and goes on spends no more than that. While a reclaim may still succeed, requests get "held elsewhere" (503) and not "exhausted" (402). Rows that were not written since a restore of the store are not reclaimed.

Mutations of the guards (no extension needed, fenced rows extended, a single fence, extensions not counted) make TestReclaimedHolderStaysWithinLimit or TestLostMachinesStayWithinLimit fail.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -40,6 +40,18 @@
 	closed                  bool
 	// pendingWrites are writes that may still be applied by the store.
 	pendingWrites []pendingWrite
+	// rowSeq and rowReplicas are the number and the replicas of the stored grant row.
+	// renewReplicas requests a write of the row with other replicas.
+	// acknowledged has the newest extension that each replica has recorded. extending is
+	// set while one is requested, and extendFailedAt is when that failed last.
+	rowSeq         int64
+	rowReplicas    []bus.ID
+	renewReplicas  bool
+	acknowledged   map[bus.ID]acknowledgement
+	extending      bool
+	extendFailedAt time.Time
+	// lostGrants are fenced grants of lost holders that the next write reclaims.
+	lostGrants []lostGrant
 
 	waiters []*waiter // in order of arrival
 	// writing is set while a goroutine runs writeLoop; there is at most one.
@@ -111,7 +123,7 @@
 
 // newAccount returns the account of a workspace, without a grant.
 func newAccount(h *Holder, workspace string) *account {
-	a := &account{holder: h, workspace: workspace, meanRequest: initialMeanRequest}
+	a := &account{holder: h, workspace: workspace, meanRequest: initialMeanRequest, acknowledged: make(map[bus.ID]acknowledgement)}
 	a.storedTotal.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: totalName}
 	a.storedGrant.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: grantPrefix + h.options.VM + "/" + h.options.Incarnation}
 	a.createdAt, a.firstDrawFraction = h.options.Clock.Now(), rand.Float64()
@@ -126,7 +138,8 @@
 // is guaranteed whatever the outcome of pending writes.
 func (a *account) availableLocked() int64 {
 	g := a.guaranteedLocked()
-	return g.activated + a.holder.heartbeat.unlocked(g.granted-g.activated, g.unlockRate) - a.inUseLocked()
+	unlocked := g.activated + a.holder.heartbeat.unlocked(g.granted-g.activated, g.unlockRate)
+	return min(unlocked, a.usableLocked()) - a.inUseLocked()
 }
 
 // now returns the time of the holder's clock.
@@ -160,6 +173,7 @@
 	w := &waiter{tokens: tokens, noWait: noWait, arrivedAt: now, result: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	a.orderWaitersLocked()
+	a.extendLocked()
 	wait, toUnlock := a.holder.heartbeat.maxStoreWait(), a.timeToUnlockLocked(w)
 	if a.unreachable && (noWait || toUnlock > a.holder.options.Settings.UnlockWait) {
 		defer a.mu.Unlock()
--- a/coord/prepaid/borrow.go
+++ b/coord/prepaid/borrow.go
@@ -25,6 +25,7 @@
 		}
 		if ctx.Err() == nil || p.options.Clock.Now().Sub(startedAt) >= suspectAfter {
 			p.options.Fleet.Suspect(lender)
+			p.lost.suspect(lender)
 		}
 		return nil, fmt.Errorf("%w: lender %s: %w", errNoResponse, lender, err)
 	}
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -135,6 +135,14 @@
 // they are known.
 func (a *account) updateFromConflict(tx *rowstore.Tx, conflict *rowstore.ConflictError) error {
 	storedGrant := conflict.Row(a.storedGrant.Key)
+	a.mu.Lock()
+	a.dropChangedLostLocked(func(key rowstore.Key) int64 {
+		if !slices.ContainsFunc(tx.Expect, func(e rowstore.Expect) bool { return e.Key == key }) {
+			return versionUnknown
+		}
+		return conflict.Row(key).Version
+	})
+	a.mu.Unlock()
 	for _, e := range tx.Expect {
 		if e.Key == a.storedTotal.Key {
 			orphans := a.orphanedGrants
@@ -234,6 +242,7 @@
 	}
 	a.storedGrant = storedGrant
 	a.granted, a.activated, a.unlockRate, a.reportedSpent = grant.Granted, grant.Activated, grant.UnlockRate, grant.Spent
+	a.rowSeq, a.rowReplicas = grant.Seq, grant.Replicas
 	a.storedGranted, a.grantEra, a.seq = grant.Granted, a.readEra, max(a.seq, grant.Seq)
 	a.storedInUse, a.reportUse = grant.InUse, a.reportUse && grant.InUse != a.inUseLocked()
 	a.dropSupersededLocked()
@@ -277,7 +286,9 @@
 	if a.unconfirmedLocked() {
 		a.foreignRows = foreign
 	}
+	a.dropChangedLostLocked(func(key rowstore.Key) int64 { return rowOf(snap.Rows, key).Version })
 	a.mu.Unlock()
+	a.holder.noteGrants(a.workspace, foreign)
 	a.storeReached()
 	return snap, err
 }
--- a/coord/prepaid/heartbeat.go
+++ b/coord/prepaid/heartbeat.go
@@ -234,6 +234,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			hb.holder.options.Log.Debug("heartbeat failed", "err", err.Error())
+			hb.holder.extendAll()
 			interval = hb.holder.options.Settings.RetryInterval + rand.N(hb.holder.options.Settings.RetryInterval)
 		}
 	}
--- /dev/null
+++ b/coord/prepaid/lost_test.go
@@ -0,0 +1,121 @@
+package prepaid_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/prepaid"
+)
+
+// playLoss plays a load on one workspace whose total is somewhat greater than the mean use.
+func playLoss(t *testing.T, seed uint64, routers int, disturb func(s *simulation)) result {
+	return scenario{
+		seed: seed, routers: routers, duration: 34 * time.Second, limitFactor: 1.04,
+		load: []workload{{workspace: "coop-0", requestsPerSecond: 8}}, disturb: disturb,
+	}.run(t)
+}
+
+// refusedForTokens returns the number of due requests that were refused since the total had too
+// few tokens.
+func refusedForTokens(r result) int {
+	return r.refusals[prepaid.ErrExhausted.Error()] + r.refusals[prepaid.ErrBusy.Error()]
+}
+
+// maxRefused is how many of the due requests may be refused, as the users state it.
+func maxRefused(due int) int { return 5 + due/500 }
+
+// TestLostMachineReturnsUnspentTokens guards against tokens that no router can reclaim after the
+// VM of their holder is gone.
+func TestLostMachineReturnsUnspentTokens(t *testing.T) {
+	losses := map[string]func(s *simulation){
+		"one": func(s *simulation) {
+			time.Sleep(12 * time.Second)
+			s.lose(0, 2*time.Second)
+		},
+		"one after another": func(s *simulation) {
+			for vm := range 3 {
+				time.Sleep(6 * time.Second)
+				s.lose(vm, 2*time.Second)
+			}
+		},
+	}
+	for name, lose := range losses {
+		for _, routers := range []int{3, 6} {
+			for _, seed := range fixedSeeds[:4] {
+				t.Run(fmt.Sprintf("%s of %d, seed %d", name, routers, seed), func(t *testing.T) {
+					t.Parallel()
+					res := playLoss(t, seed, routers, lose)
+					t.Log(res)
+					assert.Assert(t, refusedForTokens(res) <= maxRefused(res.due), "%s", res)
+				})
+			}
+		}
+	}
+}
+
+// TestReclaimedHolderStaysWithinLimit guards against a holder that is cut off, and not dead,
+// and goes on to use the tokens that others have reclaimed from it.
+func TestReclaimedHolderStaysWithinLimit(t *testing.T) {
+	for _, seed := range fixedSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				sc := scenario{seed: seed, routers: 4, duration: 40 * time.Second, limitFactor: 0.6, load: []workload{{workspace: "coop-0", requestsPerSecond: 12}}}
+				var isolated *router
+				sc.disturb = func(s *simulation) {
+					time.Sleep(6 * time.Second)
+					vm := int(seed) % sc.routers
+					isolated = s.router(vm)
+					isolated.link.partitioned.Store(true)
+					isolated.peers.cut.Store(true)
+					time.Sleep(25 * time.Second)
+					isolated.peers.endCut()
+					isolated.link.partitioned.Store(false)
+				}
+				t.Log(sc.play(t))
+			})
+		})
+	}
+}
+
+// TestLostMachinesStayWithinLimit guards against tokens that are granted twice when machines
+// are lost or cut off beside other faults.
+func TestLostMachinesStayWithinLimit(t *testing.T) {
+	for _, seed := range append(randomSeeds(), fixedSeeds...) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			duration := 35 * time.Second
+			load := []workload{{workspace: "coop-0", requestsPerSecond: 12}, {workspace: "coop-1", requestsPerSecond: 3}, {workspace: "coop-2", requestsPerSecond: 25}}
+			sc := scenario{seed: seed, routers: 5, duration: duration, load: load, limitFactor: 0.5, disturb: func(s *simulation) {
+				s.lossWeight = 4
+				injectRandomFaults(s, duration)
+			}}
+			t.Log(sc.run(t))
+		})
+	}
+}
+
+// TestLostMachinesBesideRestoredStoreStayWithinLimit guards against a reclaim from rows of a
+// copy, which can lack what their holders have drawn since.
+func TestLostMachinesBesideRestoredStoreStayWithinLimit(t *testing.T) {
+	for _, seed := range fixedSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			t.Log(restoredScenario(seed, func(s *simulation, duration time.Duration) {
+				var running sync.WaitGroup
+				defer running.Wait()
+				for vm := range 2 {
+					running.Go(func() {
+						time.Sleep(s.random.durationBetween(2*time.Second, duration))
+						s.lose(vm, 2*time.Second)
+					})
+				}
+			}).run(t))
+		})
+	}
+}
--- a/coord/prepaid/pending.go
+++ b/coord/prepaid/pending.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/rowstore"
 )
 
@@ -33,6 +34,20 @@
 type guarantee struct {
 	granted, activated int64
 	unlockRate         float64
+	// seq is the number of the row, and replicas are those that it names; they are not
+	// set if the guarantee is that of several rows.
+	seq      int64
+	replicas []bus.ID
+}
+
+// guaranteeOf returns the guarantee of a row.
+func guaranteeOf(grant grantRow) guarantee {
+	return guarantee{granted: grant.Granted, activated: grant.Activated, unlockRate: grant.UnlockRate, seq: grant.Seq, replicas: grant.Replicas}
+}
+
+// storedGuaranteeLocked returns the guarantee of the stored row as last known.
+func (a *account) storedGuaranteeLocked() guarantee {
+	return guarantee{granted: a.granted, activated: a.activated, unlockRate: a.unlockRate, seq: a.rowSeq, replicas: a.rowReplicas}
 }
 
 // guaranteedLocked returns the least of the stored grant and the pending writes.
@@ -57,7 +72,7 @@
 // addPendingWriteLocked records a write before it is sent.
 func (a *account) addPendingWriteLocked(grant grantRow, expectsTotal bool) {
 	a.pendingWrites = append(a.pendingWrites, pendingWrite{
-		guarantee:    guarantee{granted: grant.Granted, activated: grant.Activated, unlockRate: grant.UnlockRate},
+		guarantee:    guaranteeOf(grant),
 		grantVersion: a.storedGrant.Version, totalVersion: a.storedTotal.Version, expectsTotal: expectsTotal,
 	})
 }
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -61,7 +61,7 @@
 	activationSurplus := float64(a.activated-inUse) > activateSurplus*float64(activateAhead)+a.meanRequest && len(a.waiters) == 0
 	activationDue = activationDue || activationSurplus
 	// A successful write supersedes the pending ones, whose outcome is unknown.
-	p.due = a.canReclaimLocked() || a.restoresGrantLocked() || a.confirmsTotalLocked() || a.reportUse && a.storedGrant.Version != 0 && a.storedInUse != inUse || activationDue || len(a.waiters) > 0 || len(a.pendingWrites) > 0
+	p.due = a.canReclaimLocked() || a.reclaimsLostLocked() || a.renewReplicas || a.restoresGrantLocked() || a.confirmsTotalLocked() || a.reportUse && a.storedGrant.Version != 0 && a.storedInUse != inUse || activationDue || len(a.waiters) > 0 || len(a.pendingWrites) > 0
 	unused := a.granted - needed
 	s := a.holder.options.Settings
 	// Less than the mean size of a request is neither drawn nor returned, except that
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -49,6 +49,9 @@
 	loans   loans
 	records records
 	stats   PoolStats
+	// extensions are those of other routers' grants, and lost follows their holders.
+	extensions extensions
+	lost       lostHolders
 
 	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
 	// but their lenders prepare nothing.
@@ -108,6 +111,8 @@
 	p := &Pool{options: o, holder: o.Holder, ranks: make(map[string]workspaceRank), exhausted: make(map[string]exhaustion)}
 	p.loans.init(p)
 	p.records.init(p)
+	p.extensions.init(p)
+	p.lost.init(p)
 	p.settler.init(p)
 	o.Holder.lends.Store(p)
 	return p
@@ -143,6 +148,8 @@
 		p.loans.prune()
 		p.records.prune()
 		p.records.exchange()
+		p.lost.check()
+		p.lost.checkReplicas()
 		if p.options.Clock.Now().Sub(startedAt) < settleMembersFor {
 			continue
 		}
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -10,6 +10,11 @@
 // is certainly dead, therefore knows from the time of the last heartbeat how much of
 // the orphaned grant can have been spent at most, and returns what is above that.
 //
+// A holder whose VM is lost for good has no such successor. The replicas, up to three other
+// processes, therefore record how much of its grant a holder may use before it
+// uses inactive tokens, and other holders can reclaim the rest; see extension.go and lost.go. If
+// the holder and most of its replicas are lost together, its grant counts as spent.
+//
 // Pool makes the grants of a few processes, the lenders, serve a whole fleet.
 //
 // A store that is restored from a copy has forgotten the newest draws. Before the
@@ -34,6 +39,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
 )
 
 // Errors of reservations. They are wrapped with the workspace.
@@ -259,8 +266,8 @@
 }
 
 // grantRow is the grant of one holder, in tokens. Only that holder writes it, and
-// after its death a successor on its VM, which removes it. After the store was restored
-// from a copy, other holders can write it again.
+// after its death a successor on its VM, which removes it. Other holders can write it
+// again after the store was restored from a copy, and reduce it once its holder is lost.
 type grantRow struct {
 	// Granted is what was drawn and not returned.
 	Granted int64 `json:"granted"`
@@ -283,6 +290,9 @@
 	Era int64 `json:"era,omitempty"`
 	// OpenedMs is the store's clock when the holder opened the grant.
 	OpenedMs int64 `json:"opened_ms,omitempty"`
+	// Replicas record how much of the inactive tokens the holder may use; see
+	// extension.go.
+	Replicas []bus.ID `json:"replicas,omitempty"`
 }
 
 // grantPrefix starts the name of a grant row; the VM and the incarnation of the
--- a/coord/prepaid/prepare.go
+++ b/coord/prepaid/prepare.go
@@ -17,9 +17,11 @@
 	// confirms if the total is confirmed. continues is set if that takes a further
 	// transaction.
 	restores, confirms, continues bool
-	// reclaimed are records of the orphaned grants that are removed. closed says that
-	// this holder's grant is removed.
+	// reclaimed are records of the orphaned grants that are removed, and lost are the
+	// grants of lost holders that are reduced. closed says that this holder's grant is
+	// removed.
 	reclaimed []grantRecord
+	lost      []lostGrant
 	closed    bool
 }
 
@@ -37,6 +39,9 @@
 			return nil, err
 		}
 	}
+	if a.reclaimsLostLocked() {
+		a.reclaimLost(c)
+	}
 	if c.confirms {
 		if err := a.confirmTotal(c); err != nil {
 			return nil, err
@@ -45,6 +50,9 @@
 	return c, nil
 }
 
+// reclaims reports whether tokens of other grants are returned.
+func (c *change) reclaims() bool { return len(c.tx.Remove) > 0 || len(c.lost) > 0 }
+
 // prepareTx returns the transaction of a plan and a function to call with its
 // version once it is applied. It returns errShortage if the total has too few
 // tokens, the workspace has no limit or there is nothing to write, and errUnconfirmed
@@ -66,7 +74,7 @@
 	if err := a.checkDueLocked(p, c, grant); err != nil {
 		return nil, nil, err
 	}
-	if drawn == 0 && a.storedGrant.Version != 0 && len(c.tx.Remove) == 0 && !a.returnAll && !c.restores && !c.confirms {
+	if drawn == 0 && a.storedGrant.Version != 0 && !c.reclaims() && !a.returnAll && !c.restores && !c.confirms {
 		return a.prepareGrantOnly(grant)
 	}
 	if grant.Granted > a.storedGranted {
@@ -112,6 +120,9 @@
 	grant.Seq, grant.OpenedMs = a.seq, a.openedMs
 	grant.UnlockRate = a.holder.options.Settings.UnlockFactor * a.usage.perSecond(a.now())
 	grant.Activated = max(min(p.activated, grant.Granted), inUse)
+	if grant.Granted > grant.Activated {
+		grant.Replicas = a.holder.replicas(a.workspace)
+	}
 	return grant
 }
 
@@ -129,7 +140,7 @@
 	case unchanged && a.unconfirmedLocked() && p.granted > a.granted && grant.Activated == a.activated:
 		return errUnconfirmed
 	case unchanged && !p.due,
-		unchanged && grant.Activated == a.activated && !a.reportUse && len(c.tx.Remove) == 0 && a.storedGrant.Version != 0 && !a.returnAll && len(a.pendingWrites) == 0:
+		unchanged && grant.Activated == a.activated && !a.reportUse && !a.renewReplicas && !c.reclaims() && a.storedGrant.Version != 0 && !a.returnAll && len(a.pendingWrites) == 0:
 		return errShortage // no tokens can be drawn and nothing else is to be written
 	}
 	return nil
@@ -176,6 +187,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.storedGrant.Version, a.activated, a.unlockRate = version, grant.Activated, grant.UnlockRate
+		a.rowSeq, a.rowReplicas, a.renewReplicas = grant.Seq, grant.Replicas, false
 		a.storedInUse, a.reportUse, a.grantEra = grant.InUse, false, a.readEra
 		a.dropSupersededLocked()
 		a.holder.stats.Writes.Add(1)
@@ -226,6 +238,7 @@
 	for _, record := range c.reclaimed {
 		a.holder.announce(record)
 	}
+	a.lostReclaimedLocked(c)
 	switch {
 	case c.continues:
 		a.recordsAddedLocked(c.tx, version)
@@ -235,6 +248,7 @@
 	a.total, a.storedTotal.Version, a.storedGrant.Version = c.total, version, version
 	a.markedEra = max(a.markedEra, a.readEra)
 	a.granted, a.activated, a.unlockRate, a.reportedSpent = grant.Granted, grant.Activated, grant.UnlockRate, grant.Spent
+	a.rowSeq, a.rowReplicas, a.renewReplicas = grant.Seq, grant.Replicas, false
 	a.storedInUse, a.reportUse, a.storedGranted, a.grantEra = grant.InUse, false, grant.Granted, a.readEra
 	a.dropSupersededLocked()
 	if drawn < 0 || c.closed {
--- a/coord/prepaid/random_faults_test.go
+++ b/coord/prepaid/random_faults_test.go
@@ -15,6 +15,7 @@
 	faultStop        = 9
 	faultCutPeers    = 13
 	faultCutAllPeers = 14
+	faultLose        = 15
 )
 
 // injectRandomFaults injects random faults into a fleet: processes die and restart,
@@ -37,11 +38,32 @@
 			return
 		}
 		vm := int(s.random.int64n(int64(len(s.routers))))
-		fault := s.random.int64n(15)
+		fault := s.random.int64n(15 + s.lossWeight)
 		if s.sparesWitnesses.Load() && s.losesWitnesses(vm, fault) {
 			continue
 		}
 		switch fault {
+		case faultLose, faultLose + 1:
+			s.lose(vm, s.random.durationBetween(time.Second, 6*time.Second))
+		case faultLose + 2: // two routers are cut off from everything but each other
+			s.forEachRouter(func(candidate int, r *router) {
+				if candidate == vm || candidate == (vm+1)%len(s.routers) {
+					r.link.partitioned.Store(true)
+					r.peers.island.Store(1)
+					duration := s.random.durationBetween(time.Second, 15*time.Second)
+					later(duration, func() { r.peers.island.Store(0) })
+					later(duration+s.random.durationBetween(0, time.Second), func() { r.link.partitioned.Store(false) })
+				}
+			})
+		case faultLose + 3: // one router is cut off from everything, long enough to count as lost
+			s.forEachRouter(func(candidate int, r *router) {
+				if candidate == vm {
+					r.link.partitioned.Store(true)
+					r.peers.cut.Store(true)
+					later(s.random.durationBetween(time.Second, 15*time.Second), func() { r.peers.endCut() })
+					later(s.random.durationBetween(time.Second, 15*time.Second), func() { r.link.partitioned.Store(false) })
+				}
+			})
 		case faultCutPeers: // one router loses its peers
 			s.forEachRouter(func(candidate int, r *router) {
 				if candidate == vm {
--- a/coord/prepaid/recall.go
+++ b/coord/prepaid/recall.go
@@ -139,7 +139,7 @@
 
 // unspentByOthers returns the tokens in the grants of other holders that were
 // neither spent nor reserved when the rows were written. It skips grants whose
-// holder counts as dead.
+// holder counts as dead, unless they may be reclaimed.
 func (a *account) unspentByOthers(rows []rowstore.Row) int64 {
 	now, unspent := a.holder.heartbeat.storeMs(), int64(0)
 	for _, row := range rows {
@@ -151,9 +151,21 @@
 			a.holder.options.Log.Error("cannot decode grant row, its unspent tokens are not counted", "row", row.Key.String(), "err", err)
 			continue
 		}
-		if now-grant.StoreMs < holderDeadAfter.Milliseconds() {
+		if now-grant.StoreMs < holderDeadAfter.Milliseconds() || a.holder.mayReclaim(row) {
 			unspent += grant.Granted - max(grant.Spent, grant.InUse)
 		}
 	}
 	return unspent
 }
+
+// mayReclaim reports whether tokens of the grant in a row may come back though the row was not
+// written lately: its holder responds, or does not do so only for a short time.
+func (h *Holder) mayReclaim(row rowstore.Row) bool {
+	p := h.lends.Load()
+	holder, ok := holderOf(row)
+	if p == nil || !ok {
+		return false
+	}
+	p.lost.suspect(holder)
+	return p.lost.mayReclaim(holder)
+}
--- a/coord/prepaid/records.go
+++ b/coord/prepaid/records.go
@@ -118,6 +118,9 @@
 // keep keeps those of the records that are newer than the known ones.
 func (r *records) keep(list []grantRecord) {
 	now := r.pool.options.Clock.Now()
+	for _, g := range list {
+		r.pool.lost.note(g.id(), !g.Closed)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, g := range list {
@@ -198,6 +201,9 @@
 		ctx, cancel := r.callContext()
 		_, err := bus.Call[recordRequest, recordResponse](ctx, r.pool.options.Bus, key.to, kindRecord, recordRequest{Grants: []grantRecord{g}})
 		cancel()
+		if err != nil {
+			r.pool.lost.suspect(key.to)
+		}
 		if err == nil || clock.Sleep(r.pool.holder.ctx, r.pool.options.Clock, recordRetryInterval) != nil || !r.newestDelivery(key, g) {
 			return
 		}
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -173,6 +173,8 @@
 	s    *simulation
 	self *router
 	cut  atomic.Bool
+	// island numbers the group of processes that reach each other.
+	island atomic.Int64
 	// cutEnded is when the last cut ended, in Unix nanoseconds.
 	cutEnded atomic.Int64
 	dead     *atomic.Bool
@@ -190,13 +192,16 @@
 		<-ctx.Done()
 		return nil, failure.Wrap(failure.PeerUnavailable, string(kind), to.String(), ctx.Err()).WithRan(failure.RanUnknown)
 	}
-	if l.cut.Load() || other.peers.cut.Load() {
+	separated := func() bool {
+		return l.cut.Load() || other.peers.cut.Load() || l.island.Load() != other.peers.island.Load()
+	}
+	if separated() {
 		return lost()
 	}
 	time.Sleep(time.Duration(other.peers.delay.Load()))
 	response, err := l.Bus.Request(context.WithoutCancel(ctx), to, kind, body)
 	time.Sleep(peerDelay)
-	if l.cut.Load() || other.peers.cut.Load() || other.link.dead.Load() || l.s.random.int64n(1000) < l.loses.Load() {
+	if separated() || other.link.dead.Load() || l.s.random.int64n(1000) < l.loses.Load() {
 		return lost()
 	}
 	return response, err
@@ -219,7 +224,7 @@
 
 func (f *fleetView) Available() ([]prepaid.Member, int64) {
 	f.s.mu.Lock()
-	members := append([]prepaid.Member(nil), f.s.members...)
+	members := append(append([]prepaid.Member(nil), f.s.members...), f.s.lost...)
 	f.s.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -271,13 +276,19 @@
 	storeAway atomic.Bool
 	// sparesWitnesses excludes faults from injectRandomFaults; see losesWitnesses.
 	sparesWitnesses atomic.Bool
+	// lossWeight is how many of the faults of injectRandomFaults lose or isolate a machine.
+	lossWeight int64
 	// settings apply to routers started from now on.
 	settings prepaid.Settings
 
 	mu      sync.Mutex       // guards all fields below
 	routers []*router        // nil while down
 	members []prepaid.Member // by VM, the last process that started there
-	network *bus.Network
+	// replaced counts the machines that were lost in each place, and lost are the members
+	// that ran there; they stay listed.
+	replaced map[int]int
+	lost     []prepaid.Member
+	network  *bus.Network
 	// partitionTurn is that of all links.
 	partitionTurn chan struct{}
 	starts        int
@@ -297,7 +308,7 @@
 	s := &simulation{
 		t: t, store: memory.New(), random: newLockedRand(seed), settings: prepaid.DefaultSettings(),
 		routers: make([]*router, routers), network: bus.NewNetwork(), limits: map[string]int64{},
-		consumed: map[string]int64{}, reserved: map[string]int64{},
+		consumed: map[string]int64{}, reserved: map[string]int64{}, replaced: map[int]int{},
 		due: map[string]int{}, served: map[string]int{}, refusals: map[string]int{},
 	}
 	for vm := range routers {
@@ -312,8 +323,12 @@
 	s.starts++
 	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn, away: &s.storeAway}
 	lifetime, stop := context.WithCancel(context.Background())
+	name := fmt.Sprint("vm-", vm)
+	if n := s.replaced[vm]; n > 0 {
+		name += fmt.Sprint("-", n)
+	}
 	r := &router{
-		link: l, lifetime: lifetime, stop: stop, done: make(chan struct{}), vm: fmt.Sprint("vm-", vm),
+		link: l, lifetime: lifetime, stop: stop, done: make(chan struct{}), vm: name,
 		incarnation: fmt.Sprint("i-", s.starts), used: map[string]int64{},
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -402,6 +417,18 @@
 	})
 }
 
+// lose ends the machine of a router for good, without notice, and starts a process on
+// another one after downtime.
+func (s *simulation) lose(vm int, downtime time.Duration) {
+	s.mu.Lock()
+	if s.routers[vm] != nil {
+		s.replaced[vm]++
+		s.lost = append(s.lost, s.members[vm])
+	}
+	s.mu.Unlock()
+	s.kill(vm, downtime)
+}
+
 // sendRecall writes a recall request for a random workspace, for all headroom or a
 // part.
 func (s *simulation) sendRecall() {
--- a/coord/prepaid/waiting.go
+++ b/coord/prepaid/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,6 +32,7 @@
 	for {
 		a.mu.Lock()
 		a.serveWaitersLocked()
+		a.extendLocked()
 		a.extendWaitLocked(w)
 		remaining := w.deadline.Sub(a.now())
 		a.mu.Unlock()
@@ -150,7 +152,8 @@
 }
 
 // timeToUnlockLocked returns the time until enough tokens are unlocked, without the
-// store, for a waiter and those that are served before it.
+// store, for a waiter and those that are served before it, or the longest duration if
+// that is not to be expected.
 func (a *account) timeToUnlockLocked(w *waiter) time.Duration {
 	g, tokens := a.guaranteedLocked(), int64(0)
 	for _, other := range a.waiters {
@@ -159,5 +162,8 @@
 			break
 		}
 	}
+	if a.extensionFailsLocked(a.inUseLocked() + tokens) {
+		return math.MaxInt64
+	}
 	return a.holder.heartbeat.timeToUnlock(a.inUseLocked()+tokens-g.activated, g.granted-g.activated, g.unlockRate)
 }
