Let extensions grow after the store refused a write during an outage

An extension that was asked for while a write was pending had the number of that write. Once the store had refused the write, the next extensions had the number of the stored row, a lower one, and the holder ignored what the replicas had recorded. Extensions now have the last number that the holder has used. Found by the new log line "extension of a grant not recorded by most replicas": all three had recorded 560 of 568.

TestExtensionsContinueAfterRefusedWrite fails without the change.

--- a/coord/prepaid/extension.go
+++ b/coord/prepaid/extension.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"daisyslip.dev/daisyslip/coord/bus"
@@ -39,7 +40,7 @@
 func fenceQuorum(n int) int { return n - majority(n) + 1 }
 
 // extendRequest asks for an extension of the sender's grant. The stored row has a number from
-// OldestSeq to NewestSeq.
+// OldestSeq to NewestSeq, which is the last one that the holder has used.
 type extendRequest struct {
 	Workspace string `cbor:"1,keyasint"`
 	// Replica is the process that is asked. Another one on the same VM does not know
@@ -225,10 +226,10 @@
 	if usable >= min(g.granted, needed+ahead/2) || a.holder.heartbeat.silentFor() < a.holder.options.Settings.UnlockAfter/2 {
 		return
 	}
-	request := extendRequest{Workspace: a.workspace, OldestSeq: a.rowSeq, NewestSeq: a.rowSeq, Tokens: min(needed+ahead, g.granted)}
+	request := extendRequest{Workspace: a.workspace, OldestSeq: a.rowSeq, NewestSeq: a.seq, Tokens: min(needed+ahead, g.granted)}
 	replicas := slices.Clone(a.rowReplicas)
 	for _, p := range a.pendingWrites {
-		request.OldestSeq, request.NewestSeq = min(request.OldestSeq, p.seq), max(request.NewestSeq, p.seq)
+		request.OldestSeq = min(request.OldestSeq, p.seq)
 		for _, id := range p.replicas {
 			if !slices.Contains(replicas, id) {
 				replicas = append(replicas, id)
@@ -245,12 +246,14 @@
 	ctx, cancel := context.WithTimeout(a.holder.ctx, extendTimeout)
 	defer cancel()
 	var running sync.WaitGroup
+	var recorded atomic.Int64
 	for _, id := range replicas {
 		running.Go(func() {
 			r := request
 			r.Replica = id
 			response, err := bus.Call[extendRequest, extendResponse](ctx, p.options.Bus, id, kindExtend, r)
 			if err == nil && !response.Fenced {
+				recorded.Add(1)
 				a.extensionRecorded(id, acknowledgement{r.NewestSeq, r.Tokens})
 			}
 		})
@@ -259,8 +262,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.extending = false
-	if a.usableLocked() < min(request.Tokens, a.guaranteedLocked().granted) {
+	if int(recorded.Load()) < majority(len(replicas)) {
 		a.extendFailedAt = a.now()
+		a.holder.options.Log.Info("extension of a grant not recorded by most replicas", "workspace", a.workspace, "asked", request.Tokens,
+			"usable", a.usableLocked(), "in_use", a.inUseLocked(), "replicas", len(replicas), "recorded", recorded.Load(), "seq", request.NewestSeq, "pending", len(a.pendingWrites))
 	}
 	a.serveWaitersLocked()
 }
--- a/coord/prepaid/lost_test.go
+++ b/coord/prepaid/lost_test.go
@@ -58,6 +58,35 @@
 	}
 }
 
+// TestExtensionsContinueAfterRefusedWrite guards against extensions that stop to grow during an outage
+// once the store has refused a write of the grant.
+func TestExtensionsContinueAfterRefusedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 3, 1)
+		s.setLimit("coop-0", 8_000_000)
+		time.Sleep(warmUp)
+		const tokens, interval = 4000, 50 * time.Millisecond
+		refused := func(duration time.Duration) (n int) {
+			for start := time.Now(); time.Since(start) < duration; time.Sleep(interval) {
+				reservation, err := s.router(0).Reserve(t.Context(), "coop-0", tokens)
+				if err != nil {
+					n++
+					continue
+				}
+				reservation.Settle(tokens)
+			}
+			return n
+		}
+		assert.Check(t, refused(6*time.Second) == 0, "refused though the store is reached")
+		s.storeRefusesAfter.Store(int64(1200 * time.Millisecond))
+		s.storeAway.Store(true)
+		refused(2 * time.Second) // until tokens are unlocked
+		assert.Check(t, refused(4*time.Second) == 0, "refused though tokens are unlocked")
+		s.storeAway.Store(false)
+		s.shutdown()
+	})
+}
+
 // TestReclaimedHolderStaysWithinLimit guards against a holder that is cut off, and not dead,
 // and goes on to use the tokens that others have reclaimed from it.
 func TestReclaimedHolderStaysWithinLimit(t *testing.T) {
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -33,8 +33,10 @@
 	random            *lockedRand
 	lateCommits       *sync.WaitGroup
 	dead, partitioned atomic.Bool
-	// away is set during an outage of the store; all links share it.
-	away *atomic.Bool
+	// away is set during an outage of the store, and refusesAfter is the time, in nanoseconds,
+	// after which it then refuses a call; all links share them.
+	away         *atomic.Bool
+	refusesAfter *atomic.Int64
 	// lossPerMille is the number of commits in 1,000 whose response is lost. Half
 	// of these are applied at once, the others up to maxCommitDelay later.
 	lossPerMille   atomic.Int64
@@ -151,6 +153,7 @@
 		return fmt.Errorf("process is dead: %w", rowstore.ErrUnavailable)
 	}
 	if l.away.Load() {
+		time.Sleep(time.Duration(l.refusesAfter.Load()))
 		return fmt.Errorf("store is away: %w", rowstore.ErrUnavailable)
 	}
 	if !l.partitioned.Load() {
@@ -273,7 +276,8 @@
 	// that links are delaying.
 	restarts, lateCommits sync.WaitGroup
 	// storeAway is set during an outage of the store.
-	storeAway atomic.Bool
+	storeAway         atomic.Bool
+	storeRefusesAfter atomic.Int64
 	// sparesWitnesses excludes faults from injectRandomFaults; see losesWitnesses.
 	sparesWitnesses atomic.Bool
 	// lossWeight is how many of the faults of injectRandomFaults lose or isolate a machine.
@@ -321,7 +325,7 @@
 func (s *simulation) start(vm int) {
 	s.mu.Lock()
 	s.starts++
-	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn, away: &s.storeAway}
+	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn, away: &s.storeAway, refusesAfter: &s.storeRefusesAfter}
 	lifetime, stop := context.WithCancel(context.Background())
 	name := fmt.Sprint("vm-", vm)
 	if n := s.replaced[vm]; n > 0 {
