Forward long failure responses whole, or not at all

forwardBuffered reads up to maxBufferedBytes and took what it had for the whole failure. A longer failure is now forwarded while it is read, as a success is, if no other attempt may follow. Otherwise it is dropped: the router cannot keep it until the next attempt has ended.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -32,6 +32,7 @@
 	abandoned bool             // another endpoint has taken over while this one was silent
 	failure   *bufferedFailure // the endpoint's complete failure response
 	ended     bool             // set by endAttempt
+	parallel  bool             // a takeover has begun it and not handed it over
 
 	// opened is closed once there is the head of a response, or an error. If the response
 	// continues a stream, the start of its body is there, too. The fields below are
@@ -53,7 +54,9 @@
 	defer q.endTakeover(errGoesOn) // of an attempt that panicked
 	for {
 		a, started := q.accepted, true
-		if q.accepted = nil; a == nil {
+		if q.accepted = nil; a != nil {
+			a.parallel = false
+		} else {
 			var refused *refusal
 			if a, refused = q.nextAttempt(ctx); a == nil {
 				return refused
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -82,8 +82,9 @@
 const maxBufferedBytes = 256 << 10
 
 // forwardBuffered reads a response completely and forwards it if it is a success.
-// A failure is kept in a.failure instead. A success of maxBufferedBytes or more
-// is forwarded while it is read.
+// A failure is kept in a.failure instead. A response of maxBufferedBytes or more is
+// forwarded while it is read; a failure only if no other attempt can follow, otherwise it
+// is dropped.
 func (q *request) forwardBuffered(ctx context.Context, a *attempt, success bool) (attemptOutcome, placement.Observation, error) {
 	response := a.response
 	if err := response.SetReadDeadline(q.deadline.Add(responseGrace)); err != nil {
@@ -96,6 +97,9 @@
 		response.Abort()
 		return q.classifyIncomplete(ctx, err)
 	}
+	if !success && n == maxBufferedBytes {
+		return q.forwardLongFailure(ctx, a, body.Bytes())
+	}
 	if !success {
 		response.Finish()
 		a.failure = &bufferedFailure{status: response.Status, header: response.Header, body: body.Bytes(), signed: a.metadata.Signed}
@@ -110,6 +114,22 @@
 	return q.forwardRemaining(ctx, response, body.Bytes())
 }
 
+// forwardLongFailure forwards a failure response that is too large to be kept, of which the
+// prefix was read, or drops it if another attempt can follow.
+func (q *request) forwardLongFailure(ctx context.Context, a *attempt, prefix []byte) (attemptOutcome, placement.Observation, error) {
+	status := a.response.Status
+	final := !a.parallel && !mayRetry(q.route, failed, q.executions+1, q.attempts, q.remaining())
+	if !final || q.stream.headForwarded || !a.metadata.Signed || impliesNotExecuted(status) {
+		a.response.Abort()
+		return failed, placement.Failed, fmt.Errorf("endpoint responded with status %d and over %d bytes", status, len(prefix))
+	}
+	outcome, observation, err := q.forwardRemaining(ctx, a.response, prefix)
+	if outcome == completed {
+		observation = placement.Failed
+	}
+	return outcome, observation, err
+}
+
 // forwardRemaining forwards a response that is too large to be buffered. Prefix
 // is the part of the body that was already read.
 func (q *request) forwardRemaining(ctx context.Context, response *upstream.Response, prefix []byte) (attemptOutcome, placement.Observation, error) {
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -189,6 +189,7 @@
 	}
 	h.stats.retries.Inc()
 	next = q.newAttempt(t.parent, choice)
+	next.parallel = true
 	t.tried = next
 	go q.open(next)
 	return next, ""
