Bound the use of an orphaned grant by its extensions

A successor on the VM counted as spent what time had unlocked for its predecessor since the last heartbeat, though a process that was killed while the store was reached had used none of it.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -50,6 +50,10 @@
 	acknowledged   map[bus.ID]acknowledgement
 	extending      bool
 	extendFailedAt time.Time
+	// orphanBounds are, by the names of orphaned grants, how much of them the replicas
+	// know to be usable. boundingOrphans is set while replicas are asked.
+	orphanBounds    map[string]orphanBound
+	boundingOrphans bool
 	// lostGrants are fenced grants of lost holders that the next write reclaims.
 	lostGrants []lostGrant
 
@@ -123,7 +127,7 @@
 
 // newAccount returns the account of a workspace, without a grant.
 func newAccount(h *Holder, workspace string) *account {
-	a := &account{holder: h, workspace: workspace, meanRequest: initialMeanRequest, acknowledged: make(map[bus.ID]acknowledgement)}
+	a := &account{holder: h, workspace: workspace, meanRequest: initialMeanRequest, acknowledged: make(map[bus.ID]acknowledgement), orphanBounds: make(map[string]orphanBound)}
 	a.storedTotal.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: totalName}
 	a.storedGrant.Key = rowstore.Key{Table: ledgerTable, Part: workspace, Name: grantPrefix + h.options.VM + "/" + h.options.Incarnation}
 	a.createdAt, a.firstDrawFraction = h.options.Clock.Now(), rand.Float64()
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -223,6 +223,7 @@
 	defer a.mu.Unlock()
 	a.storedTotal, a.total, a.orphanedGrants = storedTotal, total, orphans
 	a.totalRead, a.rereadRows, a.reclaiming = true, false, false
+	a.boundOrphansLocked()
 	return a.updateGrantLocked(storedGrant)
 }
 
--- a/coord/prepaid/plan.go
+++ b/coord/prepaid/plan.go
@@ -90,7 +90,7 @@
 // canReclaimLocked reports whether there are orphaned grants of predecessors and it
 // is known how much of them may have been spent.
 func (a *account) canReclaimLocked() bool {
-	return len(a.orphanedGrants) > 0 && a.holder.heartbeat.predecessorsKnown.Load() && !a.unconfirmedLocked()
+	return len(a.orphanedGrants) > 0 && a.holder.heartbeat.predecessorsKnown.Load() && !a.unconfirmedLocked() && a.orphansBoundedLocked()
 }
 
 // firstDrawSpread is the time, per holder, over which first draws ahead of need are
--- a/coord/prepaid/prepare.go
+++ b/coord/prepaid/prepare.go
@@ -208,6 +208,7 @@
 		}
 		incarnation := a.predecessorOf(row)
 		maxSpent := grant.Activated + a.holder.heartbeat.unlockedToPredecessor(incarnation, grant.Granted-grant.Activated, grant.UnlockRate)
+		maxSpent = min(maxSpent, max(grant.Activated, a.orphanBounds[row.Key.Name].usable))
 		if a.holder.eras.unconfirmed(grant.Era) {
 			maxSpent = grant.Granted // the row is from a copy
 		}
