Decide at the send whether a request outlasts a planned stop

Callers lost responses in a planned stop: requests whose bodies came late were passed on and cut at the end of the grace period, also those that may not be repeated, and so were requests that came early but usually take longer than what was left.

The deadline was compared with the end of the stop once, when the head was there. The check is made again before each send, while no endpoint has received the request; before the load balancer has noticed the stop it uses the usual duration of the route. The configuration is loaded again, too, once the body was read: a key that was revoked meanwhile was still served.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -356,6 +356,9 @@
 // UsableEndpoints returns the number of endpoints of a pool that may get requests.
 func (g *Gateway) UsableEndpoints(pool string) int { return len(g.endpoints.Usable(pool)) }
 
+// InFlight returns the number of requests of callers that are being handled.
+func (g *Gateway) InFlight() int64 { return g.handler.InFlight() }
+
 // FleetKnown reports whether the list of routers was read. Before, the router takes the
 // least share of what the fleet may retry.
 func (g *Gateway) FleetKnown() bool { return g.members.Synced() }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -96,10 +96,16 @@
 		open, opensIn := q.openEndpoints()
 		choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
 		if ok {
-			if h.deps.Limits.Acquire(ctx, startOf(choice.Endpoint)) {
+			permitted := h.deps.Limits.Acquire(ctx, startOf(choice.Endpoint))
+			// The request can have waited for its body, for tokens or for a permit.
+			refused := q.checkDrain()
+			if permitted && refused == nil {
 				return q.newAttempt(ctx, choice), nil
 			}
 			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+			if refused != nil {
+				return nil, refused
+			}
 			if ctx.Err() != nil {
 				q.disconnected = q.httpRequest.Context().Err() != nil
 				return nil, q.fail(deadlineExceeded, ctx.Err())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,6 +81,8 @@
 	cutOff   atomic.Bool           // set by CutOff
 	stats    stats
 	ends     *endChecker
+	// durations are those of requests that were served.
+	durations durations
 }
 
 // NewHandler returns a handler that registers its metrics in the Metrics set of
@@ -100,29 +102,6 @@
 // InFlight returns the number of requests that are being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
-// drain is a planned stop of the router that has begun and ends at the deadline.
-type drain struct{ startedAt, deadline time.Time }
-
-// Drain starts a planned stop of the router at the deadline. From now on every
-// response closes its connection. Requests that may last beyond the deadline are
-// refused once drainNotice has passed.
-func (h *Handler) Drain(deadline time.Time) {
-	h.drain.Store(&drain{startedAt: h.deps.Clock.Now(), deadline: deadline})
-}
-
-// drainNotice is how long after the start of a drain requests are accepted
-// whatever their timeout. The load balancer in front of the router needs two
-// readiness checks, one second apart, to notice the drain, and callers on open
-// connections expect their requests to be accepted for 3 s.
-const drainNotice = 2800 * time.Millisecond
-
-// outlasts reports whether a request that arrives now and has the given deadline
-// is to be refused, since the stop of the router could cut it off. It returns
-// false on a nil drain.
-func (d *drain) outlasts(now, deadline time.Time) bool {
-	return d != nil && now.Sub(d.startedAt) > drainNotice && deadline.After(d.deadline)
-}
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := h.inFlight.Add(1)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -26,7 +26,7 @@
 	startedAt   time.Time
 
 	params    exchange.Request  // decoded from the headers
-	table     *routetable.Table // the configuration that applies to the whole request
+	table     *routetable.Table // the configuration that applies to the request since its body was read
 	route     *routetable.Route
 	workspace *routetable.Workspace // nil if the request needs no key
 	pool      string
@@ -78,12 +78,19 @@
 	if refused := q.matchRoute(); refused != nil {
 		return refused
 	}
-	if h.drain.Load().outlasts(q.startedAt, q.deadline) {
-		return refuseDraining()
+	if refused := q.checkDrain(); refused != nil {
+		return refused
 	}
 	if refused := q.readBody(); refused != nil {
 		return refused
 	}
+	// The body can take long, and the configuration can change meanwhile.
+	if table := h.deps.Tables.Load(); table != q.table {
+		q.table = table
+		if refused := q.matchRoute(); refused != nil {
+			return refused
+		}
+	}
 	q.stream.lastEventID = params.ResumeAfter
 	q.affinity = placement.Affinity(params.Generation)
 	return nil
@@ -246,6 +253,9 @@
 		attrs = append(attrs, slog.Int64("first_ms", q.firstByteAt.Sub(q.startedAt).Milliseconds()))
 		h.stats.firstByte.Update(q.firstByteAt.Sub(q.startedAt).Seconds())
 		h.stats.responseTime.Update(now.Sub(q.startedAt).Seconds())
+		if outcome == "answered" {
+			h.durations.record(q.route, now.Sub(q.startedAt))
+		}
 	}
 	if q.truncatedBy != nil {
 		attrs = append(attrs, slog.String("reason", q.truncatedBy.Error()))
--- a/internal/ingress/retry_test.go
+++ b/internal/ingress/retry_test.go
@@ -53,14 +53,18 @@
 		name           string
 		drain          *drain
 		sentAt, lastAt time.Duration // since the start of the drain
+		usual          time.Duration
 		want           bool
 	}{
-		{"no stop", noDrain, 5 * time.Second, time.Hour, false},
-		{"long, early", d, time.Second, 15 * time.Second, false},
-		{"long, late", d, 3 * time.Second, 15 * time.Second, true},
-		{"short, late", d, 3 * time.Second, 4 * time.Second, false},
+		{"no stop", noDrain, 5 * time.Second, time.Hour, 0, false},
+		{"long, early", d, time.Second, 15 * time.Second, 0, false},
+		{"long, late", d, 3 * time.Second, 15 * time.Second, 0, true},
+		{"short, late", d, 3 * time.Second, 4 * time.Second, 0, false},
+		{"usually short, early", d, time.Second, 15 * time.Second, 5 * time.Second, false},
+		{"usually long, early", d, time.Second, 15 * time.Second, 7 * time.Second, true},
+		{"usually long, but ends in time", d, time.Second, 6 * time.Second, 7 * time.Second, false},
 	} {
-		assert.Equal(t, c.drain.outlasts(startedAt.Add(c.sentAt), startedAt.Add(c.lastAt)), c.want, c.name)
+		assert.Equal(t, c.drain.outlasts(startedAt.Add(c.sentAt), startedAt.Add(c.lastAt), c.usual), c.want, c.name)
 	}
 }
 
