Let only one endpoint go on with a stream after a takeover has been sent

Since a silent endpoint goes on while another one is tried, a silence that ended within the 300 ms of the takeover ended the other attempt, which had begun, and the first endpoint went on for seconds.

If the request was sent to another endpoint already, that one now decides: by the head of a success within maxOverlap it takes over and the first attempt ends; if it refuses, fails or sends no head, it is ended and the first goes on. Events that the first sends meanwhile wait for that, up to 300 ms. A response that is no stream is about to be complete when its head is there, and is taken at once.

--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -7,12 +7,15 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/routetable"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
 
 // takeover sends a request to another endpoint while the current one is silent. The
 // silent attempt goes on until another endpoint has accepted the request, since the
-// silence may end and the other endpoints may all refuse.
+// silence may end and the other endpoints may all refuse. If the silence of a stream ends
+// after the request was sent to another endpoint, that one decides by its response within
+// maxOverlap, so that not both work on the request for longer.
 //
 // It runs in a goroutine of its own. Meanwhile that of the request only waits for the
 // silent endpoint, and ends the takeover before it uses the state of the request.
@@ -27,6 +30,8 @@
 	ctx     context.Context
 	end     context.CancelCauseFunc
 	done    chan struct{} // closed at the end of run
+	// settled is closed when it ends, unless another endpoint still decides.
+	settled chan struct{}
 	// tried is the last attempt at another endpoint, and suspected is set if the prompt
 	// may have crashed one. Both are used by run only.
 	tried     *attempt
@@ -46,8 +51,11 @@
 
 // Causes for the end of a takeover.
 var (
-	// errGoesOn: the silent endpoint goes on, or nobody waits for a response.
+	// errGoesOn: the silent endpoint goes on. An attempt that was sent to another one is
+	// waited for.
 	errGoesOn = errors.New("silent endpoint goes on")
+	// errDone: the silent endpoint has done its work, or nobody waits for a response.
+	errDone = errors.New("response complete or not needed")
 	// errEnded: the attempt at the silent endpoint has failed.
 	errEnded = errors.New("attempt at silent endpoint has failed")
 )
@@ -70,15 +78,15 @@
 	if !q.route.Retryable() || q.executions+1 >= q.route.MaxAttempts {
 		return
 	}
-	t := &takeover{request: q, silent: a, delay: delay, dueAt: dueAt, parent: ctx, done: make(chan struct{})}
+	t := &takeover{request: q, silent: a, delay: delay, dueAt: dueAt, parent: ctx, done: make(chan struct{}), settled: make(chan struct{})}
 	t.ctx, t.end = context.WithCancelCause(ctx)
 	q.takeover = t
 	t.timer = time.AfterFunc(delay, t.run)
 }
 
 // pauseTakeover is called when the endpoint of the current attempt goes on. It returns
-// false if another endpoint has taken over already. Otherwise none does before the next
-// call of armTakeover.
+// false if another endpoint has taken over, for which it waits up to maxOverlap if that one
+// has received the request. Otherwise none does before the next call of armTakeover.
 func (q *request) pauseTakeover() bool {
 	t := q.takeover
 	switch {
@@ -88,7 +96,11 @@
 		t.paused = true
 		return true
 	}
-	q.endTakeover(errGoesOn)
+	if q.route.Kind != routetable.Streaming {
+		q.endTakeover(errDone) // the response is about to be complete
+	} else {
+		q.endTakeover(errGoesOn)
+	}
 	return q.accepted == nil
 }
 
@@ -102,6 +114,9 @@
 	q.takeover = nil
 	started := !t.paused && !t.timer.Stop()
 	t.end(cause)
+	if !errors.Is(cause, errGoesOn) {
+		close(t.settled)
+	}
 	if started {
 		<-t.done
 		q.accepted = t.accepted
@@ -111,7 +126,7 @@
 // dropTakeover ends the takeover of the current attempt, and the attempt at an endpoint
 // that has accepted the request.
 func (q *request) dropTakeover() {
-	q.endTakeover(errGoesOn)
+	q.endTakeover(errDone)
 	if q.accepted != nil {
 		q.abandon(q.accepted)
 		q.accepted = nil
@@ -200,7 +215,8 @@
 func (t *takeover) accepts(next *attempt) bool {
 	opened := t.awaitHead(next)
 	switch {
-	case t.needless():
+	case t.drops(next), t.needless() && !opened:
+		// An endpoint that has sent no head has probably not begun to work.
 		t.request.abandon(next)
 		return false
 	case opened && !t.request.serves(next):
@@ -215,6 +231,22 @@
 	return t.ctx.Err() != nil && !errors.Is(context.Cause(t.ctx), errEnded)
 }
 
+// drops reports whether the attempt next is not needed any more and does not decide whether
+// the other endpoint takes over.
+func (t *takeover) drops(next *attempt) bool {
+	return t.needless() && !(errors.Is(context.Cause(t.ctx), errGoesOn) && next.isConnected())
+}
+
+// isConnected reports whether bytes of the request may have been sent.
+func (a *attempt) isConnected() bool {
+	select {
+	case <-a.connected:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitHead waits for the head of the response to next, or an error. It returns false if
 // the takeover or maxOverlap ends before.
 func (t *takeover) awaitHead(next *attempt) bool {
@@ -222,7 +254,9 @@
 	case <-next.opened:
 		return true
 	case <-t.ctx.Done():
-		return false
+		if t.drops(next) {
+			return false
+		}
 	case <-next.connected:
 	}
 	c := t.request.handler.deps.Clock
@@ -242,7 +276,7 @@
 	select {
 	case <-next.opened:
 	case <-time.After(d):
-	case <-t.ctx.Done():
+	case <-t.settled:
 	}
 	select {
 	case <-next.opened:
