Keep a dropped takeover from being sent

Dropping an attempt and its first byte excluded each other only by the order of two goroutines. They now exchange one state.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/endpoints"
@@ -28,6 +29,7 @@
 	progress  responseProgress // how far the response has come
 	ctx       context.Context  // ends the exchange with the endpoint
 	cancel    context.CancelFunc
+	sending   atomic.Int32     // one of notSending, sendBegun and sendDropped
 	connected chan struct{}    // closed before the first byte is sent
 	abandoned bool             // another endpoint has taken over while this one was silent
 	failure   *bufferedFailure // the endpoint's complete failure response
@@ -44,6 +46,27 @@
 	err      error
 }
 
+// The states of an attempt before its first byte is sent.
+const (
+	notSending int32 = iota
+	sendBegun
+	sendDropped
+)
+
+// beginSend reports whether the request is to be sent, unless dropSend was called before.
+func (a *attempt) beginSend() bool {
+	if !a.sending.CompareAndSwap(notSending, sendBegun) {
+		return false
+	}
+	close(a.connected)
+	return true
+}
+
+// dropSend keeps the request from being sent. It returns false if that has begun.
+func (a *attempt) dropSend() bool {
+	return a.sending.CompareAndSwap(notSending, sendDropped) || a.sending.Load() == sendDropped
+}
+
 // sendWithRetries sends the request to one endpoint after another until one
 // serves it, no further attempt is allowed or no endpoint remains. It returns the
 // refusal that is still to be written, or nil if a response was forwarded, at
@@ -387,6 +410,6 @@
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host,
 		Header: q.handler.deps.Codec.ForwardHeader(q.httpRequest.Header, f),
 		Body:   q.body, ID: q.params.ID, AtMostOnce: !q.route.Retryable(),
-		OnConnected: func() { close(a.connected) },
+		OnConnected: a.beginSend,
 	}
 }
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -232,19 +232,9 @@
 }
 
 // drops reports whether the attempt next is not needed any more and does not decide whether
-// the other endpoint takes over.
+// the other endpoint takes over. If the silent endpoint goes on, the request is not sent any more.
 func (t *takeover) drops(next *attempt) bool {
-	return t.needless() && !(errors.Is(context.Cause(t.ctx), errGoesOn) && next.isConnected())
-}
-
-// isConnected reports whether bytes of the request may have been sent.
-func (a *attempt) isConnected() bool {
-	select {
-	case <-a.connected:
-		return true
-	default:
-		return false
-	}
+	return t.needless() && (!errors.Is(context.Cause(t.ctx), errGoesOn) || next.dropSend())
 }
 
 // awaitHead waits for the head of the response to next, or an error. It returns false if
--- a/internal/ingress/takeover_test.go
+++ b/internal/ingress/takeover_test.go
@@ -24,3 +24,11 @@
 		assert.Assert(t, (&takeover{request: q, ctx: context.Background()}).awaitHead(next))
 	})
 }
+
+// TestDroppedAttemptIsNotSent guards against a request that is sent to another endpoint just after the
+// silent one has gone on.
+func TestDroppedAttemptIsNotSent(t *testing.T) {
+	dropped, sent := &attempt{connected: make(chan struct{})}, &attempt{connected: make(chan struct{})}
+	assert.Assert(t, dropped.dropSend() && !dropped.beginSend() && dropped.dropSend())
+	assert.Assert(t, sent.beginSend() && !sent.dropSend())
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,8 +33,9 @@
 	// turns out to be stale. It is only sent on connections that were in use
 	// recently; see Settings.AtMostOnceMaxIdle.
 	AtMostOnce bool
-	// OnConnected is called once there is a connection, before the first byte is sent.
-	OnConnected func()
+	// OnConnected is called once there is a connection, before the first byte is sent. If it
+	// returns false, nothing is sent.
+	OnConnected func() bool
 }
 
 // Errors of exchanges. They are wrapped with the failed step and the endpoint.
@@ -94,8 +95,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrNotSent, err)
 	}
-	if r.OnConnected != nil {
-		r.OnConnected()
+	if r.OnConnected != nil && !r.OnConnected() {
+		c.close()
+		return nil, fmt.Errorf("request to %s: %w: not needed any more", addr, ErrNotSent)
 	}
 	detachContext := context.AfterFunc(ctx, c.interrupt)
 	resp := &Response{conn: c, detachContext: detachContext}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -434,3 +434,20 @@
 		_, _ = io.ReadAll(resp) // any result without a panic is correct
 	})
 }
+
+// TestRequestNotNeededIsNotSent guards against a request that reaches an endpoint though it was
+// dropped while its connection was made.
+func TestRequestNotNeededIsNotSent(t *testing.T) {
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, responseFor(r, completeResponse))
+		return err == nil
+	})
+	pool := newPool(t)
+	r := getRequest("a")
+	r.OnConnected = func() bool { return false }
+	_, err := exchange(pool, e.Addr().String(), r, time.Second)
+	assert.ErrorIs(t, err, upstream.ErrNotSent)
+	_, err = exchange(pool, e.Addr().String(), getRequest("b"), time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, e.requests.Load(), int64(1))
+}
