--- a/coord/prepaid/lost_test.go
+++ b/coord/prepaid/lost_test.go
@@ -58,6 +58,50 @@
 	}
 }
 
+// lostOfClosed returns the tokens that count as spent of the closed grants of routers, and were not
+// used.
+func (s *simulation) lostOfClosed(workspace string, routers []*router) int64 {
+	rows, _ := s.readRows("prepaid", workspace)
+	lost := rows["total"].Granted
+	for name, row := range rows {
+		if name != "total" {
+			lost -= row.Granted
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range routers {
+		if _, open := rows["grant/"+r.vm+"/"+r.incarnation]; !open {
+			lost -= r.used[workspace]
+		}
+	}
+	return lost
+}
+
+// TestSuccessorReturnsTokensThatWereNotExtended guards against counting what time has unlocked for a
+// process that was killed while it reached the store, and has used none of it.
+func TestSuccessorReturnsTokensThatWereNotExtended(t *testing.T) {
+	for _, seed := range fixedSeeds[:4] {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var lost, limit int64
+			playLoss(t, seed, 6, func(s *simulation) {
+				time.Sleep(12 * time.Second)
+				s.mu.Lock()
+				limit = s.limits["coop-0"]
+				routers := append([]*router(nil), s.routers...)
+				s.mu.Unlock()
+				for vm := range 3 {
+					s.kill(vm, 3500*time.Millisecond)
+				}
+				time.Sleep(6 * time.Second)
+				lost = s.lostOfClosed("coop-0", routers)
+			})
+			assert.Assert(t, float64(lost) <= 0.03*float64(limit), "%d of %d are lost", lost, limit)
+		})
+	}
+}
+
 // TestExtensionsContinueAfterRefusedWrite guards against extensions that stop to grow during an outage
 // once the store has refused a write of the grant.
 func TestExtensionsContinueAfterRefusedWrite(t *testing.T) {
