Try lost routers and their grants less often with time

A router that is lost for good was probed every second by each router that knew of its grants, and a grant whose replicas are lost, too, was read from the store every 2 s by each lender, without end. The intervals now grow with the time without a response, up to a minute.

A takeover of a request whose handler panicked is dropped, so that an endpoint that has accepted it just then is not left to work.

--- a/coord/prepaid/lost.go
+++ b/coord/prepaid/lost.go
@@ -29,10 +29,14 @@
 	// reclaimFor is how long after the first missing response the tokens of a holder
 	// count as such that may come back.
 	reclaimFor = 20 * time.Second
-	// probeInterval is the least time between two messages that test whether a holder
+	// probeInterval is the least time between two messages that test whether a router
 	// responds, and probeTimeout bounds the wait for the response.
 	probeInterval = time.Second
 	probeTimeout  = 500 * time.Millisecond
+	// silenceShare is the part of the time without a response after which a holder is
+	// probed, or its grant reclaimed, once more, between probeInterval and maxProbeInterval.
+	silenceShare     = 0.25
+	maxProbeInterval = time.Minute
 	// replicaProbeInterval is the least time between two messages that test whether a
 	// replica of this router's grants responds.
 	replicaProbeInterval = 2 * time.Second
@@ -62,6 +66,11 @@
 	since, probedAt time.Time
 }
 
+// retryInterval returns the least time until the holder is tried again.
+func (s *silence) retryInterval(now time.Time) time.Duration {
+	return min(max(time.Duration(silenceShare*float64(now.Sub(s.since))), probeInterval), maxProbeInterval)
+}
+
 // lostHolders follows the holders of grants that do not respond, and reclaims their
 // grants.
 type lostHolders struct {
@@ -178,7 +187,7 @@
 			delete(l.silent, id)
 			continue
 		}
-		if now.Sub(s.probedAt) >= probeInterval {
+		if now.Sub(s.probedAt) >= s.retryInterval(now) {
 			s.probedAt = now
 			l.pool.holder.tasks.Go(func() { l.probe(id) })
 		}
@@ -243,13 +252,15 @@
 func (l *lostHolders) startReclaim(id grantID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.reclaiming[id] {
+	s := l.silent[id.holder]
+	if l.reclaiming[id] || s == nil {
 		return
 	}
+	retryAfter := s.retryInterval(l.pool.options.Clock.Now())
 	l.reclaiming[id] = l.pool.holder.tasks.Go(func() {
 		_ = clock.Sleep(l.pool.holder.ctx, l.pool.options.Clock, rand.N(reclaimSpread))
 		l.reclaim(id)
-		_ = clock.Sleep(l.pool.holder.ctx, l.pool.options.Clock, probeInterval)
+		_ = clock.Sleep(l.pool.holder.ctx, l.pool.options.Clock, retryAfter)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.reclaiming, id)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -74,7 +74,7 @@
 func (q *request) sendWithRetries(ctx context.Context) *refusal {
 	h := q.handler
 	q.excluded = make(map[string]bool)
-	defer q.endTakeover(errGoesOn) // of an attempt that panicked
+	defer q.dropTakeover() // of an attempt that panicked
 	for {
 		a, started := q.accepted, true
 		if q.accepted = nil; a != nil {
