--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -74,9 +75,11 @@
 		fleet[2].stop()
 		fleet[2] = start(store, "vm-2", "2")
 		fleet[1].Leave(context.Background())
-		assert.DeepEqual(t, availableVMs(fleet[1]), []string{"vm-0/1", "vm-2/1"}) // it lends no more itself
+		assert.Assert(t, !slices.Contains(availableVMs(fleet[1]), "vm-1/1"), "it lends no more itself")
 		time.Sleep(time.Second)
-		assert.DeepEqual(t, availableVMs(fleet[0]), []string{"vm-0/1", "vm-2/2"})
+		for _, d := range fleet[:2] {
+			assert.DeepEqual(t, availableVMs(d), []string{"vm-0/1", "vm-2/2"})
+		}
 		_, found := fleet[0].Lookup(bus.ID{VM: "vm-2", Incarnation: "1"})
 		assert.Assert(t, !found, "the address of a dead process is not used for its successor")
 		peer, found := fleet[0].Lookup(bus.ID{VM: "vm-2", Incarnation: "2"})
