--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -50,8 +50,8 @@
 	acknowledged   map[bus.ID]acknowledgement
 	extending      bool
 	extendFailedAt time.Time
-	// orphanBounds are, by the names of orphaned grants, how much of them the replicas
-	// know to be usable. boundingOrphans is set while replicas are asked.
+	// orphanBounds has, by the name of an orphaned grant's row, how much of the grant its
+	// extensions let the predecessor use. boundingOrphans is set while replicas are asked.
 	orphanBounds    map[string]orphanBound
 	boundingOrphans bool
 	// lostGrants are fenced grants of lost holders that the next write reclaims.
--- a/coord/prepaid/lost.go
+++ b/coord/prepaid/lost.go
@@ -23,11 +23,10 @@
 
 const (
 	// lostAfter is how long a holder must not have responded before its grants are
-	// reclaimed. It is several times the duration of a restart, after which a successor
-	// on the VM reclaims more.
+	// reclaimed. A process that restarts on its VM meanwhile reclaims them itself.
 	lostAfter = 4 * time.Second
-	// reclaimFor is how long after the first missing response the tokens of a holder
-	// count as such that may come back.
+	// reclaimFor is how long, from the first missing response of a holder on, requests
+	// that its unspent tokens could serve are refused as busy, not as exhausted.
 	reclaimFor = 20 * time.Second
 	// probeInterval is the least time between two messages that test whether a router
 	// responds, and probeTimeout bounds the wait for the response.
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -56,8 +56,7 @@
 
 const (
 	// durationWeight and deviationWeight are the weights of a new request in the running
-	// means, and usualDeviations the deviations above the mean that are usual. They are
-	// those of the retransmission timer of TCP, except that it allows for more deviations.
+	// means, and usualDeviations is how many mean deviations above the mean are usual.
 	durationWeight  = 1.0 / 8
 	deviationWeight = 1.0 / 4
 	usualDeviations = 2
