Check the endpoint again before a send, and keep restarts within the retry budget

Cause: an overloaded router checked that an endpoint accepts requests, then took 725 ms to connect and sent the request 3,112 ms after the endpoint's leaving was acknowledged; the bound is 3,000 ms. A router that starts again had its whole share of the retry allowance although its predecessor's retries still counted in the window (625 retries where 615 were allowed).

Change: upstream.Request.OnConnected returns an error and the ingress checks the list of endpoints there, before the first byte. retrybudget gives no share of the allowance in the first window after a start, except at the first start of the fleet (bootstrap in the platform's settings).

--- a/internal/ingress/open.go
+++ b/internal/ingress/open.go
@@ -14,6 +14,9 @@
 // errLeftPool: the endpoint was removed or drains since it was chosen.
 var errLeftPool = errors.New("endpoint left the pool")
 
+// errNotNeeded: another endpoint goes on with the request, so it is not sent to this one.
+var errNotNeeded = errors.New("not needed any more")
+
 // open sends the request to the endpoint of a and waits for the head of the response.
 func (q *request) open(a *attempt) {
 	h := q.handler
@@ -95,11 +98,24 @@
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host,
 		Header: q.handler.deps.Codec.ForwardHeader(q.httpRequest.Header, f),
 		Body:   q.body, ID: q.params.ID, AtMostOnce: !q.route.Retryable(),
-		OnConnected: func() bool { return a.beginSend(q.handler.deps.Clock.Now()) },
+		OnConnected: func() error { return q.beginSend(a) },
 		OnHeadBytes: a.keepHead,
 	}
 }
 
+// beginSend is called right before the first byte is sent. Its error keeps the request from
+// being sent. The list of endpoints is checked again, since a connection can take long to
+// be made while the router or its link is overloaded.
+func (q *request) beginSend(a *attempt) error {
+	if !q.handler.deps.Endpoints.AcceptsRequests(a.endpoint.ID) {
+		return errLeftPool
+	}
+	if !a.beginSend(q.handler.deps.Clock.Now()) {
+		return errNotNeeded
+	}
+	return nil
+}
+
 // headMemory is how many bytes of memory one byte of a head takes if its fields have
 // different names.
 const headMemory = 4
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -3,6 +3,9 @@
 // within a ratio of its own requests plus an equal share of a fixed allowance. The
 // retries of the fleet in any window are the sum of those of its routers, so the sum
 // stays within the bound, too.
+//
+// A router that starts again does not know how many retries its predecessor has made. It
+// therefore gets no share of the allowance until those have left the window.
 package retrybudget
 
 import (
@@ -22,6 +25,9 @@
 	// Window is the length of the sliding window in which requests and retries are
 	// counted.
 	Window time.Duration
+	// FirstStart is set if no router of the fleet ran before, so that there can be no
+	// retries of a predecessor. It is only used by New.
+	FirstStart bool
 }
 
 // safetyFactor is the share of the bound that routers use. The rest covers requests
@@ -37,6 +43,8 @@
 type Budget struct {
 	clock clock.Clock
 	start time.Time // has a monotonic clock reading, so part numbers do not jump with the wall clock
+	// firstStart is Settings.FirstStart at the start.
+	firstStart bool
 	// routers returns the number of routers that share the allowance.
 	routers func() int
 
@@ -56,7 +64,7 @@
 // allowance. It is called with the lock of the budget held, so it must not call the
 // budget.
 func New(c clock.Clock, s Settings, routers func() int) *Budget {
-	return &Budget{clock: c, start: c.Now(), routers: routers, settings: s, pools: make(map[string]*window)}
+	return &Budget{clock: c, start: c.Now(), firstStart: s.FirstStart, routers: routers, settings: s, pools: make(map[string]*window)}
 }
 
 // SetSettings replaces the bound. Counts are kept.
@@ -105,10 +113,18 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	limit := safetyFactor * (b.settings.Ratio*requests + b.settings.Allowance/float64(max(b.routers(), 1)))
+	limit := safetyFactor * (b.settings.Ratio*requests + b.allowanceLocked())
 	if retries+1 > limit {
 		return false
 	}
 	w.retries[windowParts]++
 	return true
 }
+
+// allowanceLocked returns this router's share of the allowance.
+func (b *Budget) allowanceLocked() float64 {
+	if !b.firstStart && b.clock.Now().Sub(b.start) < b.settings.Window {
+		return 0
+	}
+	return b.settings.Allowance / float64(max(b.routers(), 1))
+}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -21,7 +21,7 @@
 // routers. In no window may the retries of the fleet exceed the ratio of its requests
 // in that window and the one before, plus the allowance.
 func TestFleetRetriesStayWithinBound(t *testing.T) {
-	settings := retrybudget.Settings{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second}
+	settings := retrybudget.Settings{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second, FirstStart: true}
 	rapid.Check(t, func(t *rapid.T) {
 		routers := rapid.IntRange(1, 5).Draw(t, "routers")
 		fake := clock.NewFake(time.Unix(0, 0))
@@ -66,8 +66,39 @@
 // TestPoolsHaveSeparateBudgets checks that the retries of one pool do not use up the
 // budget of another.
 func TestPoolsHaveSeparateBudgets(t *testing.T) {
-	b := retrybudget.New(clock.NewFake(time.Unix(0, 0)), retrybudget.Settings{Allowance: 2, Window: time.Second}, func() int { return 1 })
+	b := retrybudget.New(clock.NewFake(time.Unix(0, 0)), retrybudget.Settings{Allowance: 2, Window: time.Second, FirstStart: true}, func() int { return 1 })
 	assert.Assert(t, b.AllowRetry("a"))
 	assert.Assert(t, !b.AllowRetry("a"))
 	assert.Assert(t, b.AllowRetry("b"))
 }
+
+// TestRestartsGiveNoFurtherAllowance guards against routers that use their share of the
+// allowance again after each restart, which exceeds the bound of the fleet: no window may have
+// more retries than the allowance, and a router that has run for a window has its share.
+func TestRestartsGiveNoFurtherAllowance(t *testing.T) {
+	settings := retrybudget.Settings{Allowance: 10, Window: 10 * time.Second}
+	fake := clock.NewFake(time.Unix(0, 0))
+	first := settings
+	first.FirstStart = true
+	budget := retrybudget.New(fake, first, func() int { return 1 })
+	var retries []time.Time
+	for step := range 600 {
+		if step%50 == 49 && step < 400 { // every 5 s for 40 s, then it goes on
+			budget = retrybudget.New(fake, settings, func() int { return 1 })
+		}
+		for budget.AllowRetry("p") {
+			retries = append(retries, fake.Now())
+		}
+		fake.Advance(100 * time.Millisecond)
+	}
+	for i, start := range retries {
+		inWindow := 0
+		for _, at := range retries[i:] {
+			if at.Sub(start) < settings.Window {
+				inWindow++
+			}
+		}
+		assert.Assert(t, float64(inWindow) <= settings.Allowance, "%d retries in a window", inWindow)
+	}
+	assert.Assert(t, retries[len(retries)-1].After(time.Unix(45, 0)), "no retries once a window has passed since the start")
+}
--- a/internal/siteexperiment/fleet.go
+++ b/internal/siteexperiment/fleet.go
@@ -153,7 +153,7 @@
 	settings := gateway.PlatformSettings{
 		VM: vm, Domain: "zone-a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", MetricsAddr: "127.0.0.1:0", PeerAddr: "127.0.0.1:0",
 		Grace: 5 * time.Second, Heartbeat: maxDuration, // the stand-ins write their rows once
-		Retries: retrybudget.Settings{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second},
+		Retries: retrybudget.Settings{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second, FirstStart: true},
 	}
 	store := platform.NewStore(f.addr)
 	reload := func() (gateway.PlatformSettings, error) { return settings, nil }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,8 +36,8 @@
 	// recently; see Settings.AtMostOnceMaxIdle.
 	AtMostOnce bool
 	// OnConnected is called once there is a connection, before the first byte is sent. If it
-	// returns false, nothing is sent.
-	OnConnected func() bool
+	// returns an error, nothing is sent, and the error of Do wraps it.
+	OnConnected func() error
 	// OnHeadBytes, if it is set, is called with the bytes that are read for the heads of
 	// responses. Its error ends the exchange.
 	OnHeadBytes func(n int) error
@@ -103,9 +103,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrNotSent, err)
 	}
-	if r.OnConnected != nil && !r.OnConnected() {
-		c.close()
-		return nil, fmt.Errorf("request to %s: %w: not needed any more", addr, ErrNotSent)
+	if r.OnConnected != nil {
+		if err := r.OnConnected(); err != nil {
+			c.close()
+			return nil, fmt.Errorf("request to %s: %w: %w", addr, ErrNotSent, err)
+		}
 	}
 	detachContext := context.AfterFunc(ctx, c.interrupt)
 	resp := &Response{conn: c, detachContext: detachContext}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -444,9 +444,11 @@
 	})
 	pool := newPool(t)
 	r := getRequest("a")
-	r.OnConnected = func() bool { return false }
+	notNeeded := errors.New("not needed any more")
+	r.OnConnected = func() error { return notNeeded }
 	_, err := exchange(pool, e.Addr().String(), r, time.Second)
 	assert.ErrorIs(t, err, upstream.ErrNotSent)
+	assert.ErrorIs(t, err, notNeeded)
 	_, err = exchange(pool, e.Addr().String(), getRequest("b"), time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, e.requests.Load(), int64(1))
