Evacuate failure domains by rows in the configuration's table

Cause: the operator had no means to keep requests off a failure domain.

Change: rows evacuate/ZONE of the table op are read with the configuration, before the router is ready, and stay in force while the store is unreachable. The registry leaves out endpoints of evacuated domains, also in the check right before the first byte is sent. A pool that is evacuated entirely is refused with 503 and Retry-After before a request waits for tokens. Whether an endpoint has crashed is judged by the list alone.

Measured: go test of internal/gateway, internal/endpoints, internal/ingress, platform and the evacuation, leaving and odd-row tests of platform/pathtest pass. Time from the row to its effect in a fleet: not measured.

--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -73,6 +73,7 @@
 	// when it last became readable again or was restored; zero if neither happened.
 	listUnreadable    bool
 	listReadableSince time.Time
+	evacuated         map[string]bool // failure domains; see SetEvacuated
 }
 
 // NewRegistry returns an empty registry. Endpoints write their entries every
@@ -94,7 +95,7 @@
 	now := r.clock.Now()
 	var all, upToDate []Endpoint
 	for _, e := range r.entries {
-		if e.endpoint.Pool != pool || !e.usable(now) {
+		if e.endpoint.Pool != pool || !e.usable(now) || r.evacuated[e.endpoint.Domain] {
 			continue
 		}
 		all = append(all, e.endpoint)
@@ -123,6 +124,16 @@
 // AcceptsRequests reports whether the endpoint may still get requests. It is
 // called right before a request is sent.
 func (r *Registry) AcceptsRequests(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[id]
+	return e != nil && e.usable(r.clock.Now()) && !r.evacuated[e.endpoint.Domain]
+}
+
+// Listed reports whether the list names the endpoint as one that is not leaving. In
+// contrast to AcceptsRequests it does not depend on evacuations, which show nothing of
+// the endpoint.
+func (r *Registry) Listed(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[id]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	ConfigTable, ConfigName, EndpointTable string
 	DecodeConfig                           func(data []byte) (*routetable.Table, error)
 	DecodeEndpoint                         func(id string, data []byte) (endpoints.Endpoint, error)
+	// DecodeEvacuation returns the failure domain that a row of ConfigTable evacuates, and
+	// whether it evacuates one. The error says what is wrong with the row.
+	DecodeEvacuation func(name string, value []byte) (domain string, evacuates bool, err error)
 	// ReadyPath is the path at which the load balancer queries readiness.
 	ReadyPath string
 	// Reload reads the platform's settings again.
@@ -76,6 +79,9 @@
 	// ConfigWithin is the time within which a new configuration must be applied, and
 	// LeaveWithin that within which a leaving endpoint must get no more requests.
 	ConfigWithin, LeaveWithin time.Duration
+	// EvacuateWithin is the time within which the endpoints of an evacuated failure
+	// domain must get no more requests; 0 if it is not stated.
+	EvacuateWithin time.Duration
 	// Heartbeat is the interval in which endpoints write their rows.
 	Heartbeat time.Duration
 	// Retries bound the retries of all routers together.
@@ -108,6 +114,8 @@
 	upstream   *upstream.Pool
 	handler    *ingress.Handler
 	draining   atomic.Bool
+	// evacuations are the rows that evacuate failure domains.
+	evacuations evacuations
 
 	callerServer, readyServer, metricsServer *server
 }
@@ -288,6 +296,7 @@
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
 	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
 	g.metrics.NewGauge("daisyslip_store_era", func() float64 { return float64(g.platform.Store.Era()) })
+	g.metrics.NewGauge("daisyslip_evacuated_domains", func() float64 { return float64(g.endpoints.EvacuatedDomains()) })
 	stats, pool := g.prepaid.HolderStats(), g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
 		"local": &pool.Local, "borrowed": &pool.Borrowed, "fallback": &pool.Fallback, "hedged": &pool.Hedged, "lent": &pool.Lent, "abandoned": &pool.Abandoned,
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -80,4 +80,7 @@
 		assert.Equal(t, ps.configFeedWait(), test.feedWait)
 		assert.Equal(t, ps.endpointReadInterval(), test.interval)
 	}
+	// The feed of the configuration also has the evacuations.
+	ps := PlatformSettings{ConfigWithin: time.Minute, EvacuateWithin: 5 * time.Second}
+	assert.Equal(t, ps.configFeedWait(), 2500*time.Millisecond)
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -28,9 +28,14 @@
 	startupInterval = 50 * time.Millisecond
 )
 
-// configFeedWait returns how long one call for changes of the configuration waits.
+// configFeedWait returns how long one call for changes of the configuration waits. The
+// feed also has the evacuations.
 func (ps *PlatformSettings) configFeedWait() time.Duration {
-	return min(max(ps.ConfigWithin/2, minConfigFeedWait), maxConfigFeedWait)
+	within := ps.ConfigWithin
+	if ps.EvacuateWithin > 0 {
+		within = min(within, ps.EvacuateWithin)
+	}
+	return min(max(within/2, minConfigFeedWait), maxConfigFeedWait)
 }
 
 // endpointReadInterval returns the time between two reads of the endpoint table.
@@ -44,9 +49,11 @@
 	return &rowstore.Watcher{Store: g.platform.Store, Table: table, Wait: wait, Clock: g.clock, Log: g.log}
 }
 
-// watchConfig applies the newest configuration until ctx ends.
+// watchConfig applies the newest configuration and the evacuations until ctx ends. The
+// router is ready only after a configuration, so the evacuations of a snapshot go first.
 func (g *Gateway) watchConfig(ctx context.Context) {
-	apply := func(rows []rowstore.Row) {
+	apply := func(rows []rowstore.Row, complete bool) {
+		g.updateEvacuations(rows, complete)
 		for _, row := range rows {
 			if row.Key.Name == g.platform.ConfigName && !row.Removed {
 				g.applyConfig(row)
@@ -54,7 +61,8 @@
 		}
 	}
 	watcher := g.newWatcher(g.platform.ConfigTable, g.platformSettings.Load().configFeedWait())
-	watcher.OnSnapshot, watcher.OnChange = apply, apply
+	watcher.OnSnapshot = func(rows []rowstore.Row) { apply(rows, true) }
+	watcher.OnChange = func(rows []rowstore.Row) { apply(rows, false) }
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
 		if g.tables.Load() == nil {
@@ -114,6 +122,7 @@
 	}
 	for ctx.Err() == nil {
 		watcher.Step(ctx)
+		g.logUnknownDomains()
 		_ = clock.Sleep(ctx, g.clock, g.platformSettings.Load().endpointReadInterval()) // the loop condition checks ctx
 	}
 }
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +27,8 @@
 	ps := PlatformSettings{VM: "vm-1", Domain: "zone-a", Heartbeat: heartbeat, LeaveWithin: 2 * time.Second, ConfigWithin: 4 * time.Second}
 	return New(DefaultSettings(), ps, Platform{
 		Store: store, ConfigTable: "op", ConfigName: "config", EndpointTable: "servers",
-		DecodeConfig: func([]byte) (*routetable.Table, error) { return &routetable.Table{Revision: 1}, nil },
+		DecodeConfig:     func([]byte) (*routetable.Table, error) { return &routetable.Table{Revision: 1}, nil },
+		DecodeEvacuation: decodeEvacuation,
 		DecodeEndpoint: func(_ string, data []byte) (e endpoints.Endpoint, err error) {
 			err = json.Unmarshal(data, &e)
 			return e, err
@@ -33,6 +36,21 @@
 	}, slog.New(slog.DiscardHandler))
 }
 
+// decodeEvacuation decodes the rows of newTestGateway that evacuate a failure domain: "out/"
+// and the domain. The value must be "{}".
+func decodeEvacuation(name string, value []byte) (string, bool, error) {
+	domain, found := strings.CutPrefix(name, "out/")
+	switch {
+	case !found:
+		return "", false, nil
+	case domain == "":
+		return "", false, errors.New("no domain")
+	case string(value) != "{}":
+		return domain, true, errors.New("odd value")
+	}
+	return domain, true, nil
+}
+
 // putEndpoint writes the row of an endpoint of the pool "app".
 func putEndpoint(t *testing.T, store rowstore.Store, e endpoints.Endpoint) {
 	e.Pool, e.StartedMs = "app", 1
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -153,6 +153,9 @@
 		if q.executions > 0 {
 			return nil, q.fail(connectionBroken, errors.New("no other endpoint"))
 		}
+		if h.deps.Endpoints.PoolEvacuated(q.pool) {
+			return nil, refuseEvacuated(q.pool)
+		}
 		return nil, refuseNoEndpoint("no endpoint in pool " + q.pool)
 	}
 }
--- a/internal/ingress/ended.go
+++ b/internal/ingress/ended.go
@@ -108,7 +108,7 @@
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return err != nil
 		}
-		if !c.deps.Endpoints.AcceptsRequests(e.ID) {
+		if !c.deps.Endpoints.Listed(e.ID) {
 			return c.ctx.Err() == nil
 		}
 	}
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -34,6 +34,9 @@
 	// endpointFullRetryDelay is the time in which an endpoint at its limit
 	// completes a request.
 	endpointFullRetryDelay = 250 * time.Millisecond
+	// evacuatedRetryDelay is about the time in which routers learn of the end of an
+	// evacuation, which is not known in advance.
+	evacuatedRetryDelay = time.Second
 	// otherRouterRetryDelay is short, since another router may serve the retry at
 	// once: one that does not drain, or one that has a grant while the store is
 	// unavailable.
@@ -126,6 +129,12 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: reason, retryAfter: withJitter(endpointFullRetryDelay)}
 }
 
+// refuseEvacuated refuses a request whose pool has endpoints in evacuated failure domains
+// only.
+func refuseEvacuated(pool string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "all endpoints of pool " + pool + " are in evacuated failure domains", retryAfter: withJitter(evacuatedRetryDelay)}
+}
+
 // refuseDeadlineExceeded refuses a request that was never sent and whose deadline
 // has passed. Reason completes the message "time over ...".
 func refuseDeadlineExceeded(reason string) *refusal {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -240,6 +240,9 @@
 	if q.handler.deps.Clock.Now().After(q.deadline) {
 		return refuseDeadlineExceeded("before it was sent")
 	}
+	if q.handler.deps.Endpoints.PoolEvacuated(q.pool) {
+		return refuseEvacuated(q.pool) // before the request waits for tokens
+	}
 	if refused := q.checkQuarantine(); refused != nil {
 		return refused
 	}
--- a/internal/onplatform/onplatform.go
+++ b/internal/onplatform/onplatform.go
@@ -40,7 +40,7 @@
 	return gateway.Platform{
 		Store: store, Codec: platform.Codec{},
 		ConfigTable: platform.OperatorTable, ConfigName: platform.ConfigName, EndpointTable: platform.EndpointTable,
-		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, ReadyPath: platform.ReadyPath,
+		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, DecodeEvacuation: platform.DecodeEvacuation, ReadyPath: platform.ReadyPath,
 		Reload: reload,
 	}
 }
