Limit the requests of all routers to cold endpoints

Cause: an endpoint that has just started crashes if all routers send it their share. No router alone can keep to what it tolerates.

Change: the registry tells which endpoints are cold, from their rows, new starts, failed attempts and ended evacuations. A request to one needs a permit of its governor, which is chosen among the listed routers. After a denied permit a request prefers endpoints that need none.

Processor time per request: not measured.

--- a/internal/endpointlimit/governor.go
+++ b/internal/endpointlimit/governor.go
@@ -21,13 +21,15 @@
 // that follows another one does not add to what that has handed out.
 type governor struct {
 	clock clock.Clock
+	// burst is the time for which permits that nobody asks for are saved up; at least one is.
+	burst time.Duration
 
 	mu      sync.Mutex // guards buckets
 	buckets map[Start]*bucket
 }
 
-func newGovernor(c clock.Clock) *governor {
-	return &governor{clock: c, buckets: make(map[Start]*bucket)}
+func newGovernor(c clock.Clock, burst time.Duration) *governor {
+	return &governor{clock: c, burst: burst, buckets: make(map[Start]*bucket)}
 }
 
 // take takes a permit for an endpoint with a limit. If there is none, it returns the time
@@ -42,7 +44,7 @@
 		g.buckets[s] = b
 	}
 	b.askedAt = now
-	most := max(perSecond*burstTime.Seconds(), 1)
+	most := max(perSecond*g.burst.Seconds(), 1)
 	b.permits = min(b.permits+max(now.Sub(b.filledAt).Seconds(), 0)*perSecond, most)
 	b.filledAt = now
 	if b.permits >= 1 {
--- a/internal/endpointlimit/limits.go
+++ b/internal/endpointlimit/limits.go
@@ -39,6 +39,8 @@
 	Governor func(endpoint string) bus.ID
 	// Publish sends a statement to all other routers. It must not block.
 	Publish func(Statement)
+	// Cold is for cold endpoints; without it there are none.
+	Cold    ColdOptions
 	Clock   clock.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
@@ -49,6 +51,7 @@
 	options  Options
 	table    *table
 	governor *governor
+	cold     *coldPermits
 	stats    stats
 
 	mu      sync.Mutex          // guards all below; never held over a call
@@ -68,11 +71,12 @@
 		return o.Metrics.NewCounter(`daisyslip_endpoint_permits_total{result="` + result + `"}`)
 	}
 	l := &Limits{
-		options: o, table: newTable(o.Clock, o.Log, o.Metrics), governor: newGovernor(o.Clock),
+		options: o, table: newTable(o.Clock, o.Log, o.Metrics), governor: newGovernor(o.Clock, burstTime), cold: newColdPermits(o),
 		stats:   stats{granted: permits("granted"), denied: permits("denied"), unanswered: permits("unanswered")},
 		invalid: make(map[Start]string), closed: make(map[Start]time.Time), refused: make(map[Start]time.Time),
 	}
 	bus.Handle(o.Bus, kindPermit, l.handlePermit)
+	bus.Handle(o.Bus, kindColdPermit, l.handleColdPermit)
 	return l
 }
 
@@ -179,10 +183,11 @@
 const unansweredDelay = 250 * time.Millisecond
 
 // Acquire reports whether a request may be sent to an endpoint now: the endpoint does not
-// refuse it, and states no limit or its governor has granted a permit. Without a permit
-// the endpoint is closed for a time, unless ctx has ended.
+// refuse it, and is not cold and states no limit, or its governors have granted permits.
+// Without a permit the endpoint is closed for a time, unless ctx has ended. A permit for a
+// cold endpoint is valid for ColdPermitValidity.
 func (l *Limits) Acquire(ctx context.Context, s Start) bool {
-	if l.refuses(s) {
+	if l.refuses(s) || !l.acquireCold(ctx, s.Endpoint) {
 		return false
 	}
 	perSecond, at := l.table.limit(s)
@@ -252,6 +257,7 @@
 func (l *Limits) Prune() {
 	l.table.prune()
 	l.governor.prune()
+	l.pruneCold()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for s, until := range l.closed {
--- /dev/null
+++ b/internal/endpoints/cold.go
@@ -0,0 +1,214 @@
+package endpoints
+
+import "time"
+
+// coldState is what shows that an endpoint is cold. It holds the times of what was
+// observed, so that a changed configuration applies to earlier observations, too.
+type coldState struct {
+	// statedUntil is the end of the time for which the endpoint says that it is cold.
+	statedUntil time.Time
+	// startedAt is when the endpoint was last observed to start, to return from an
+	// evacuation, or to state an invalid time.
+	startedAt time.Time
+	// failedAt is when an attempt at the endpoint failed after which it may have
+	// restarted; zero once a newer entry says that it is not cold.
+	failedAt time.Time
+	// logged has the invalid times that were logged.
+	logged map[string]bool
+}
+
+// maxLoggedInvalid bounds the invalid times that are logged for one endpoint.
+const maxLoggedInvalid = 16
+
+// until returns the time until which the endpoint counts as cold. Start is how long an
+// endpoint of its pool is cold after its start.
+func (c *coldState) until(start time.Duration) time.Time {
+	until := c.statedUntil
+	for _, from := range []time.Time{c.startedAt, c.failedAt} {
+		if end := from.Add(start); !from.IsZero() && end.After(until) {
+			until = end
+		}
+	}
+	return until
+}
+
+// SetColdStart sets the function that returns how long an endpoint of a pool is cold
+// after its start, or 0 if endpoints of the pool are never treated as cold. It is called
+// with a lock of the registry held, and before the registry is used.
+func (r *Registry) SetColdStart(coldStart func(pool string) time.Duration) { r.coldStart = coldStart }
+
+// coldStartOf returns how long an endpoint of a pool is cold after its start.
+func (r *Registry) coldStartOf(pool string) time.Duration {
+	if r.coldStart == nil {
+		return 0
+	}
+	return r.coldStart(pool)
+}
+
+// Cold returns whether the endpoint counts as cold, and until when.
+func (r *Registry) Cold(e Endpoint) (until time.Time, cold bool) {
+	start := r.coldStartOf(e.Pool)
+	if start <= 0 {
+		return time.Time{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.entries[e.ID]
+	if known == nil {
+		return time.Time{}, false
+	}
+	until = known.cold.until(start)
+	return until, r.clock.Now().Before(until)
+}
+
+// ColdIn returns the endpoints of a pool that count as cold, by id, and until when. It
+// returns nil without a look at each endpoint if none can be cold.
+func (r *Registry) ColdIn(pool string) map[string]time.Time {
+	start := r.coldStartOf(pool)
+	if start <= 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if !now.Before(r.latestStated) && now.Sub(r.latestObserved) >= start {
+		return nil
+	}
+	var cold map[string]time.Time
+	for id, e := range r.entries {
+		if e.endpoint.Pool != pool {
+			continue
+		}
+		if until := e.cold.until(start); now.Before(until) {
+			if cold == nil {
+				cold = make(map[string]time.Time)
+			}
+			cold[id] = until
+		}
+	}
+	return cold
+}
+
+// ColdCount returns the number of endpoints that are in the list and count as cold.
+func (r *Registry) ColdCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, now := 0, r.clock.Now()
+	for _, e := range r.entries {
+		start := r.coldStartOf(e.endpoint.Pool)
+		if start > 0 && !e.removed && now.Before(e.cold.until(start)) {
+			n++
+		}
+	}
+	return n
+}
+
+// PoolOf returns the pool of an endpoint that is known.
+func (r *Registry) PoolOf(id string) (pool string, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil {
+		return e.endpoint.Pool, true
+	}
+	return "", false
+}
+
+// MarkFailed records that an attempt at the start of an endpoint at startedMs ended as
+// unreachable or with a broken connection. The endpoint may have restarted since, so it
+// counts as cold until a newer entry of it says otherwise.
+func (r *Registry) MarkFailed(id string, startedMs int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil && e.endpoint.StartedMs == startedMs {
+		e.cold.failedAt = r.observedColdLocked()
+	}
+}
+
+// MarkCold records that the start of an endpoint at startedMs has said in a response that
+// it is cold for d.
+func (r *Registry) MarkCold(id string, startedMs int64, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil && e.endpoint.StartedMs == startedMs {
+		r.statedColdLocked(e, d)
+	}
+}
+
+// observedColdLocked returns the current time, as that of an observation after which an
+// endpoint counts as cold.
+func (r *Registry) observedColdLocked() time.Time {
+	r.latestObserved = r.clock.Now()
+	return r.latestObserved
+}
+
+// statedColdLocked records that an endpoint says that it is cold for d from now on, or not
+// cold if d is 0.
+func (r *Registry) statedColdLocked(e *entry, d time.Duration) {
+	now := r.clock.Now()
+	if d > 0 && !now.Before(e.cold.statedUntil) && r.coldStartOf(e.endpoint.Pool) > 0 {
+		r.log.Info("endpoint says that it is cold", "endpoint", e.endpoint.ID, "pool", e.endpoint.Pool, "for_ms", d.Milliseconds())
+	}
+	e.cold.statedUntil = now.Add(d)
+	if e.cold.statedUntil.After(r.latestStated) {
+		r.latestStated = e.cold.statedUntil
+	}
+}
+
+// entryRead is how an entry that was read relates to the known one.
+type entryRead struct {
+	// newStart is set if it is that of an endpoint that was not known or has restarted, or
+	// whose entry was removed.
+	newStart bool
+	// newer is set if it was written after the known entry.
+	newer bool
+}
+
+// compareLocked compares an entry that was read with the known one, which is not newer.
+// The entry of a live endpoint that the store had lost and that reappears within
+// RecoveryGrace is not that of a new start.
+func (r *Registry) compareLocked(known *entry, e Endpoint) entryRead {
+	restarted := e.StartedMs != known.endpoint.StartedMs || e.StartedMs == 0 && e.Sequence < known.endpoint.Sequence
+	reappeared := known.removed && !r.clock.Now().Before(known.usableUntil)
+	return entryRead{newStart: restarted || reappeared, newer: restarted || e.Sequence > known.endpoint.Sequence}
+}
+
+// learnColdLocked takes in what an entry that was read shows of whether its endpoint is
+// cold. Before is the invalid time in the entry before, if any.
+func (r *Registry) learnColdLocked(known *entry, read entryRead, before string) {
+	e := known.endpoint
+	if read.newStart {
+		known.cold.failedAt = time.Time{}
+		if r.synced.Load() {
+			known.cold.startedAt = r.observedColdLocked()
+		}
+	}
+	if !read.newer {
+		return // read before
+	}
+	if e.InvalidCold != "" {
+		// Repetitions say nothing new.
+		if read.newStart || e.InvalidCold != before {
+			known.cold.startedAt = r.observedColdLocked()
+		}
+		r.logInvalidColdLocked(known)
+		return
+	}
+	r.statedColdLocked(known, e.ColdFor)
+	if e.ColdFor == 0 && !read.newStart {
+		known.cold.failedAt = time.Time{}
+	}
+}
+
+// logInvalidColdLocked logs the invalid time in the latest entry of an endpoint, once for
+// each value.
+func (r *Registry) logInvalidColdLocked(known *entry) {
+	value := known.endpoint.InvalidCold
+	if known.cold.logged[value] || len(known.cold.logged) >= maxLoggedInvalid {
+		return
+	}
+	if known.cold.logged == nil {
+		known.cold.logged = make(map[string]bool)
+	}
+	known.cold.logged[value] = true
+	r.log.Warn("endpoint states an invalid time for which it is cold", "endpoint", known.endpoint.ID, "pool", known.endpoint.Pool, "value", value)
+}
--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -33,6 +33,10 @@
 	StartedMs int64
 	// Sequence counts the entries that the endpoint wrote since its start.
 	Sequence int64
+	// ColdFor is how long the endpoint is cold from when the entry is read, as it states;
+	// InvalidCold is the beginning of what it states if that is no such time, else empty.
+	ColdFor     time.Duration
+	InvalidCold string
 }
 
 // RecoveryGrace is how long after the store became available again, or came back from
@@ -48,6 +52,7 @@
 	usableUntil time.Time
 	// sequenceAdvancedAt is when the sequence number was last observed to change.
 	sequenceAdvancedAt time.Time
+	cold               coldState
 }
 
 // usable reports whether the endpoint may get requests.
@@ -66,6 +71,7 @@
 	log               *slog.Logger
 	heartbeatInterval time.Duration
 	synced            atomic.Bool
+	coldStart         func(pool string) time.Duration // see SetColdStart
 
 	mu      sync.Mutex // guards all below
 	entries map[string]*entry
@@ -74,6 +80,9 @@
 	listUnreadable    bool
 	listReadableSince time.Time
 	evacuated         map[string]bool // failure domains; see SetEvacuated
+	// latestStated is the latest time until which an endpoint has said that it is cold,
+	// and latestObserved that of the latest other observation that it is.
+	latestStated, latestObserved time.Time
 }
 
 // NewRegistry returns an empty registry. Endpoints write their entries every
@@ -173,7 +182,9 @@
 	defer r.mu.Unlock()
 	known := r.entries[e.ID]
 	if known == nil {
-		r.entries[e.ID] = &entry{endpoint: e, sequenceAdvancedAt: r.clock.Now()}
+		known = &entry{endpoint: e, sequenceAdvancedAt: r.clock.Now()}
+		r.entries[e.ID] = known
+		r.learnColdLocked(known, entryRead{newStart: true, newer: true}, "")
 		r.log.Info("endpoint added", "endpoint", e.ID, "pool", e.Pool, "addr", e.Addr, "domain", e.Domain, "leaving", e.Leaving)
 		return
 	}
@@ -194,7 +205,9 @@
 	if e.Sequence != known.endpoint.Sequence || e.StartedMs != known.endpoint.StartedMs {
 		known.sequenceAdvancedAt = r.clock.Now()
 	}
+	read, invalidCold := r.compareLocked(known, e), known.endpoint.InvalidCold
 	known.endpoint, known.removed = e, false
+	r.learnColdLocked(known, read, invalidCold)
 }
 
 // MarkLeaving records that the start of an endpoint at startedMs has said that it is
--- a/internal/endpoints/evacuation.go
+++ b/internal/endpoints/evacuation.go
@@ -6,8 +6,8 @@
 )
 
 // SetEvacuated replaces the set of evacuated failure domains. Their endpoints get no
-// requests until they are left out of a later call. The set stays in force while the
-// list of endpoints cannot be read.
+// requests until they are left out of a later call, after which they count as cold. The
+// set stays in force while the list of endpoints cannot be read.
 func (r *Registry) SetEvacuated(domains []string) {
 	evacuated := make(map[string]bool, len(domains))
 	for _, d := range domains {
@@ -28,6 +28,18 @@
 	for _, d := range slices.Sorted(maps.Keys(old)) {
 		if !evacuated[d] {
 			r.log.Info("evacuation of a failure domain ends", "domain", d, "endpoints", r.countInLocked(d))
+			r.returnLocked(d)
+		}
+	}
+}
+
+// returnLocked makes the endpoints of a failure domain count as cold after its evacuation.
+// They have had no requests and may have been restarted.
+func (r *Registry) returnLocked(domain string) {
+	now := r.observedColdLocked()
+	for _, e := range r.entries {
+		if e.endpoint.Domain == domain {
+			e.cold.startedAt = now
 		}
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -97,6 +97,8 @@
 	// RefusedFor is how long the endpoint wants no further requests of this router, or 0
 	// if it does not say so. Only refusals state it.
 	RefusedFor time.Duration
+	// ColdFor is how long the endpoint is still cold, or 0 if it does not say so.
+	ColdFor time.Duration
 	// RateLimit is the number of requests a second that the endpoint takes from all
 	// routers together, or 0 if it states none.
 	RateLimit float64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,8 @@
 	// EvacuateWithin is the time within which the endpoints of an evacuated failure
 	// domain must get no more requests; 0 if it is not stated.
 	EvacuateWithin time.Duration
+	// Cold bounds the requests to cold endpoints.
+	Cold ColdBounds
 	// Heartbeat is the interval in which endpoints write their rows.
 	Heartbeat time.Duration
 	// Retries bound the retries of all routers together.
@@ -129,6 +131,7 @@
 	g.platformSettings.Store(&ps)
 	g.platform.Store = meteredStore{Store: p.Store, set: g.metrics}
 	g.endpoints = endpoints.NewRegistry(ps.Heartbeat, g.clock, g.componentLog("endpoints"))
+	g.endpoints.SetColdStart(g.coldStart)
 	g.balancer = placement.NewBalancer(s.Placement, ps.Domain, g.clock, g.componentLog("placement"))
 	g.retries = retrybudget.New(g.clock, ps.Retries, g.countRouters)
 	g.newPool(ps)
@@ -296,6 +299,7 @@
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
 	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
 	g.metrics.NewGauge("daisyslip_store_era", func() float64 { return float64(g.platform.Store.Era()) })
+	g.metrics.NewGauge("daisyslip_cold_endpoints", func() float64 { return float64(g.endpoints.ColdCount()) })
 	g.metrics.NewGauge("daisyslip_evacuated_domains", func() float64 { return float64(g.endpoints.EvacuatedDomains()) })
 	stats, pool := g.prepaid.HolderStats(), g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -59,6 +59,7 @@
 	log := g.componentLog("limits")
 	g.limits = endpointlimit.New(endpointlimit.Options{
 		Bus: peers, Governor: g.governorOf, Clock: g.clock, Log: log, Metrics: g.metrics,
+		Cold:    endpointlimit.ColdOptions{Rate: g.coldRate, Governor: g.coldGovernorOf},
 		Publish: func(s endpointlimit.Statement) { g.gossip.Publish(topicLimit, s.Endpoint, gossip.Encode(s)) },
 	})
 	subscribe(g.gossip, topicLimit, log, func(o gossip.Observation, s endpointlimit.Statement) { g.limits.Receive(s, o.At) })
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -25,18 +25,20 @@
 type attempt struct {
 	endpoint  endpoints.Endpoint
 	startedAt time.Time
-	progress  responseProgress // how far the response has come
-	ctx       context.Context  // ends the exchange with the endpoint
-	cancel    context.CancelFunc
-	sending   atomic.Int32        // one of notSending, sendBegun and sendDropped
-	connected chan struct{}       // closed before the first byte is sent
-	sentAt    time.Time           // when connected was closed
-	abandoned bool                // another endpoint has taken over while this one was silent
-	failure   *bufferedFailure    // the endpoint's complete failure response
-	ended     bool                // set by endAttempt
-	parallel  bool                // a takeover has begun it and not handed it over
-	kept      *bytebudget.Account // of the head and the incomplete event
-	headBytes int                 // read for heads
+	// permittedAt is when the permit for a cold endpoint began to be valid; zero without one.
+	permittedAt time.Time
+	progress    responseProgress // how far the response has come
+	ctx         context.Context  // ends the exchange with the endpoint
+	cancel      context.CancelFunc
+	sending     atomic.Int32        // one of notSending, sendBegun and sendDropped
+	connected   chan struct{}       // closed before the first byte is sent
+	sentAt      time.Time           // when connected was closed
+	abandoned   bool                // another endpoint has taken over while this one was silent
+	failure     *bufferedFailure    // the endpoint's complete failure response
+	ended       bool                // set by endAttempt
+	parallel    bool                // a takeover has begun it and not handed it over
+	kept        *bytebudget.Account // of the head and the incomplete event
+	headBytes   int                 // read for heads
 
 	// opened is closed once there is the head of a response, or an error. If the response
 	// continues a stream, the start of its body is there, too. The fields below are
@@ -120,14 +122,14 @@
 				return nil, q.refuseRetry(refused)
 			}
 		}
-		open, opensIn := q.openEndpoints()
+		open, opensIn := q.openEndpoints(q.coldUse())
 		choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
 		if ok {
-			permitted := h.deps.Limits.Acquire(ctx, startOf(choice.Endpoint))
+			permittedAt, permitted := q.acquire(ctx, choice.Endpoint)
 			// The request can have waited for its body, for tokens or for a permit.
 			refused := q.checkDrain()
 			if permitted && refused == nil {
-				return q.newAttempt(ctx, choice), nil
+				return q.newAttempt(ctx, choice, permittedAt), nil
 			}
 			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
 			if refused != nil {
@@ -160,12 +162,13 @@
 	}
 }
 
-// newAttempt returns the attempt at a chosen endpoint, which is not tried again.
-func (q *request) newAttempt(ctx context.Context, choice placement.Choice) *attempt {
+// newAttempt returns the attempt at a chosen endpoint, which is not tried again. See acquire
+// for permittedAt.
+func (q *request) newAttempt(ctx context.Context, choice placement.Choice, permittedAt time.Time) *attempt {
 	q.logPlacement(choice)
 	q.attempts++
 	q.excluded[choice.Endpoint.ID] = true
-	a := &attempt{endpoint: choice.Endpoint, startedAt: q.handler.deps.Clock.Now(), progress: noResponse, connected: make(chan struct{}), opened: make(chan struct{})}
+	a := &attempt{endpoint: choice.Endpoint, startedAt: q.handler.deps.Clock.Now(), permittedAt: permittedAt, progress: noResponse, connected: make(chan struct{}), opened: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.kept = q.handler.deps.Bytes.Open(choice.Endpoint.ID, func() {
 		a.cancel()
@@ -180,6 +183,7 @@
 	a.kept.Close()
 	a.ended = true
 	q.handler.deps.Balancer.End(a.endpoint, observation)
+	q.learnFailure(a, outcome, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
 	}
--- a/internal/ingress/classify.go
+++ b/internal/ingress/classify.go
@@ -15,7 +15,7 @@
 		if ctx.Err() != nil {
 			return q.interruptedOutcome(true), placement.Inconclusive, err
 		}
-		if errors.Is(err, errLeftPool) {
+		if errors.Is(err, errLeftPool) || errors.Is(err, errNoPermit) {
 			return notSent, placement.Inconclusive, err
 		}
 		return notSent, placement.Unreachable, err
--- a/internal/ingress/metadata.go
+++ b/internal/ingress/metadata.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"time"
-
 	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 )
@@ -12,26 +10,8 @@
 	return endpointlimit.Start{Endpoint: e.ID, StartedMs: e.StartedMs}
 }
 
-// openEndpoints returns the endpoints of the pool that may get a request now. If some are
-// closed by their rate limits, opensIn is the time until the first of them opens, else 0.
-func (q *request) openEndpoints() (open []endpoints.Endpoint, opensIn time.Duration) {
-	usable := q.handler.deps.Endpoints.Usable(q.pool)
-	if q.handler.deps.Limits.None() {
-		return usable, 0
-	}
-	for _, e := range usable {
-		closedFor := q.handler.deps.Limits.Closed(startOf(e))
-		if closedFor == 0 {
-			open = append(open, e)
-		} else if opensIn == 0 || closedFor < opensIn {
-			opensIn = closedFor
-		}
-	}
-	return open, opensIn
-}
-
-// learnLimit takes in the rate limit that the response of an attempt states, and for how
-// long its endpoint wants no further requests.
+// learnLimit takes in the rate limit that the response of an attempt states, for how
+// long its endpoint wants no further requests, and for how long it is cold.
 func (q *request) learnLimit(a *attempt) {
 	metadata := a.metadata
 	if metadata.WrongInstance {
@@ -39,6 +19,9 @@
 	}
 	start := startOf(a.endpoint)
 	q.handler.deps.Limits.Refuse(start, metadata.RefusedFor)
+	if metadata.ColdFor > 0 {
+		q.handler.deps.Endpoints.MarkCold(start.Endpoint, start.StartedMs, metadata.ColdFor)
+	}
 	if metadata.InvalidRateLimit != "" {
 		q.handler.deps.Limits.LogInvalid(start, metadata.InvalidRateLimit)
 		return // a limit that was stated before stays
--- a/internal/ingress/open.go
+++ b/internal/ingress/open.go
@@ -104,9 +104,13 @@
 }
 
 // beginSend is called right before the first byte is sent. Its error keeps the request from
-// being sent. The list of endpoints is checked again, since a connection can take long to
-// be made while the router or its link is overloaded.
+// being sent. The permit and the list of endpoints are checked again, since a connection
+// can take long to be made while the router or its link is overloaded. The list is last,
+// since another permit can take the time of a call.
 func (q *request) beginSend(a *attempt) error {
+	if !q.confirmPermit(a) {
+		return errNoPermit
+	}
 	if !q.handler.deps.Endpoints.AcceptsRequests(a.endpoint.ID) {
 		return errLeftPool
 	}
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -41,6 +41,8 @@
 	// once: one that does not drain, or one that has a grant while the store is
 	// unavailable.
 	otherRouterRetryDelay = 40 * time.Millisecond
+	// minRetryDelay is the shortest delay that is not zero in the two decimals of Retry-After.
+	minRetryDelay = 10 * time.Millisecond
 	// maxBudgetRetryDelay bounds the delay until tokens are unlocked, since the store
 	// may be reached again at any time.
 	maxBudgetRetryDelay = 5 * time.Second
@@ -114,9 +116,9 @@
 }
 
 // refuseAtRateLimit refuses a request because the endpoints that could serve it are at
-// their rate limits or want no requests. The first of them takes a request after opensIn.
+// their rate limits, want no requests, or are cold. The first of them takes a request after opensIn.
 func refuseAtRateLimit(pool string, opensIn time.Duration) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "endpoints of pool " + pool + " are at their rate limits or refuse requests", retryAfter: opensIn}
+	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "endpoints of pool " + pool + " are at their rate limits, refuse requests, or are cold", retryAfter: max(opensIn, minRetryDelay)}
 }
 
 // refuseQuarantined refuses a request whose prompt is suspected of crashing endpoints. A
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -49,6 +49,7 @@
 	attemptEvents        int             // events of it that were forwarded
 	excluded             map[string]bool // endpoints that have been tried, by id
 	retriedExcluded      bool            // excluded was cleared once, for lack of other endpoints
+	deniedPermits        int             // permits for cold endpoints that were asked for in vain
 	takeover             *takeover       // of the current attempt; nil if it has none
 	accepted             *attempt        // attempt that has taken over from the last one
 	status               int             // HTTP status written to the caller; 0 before
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -190,18 +190,19 @@
 	if t.suspected {
 		return nil, deniedBySuspicion
 	}
-	open, _ := q.openEndpoints()
+	open, _ := q.openEndpoints(max(q.coldUse(), coldAvoided))
 	choice, ok := h.deps.Balancer.BeginNotEjected(open, q.affinity, q.excluded)
 	if !ok {
 		return nil, "no other endpoint that is not ejected"
 	}
 	// The quarantine lets a request through from time to time, so it is asked only once
 	// there is an endpoint.
+	var permittedAt time.Time
 	if refused := q.checkQuarantine(); refused != nil {
 		deniedBy = refused.reason
 	} else if !h.deps.Retries.AllowRetry(q.pool) {
 		deniedBy = deniedByRetryBudget
-	} else if !h.deps.Limits.Acquire(t.ctx, startOf(choice.Endpoint)) {
+	} else if permittedAt, ok = q.acquire(t.ctx, choice.Endpoint); !ok {
 		deniedBy = "rate limit of other endpoint"
 	}
 	if deniedBy != "" {
@@ -209,7 +210,7 @@
 		return nil, deniedBy
 	}
 	h.stats.retries.Inc()
-	next = q.newAttempt(t.parent, choice)
+	next = q.newAttempt(t.parent, choice, permittedAt)
 	next.parallel = true
 	t.tried = next
 	go q.open(next)
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -97,6 +97,11 @@
 	// MaxEventTokens is the maximum number of tokens in one event of a stream; 0
 	// if the pool has no model engines.
 	MaxEventTokens int64
+	// ColdStart is how long an endpoint is cold after its start, and ColdPerSecond the rate
+	// of requests from all routers together that it tolerates then. Either is 0 if cold
+	// endpoints have no such limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Workspace is the owner of a set of API keys.
