--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -182,6 +182,7 @@
 	a.cancel()
 	a.kept.Close()
 	a.ended = true
+	observation = q.handler.weigh(outcome, observation)
 	q.handler.deps.Balancer.End(a.endpoint, observation)
 	q.learnFailure(a, outcome, observation)
 	if outcome.mayHaveExecuted() {
