Pace of started and recovered endpoints: decision, controller and use in placement

Cause: an endpoint that starts or returns from an ejection has the least load, so routers place requests there at once at full share or, while it is ejected, none.

Change: new package internal/pace with the pure decision Next and a Controller. The balancer multiplies the slots of an endpoint by its factor and leaves it out for the rest of its usual requests. The router's list of endpoints, responses and ejections feed the Controller. Setting placement.pace. No pool is active yet, so all factors are 1.

Not measured. The tests of placement, gateway and ingress pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"daisyslip.dev/daisyslip/internal/ingress"
 	"daisyslip.dev/daisyslip/internal/logs"
 	"daisyslip.dev/daisyslip/internal/members"
+	"daisyslip.dev/daisyslip/internal/pace"
 	"daisyslip.dev/daisyslip/internal/peer"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/quarantine"
@@ -98,6 +99,7 @@
 	tables     *routetable.Current // the applied configuration
 	endpoints  *endpoints.Registry
 	balancer   *placement.Balancer
+	pace       *pace.Controller // nil if switched off
 	retries    *retrybudget.Budget
 	prepaid    *prepaid.Pool
 	members    *members.Directory
@@ -122,6 +124,10 @@
 	g.platform.Store = meteredStore{Store: p.Store, set: g.metrics}
 	g.endpoints = endpoints.NewRegistry(ps.Heartbeat, g.clock, g.componentLog("endpoints"))
 	g.balancer = placement.NewBalancer(s.Placement, ps.Domain, g.clock, g.componentLog("placement"))
+	if s.Placement.Pace {
+		g.pace = pace.New(g.clock, g.componentLog("pace"), g.metrics)
+		g.balancer.SetPace(g.pace)
+	}
 	g.retries = retrybudget.New(g.clock, ps.Retries, g.countRouters)
 	g.newPool(ps)
 	g.upstream = upstream.NewPool(s.Upstream, g.clock, g.metrics)
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -34,6 +34,7 @@
 		g.upstream.Prune()
 		g.endpoints.Prune()
 		g.balancer.Prune()
+		g.pace.Prune()
 		g.limits.Prune()
 		g.Reload("interval")
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -97,17 +97,21 @@
 				list = append(list, e)
 			}
 		}
+		g.pace.Replace(list)
 		g.endpoints.Replace(list)
 	}
 	watcher.OnChange = func(rows []rowstore.Row) {
 		for _, row := range rows {
 			if row.Removed {
+				g.pace.Remove(row.Key.Name)
 				g.endpoints.Remove(row.Key.Name, "entry removed")
 				continue
 			}
 			if e, ok := g.decodeEndpoint(row); ok {
+				g.pace.Set(e)
 				g.endpoints.Set(e)
 			} else {
+				g.pace.Remove(row.Key.Name)
 				g.endpoints.Remove(row.Key.Name, "entry unreadable")
 			}
 		}
--- a/internal/ingress/open.go
+++ b/internal/ingress/open.go
@@ -45,6 +45,7 @@
 	if a.metadata.Load != nil {
 		h.deps.Balancer.Report(a.endpoint.ID, *a.metadata.Load)
 	}
+	h.deps.Balancer.ObserveResponse(a.endpoint, q.firstByteTime(a), a.metadata)
 	q.learnLimit(a)
 	q.learnLeaving(a)
 	if q.stream.headForwarded && q.serves(a) {
@@ -52,6 +53,15 @@
 	}
 }
 
+// firstByteTime returns the time from the send to the head of the response, or 0 if it is
+// not a success. The time to a failure does not show how fast the endpoint works.
+func (q *request) firstByteTime(a *attempt) time.Duration {
+	if a.sentAt.IsZero() || !q.serves(a) {
+		return 0
+	}
+	return q.handler.deps.Clock.Now().Sub(a.sentAt)
+}
+
 // readFirst reads the start of the body of a response that continues a stream.
 func (q *request) readFirst(a *attempt) {
 	a.first = make([]byte, streamReadBytes)
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -26,6 +26,8 @@
 	// the other endpoints.
 	FailureShare  float64 `json:"failure_share"`
 	FailureFactor float64 `json:"failure_factor"`
+	// Pace limits the share of endpoints that started or recovered; see package pace.
+	Pace bool `json:"pace"`
 }
 
 // DefaultSettings returns the defaults.
@@ -36,6 +38,7 @@
 		MaxEjectFor:   4 * time.Second,
 		FailureShare:  0.4,
 		FailureFactor: 2,
+		Pace:          true,
 	}
 }
 
@@ -105,6 +108,7 @@
 	clock         clock.Clock
 	log           *slog.Logger
 	failureDomain string
+	pace          Pacer // nil if all factors are 1
 
 	mu     sync.Mutex // guards states
 	states map[string]*endpointState
@@ -168,6 +172,7 @@
 		}
 		chosenFrom = ejected
 	}
+	candidates, chosenFrom = b.applyPace(candidates, chosenFrom, affinity)
 	i := Choose(candidates, affinity, rand.Uint64())
 	if i < 0 {
 		return Choice{}, false
@@ -239,6 +244,7 @@
 // observeLocked updates the state of an endpoint with an observation, and ejects
 // or reinstates the endpoint.
 func (b *Balancer) observeLocked(e endpoints.Endpoint, s *endpointState, observation Observation, now time.Time) {
+	b.observePace(e.ID, observation)
 	switch observation {
 	case Succeeded:
 		s.probing = false
@@ -289,6 +295,9 @@
 	ejectFor := min(b.settings.EjectFor<<min(s.consecutiveEjections, maxEjectDoublings), b.settings.MaxEjectFor)
 	s.consecutiveEjections++
 	s.ejectedUntil = now.Add(ejectFor)
+	if b.pace != nil {
+		b.pace.Ejected(e.ID, s.ejectedUntil)
+	}
 	b.log.Warn("endpoint ejected", "endpoint", e.ID, "pool", e.Pool, "reason", reason,
 		"for_ms", ejectFor.Milliseconds(), "streak", s.consecutiveEjections, "failure_share", s.failureShare, "samples", s.samples)
 }
