--- a/internal/ingress/open.go
+++ b/internal/ingress/open.go
@@ -45,7 +45,7 @@
 	if a.metadata.Load != nil {
 		h.deps.Balancer.Report(a.endpoint.ID, *a.metadata.Load)
 	}
-	h.deps.Balancer.ObserveResponse(a.endpoint, q.firstByteTime(a), a.metadata)
+	h.deps.Balancer.ObserveResponse(a.endpoint, q.firstByteTime(a), isEventStream(a.response.Header), a.metadata)
 	q.learnLimit(a)
 	q.learnLeaving(a)
 	if q.stream.headForwarded && q.serves(a) {
--- a/internal/pace/controller.go
+++ b/internal/pace/controller.go
@@ -44,6 +44,13 @@
 	logged    bool
 }
 
+// meanKey identifies a mean time to the first byte. The first byte of a response that is
+// not streamed comes at its end, so that one mean for both would say little.
+type meanKey struct {
+	pool     string
+	streamed bool
+}
+
 // poolMean is the moving average of the time to the first byte in one pool.
 type poolMean struct {
 	mean    time.Duration
@@ -65,7 +72,7 @@
 	full      bool         // maxEndpoints was reached and logged
 	endpoints map[string]*entry
 	low       map[string]*entry // the endpoints whose factor was below 1 at their last change
-	means     map[string]poolMean
+	means     map[meanKey]poolMean
 	// A pool is active if it is set by SetActive or marked by MarkActive.
 	set, marked map[string]bool
 }
@@ -79,7 +86,7 @@
 // New returns a Controller without active pools and registers its metrics.
 func New(c clock.Clock, log *slog.Logger, set *metrics.Set) *Controller {
 	p := &Controller{
-		clock: c, log: log, endpoints: make(map[string]*entry), low: make(map[string]*entry), means: make(map[string]poolMean),
+		clock: c, log: log, endpoints: make(map[string]*entry), low: make(map[string]*entry), means: make(map[meanKey]poolMean),
 		set: make(map[string]bool), marked: make(map[string]bool),
 		stats: stats{
 			starts:     set.NewCounter(`daisyslip_pace_starts_total{reason="started"}`),
@@ -295,7 +302,7 @@
 		return
 	}
 	sample.At = p.clock.Now()
-	sample.PoolMean = p.meanLocked(e.pool, sample.FirstByte)
+	sample.PoolMean = p.meanLocked(meanKey{e.pool, sample.Streamed}, sample.FirstByte)
 	decreasedAt := e.state.DecreasedAt
 	e.state = Next(e.state, sample)
 	if e.state.DecreasedAt.Equal(decreasedAt) {
@@ -315,8 +322,8 @@
 // meanLocked returns the mean time to the first byte of a pool, 0 while it is not
 // known well enough, and adds a response to it. One response counts with at most
 // slowRatio times the mean.
-func (p *Controller) meanLocked(pool string, firstByte time.Duration) time.Duration {
-	m := p.means[pool]
+func (p *Controller) meanLocked(key meanKey, firstByte time.Duration) time.Duration {
+	m := p.means[key]
 	mean := m.mean
 	if m.samples < meanSamples {
 		mean = 0
@@ -330,17 +337,17 @@
 	}
 	weight := max(meanWeight, 1/float64(m.samples))
 	m.mean += time.Duration(weight * float64(firstByte-m.mean))
-	p.means[pool] = m
+	p.means[key] = m
 	return mean
 }
 
-// Low reports whether any endpoint may have a factor below 1.
-func (p *Controller) Low() bool { return p != nil && p.lowCount.Load() > 0 }
+// AnyLow reports whether any endpoint may have a factor below 1.
+func (p *Controller) AnyLow() bool { return p != nil && p.lowCount.Load() > 0 }
 
 // Factor returns the capacity factor of an endpoint, from MinFactor to 1. It is 1 for
 // unknown endpoints and in pools that are not active.
 func (p *Controller) Factor(id string) float64 {
-	if !p.Low() {
+	if !p.AnyLow() {
 		return 1
 	}
 	p.mu.RLock()
@@ -384,9 +391,9 @@
 		pools[e.pool] = true
 	}
 	p.full = p.full && len(p.endpoints) >= maxEndpoints
-	for pool := range p.means {
-		if !pools[pool] || !p.activeLocked(pool) {
-			delete(p.means, pool)
+	for key := range p.means {
+		if !pools[key.pool] || !p.activeLocked(key.pool) {
+			delete(p.means, key)
 		}
 	}
 	for pool := range p.marked {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -31,6 +31,12 @@
 	// decreaseFactor is applied on contrary evidence. It is lower than the usual half,
 	// because only one router in seventy learns of each refusal.
 	decreaseFactor = 0.3
+	// slowDecrease is applied on a slow response, which is weaker evidence than a
+	// refusal, since a long prompt takes long everywhere.
+	slowDecrease = 0.7
+	// slowResponses is the number of consecutive slow responses that decrease a factor
+	// of 1. Below 1, each slow response does.
+	slowResponses = 2
 	// decreaseInterval is the least time between two decreases, since requests that
 	// were in flight together fail for one cause.
 	decreaseInterval = 250 * time.Millisecond
@@ -54,6 +60,8 @@
 	// Threshold is the factor from which on growth is linear instead of exponential:
 	// the factor after the last decrease, or 1.
 	Threshold float64
+	// Slow is the number of consecutive slow responses, up to slowResponses.
+	Slow int
 	// Confirmed is set while the last response was fast.
 	Confirmed bool
 	// At is when Factor was computed. If it is in the future, the factor does not
@@ -76,6 +84,8 @@
 	// FirstByte is the time from the send of a request to the first byte of its
 	// response. PoolMean is its mean in the pool, or 0 if unknown.
 	FirstByte, PoolMean time.Duration
+	// Streamed is set if the response is a stream, whose first byte comes early.
+	Streamed bool
 	// Refused is set if the endpoint did not execute a request.
 	Refused bool
 	// Failed is set if the endpoint failed, was unreachable or stalled.
@@ -125,18 +135,31 @@
 // contrary evidence the factor is 1 at most RampTime plus RecoveryTime later.
 func Next(s State, sample Sample) State {
 	s = grow(s, sample.At)
-	ratio := sample.ratio()
-	switch {
-	case sample.Contrary() != NoCause:
-		s.Confirmed = false
-		if s.DecreasedAt.IsZero() || sample.At.Sub(s.DecreasedAt) >= decreaseInterval {
-			s.Factor = max(s.Factor*decreaseFactor, MinFactor)
-			s.Threshold, s.DecreasedAt = s.Factor, sample.At
+	switch sample.Contrary() {
+	case CauseFailure, CauseRefusal:
+		return decrease(s, sample.At, decreaseFactor)
+	case CauseSlow:
+		if s.Slow = min(s.Slow+1, slowResponses); s.Slow < slowResponses && s.Factor == 1 {
+			return s
 		}
-	case sample.Slots > 0 && sample.Waiting > 0 && sample.Running < sample.Slots:
+		return decrease(s, sample.At, slowDecrease)
+	}
+	if sample.Slots > 0 && sample.Waiting > 0 && sample.Running < sample.Slots {
 		s.Confirmed = false // requests wait although there are free slots
-	case ratio > 0:
-		s.Confirmed = ratio <= fastRatio
+		return s
+	}
+	if ratio := sample.ratio(); ratio > 0 {
+		s.Slow, s.Confirmed = 0, ratio <= fastRatio
+	}
+	return s
+}
+
+// decrease returns the state after contrary evidence.
+func decrease(s State, at time.Time, by float64) State {
+	s.Confirmed = false
+	if s.DecreasedAt.IsZero() || at.Sub(s.DecreasedAt) >= decreaseInterval {
+		s.Factor = max(s.Factor*by, MinFactor)
+		s.Threshold, s.DecreasedAt = s.Factor, at
 	}
 	return s
 }
