Use loads of four figures, and log invalid ones once per endpoint

Cause: endpoints that report their slowness as a fourth figure of the load were placed without any report, as decodeLoad dropped such a load as a whole.

A load that is malformed or that no endpoint can have is logged once per endpoint and not used. The balancer keeps the slowness; the choice of the least loaded endpoint multiplies by it.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -77,6 +77,9 @@
 // that it executes, that wait at it, and that it can execute at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is how long work takes on the endpoint's machine at this moment, in
+	// percent of usual; 0 if the endpoint does not report it.
+	Slowness float64
 }
 
 // Response is the metadata of an endpoint's response.
@@ -92,8 +95,11 @@
 	WrongInstance bool
 	// Leaving is set if the endpoint stops soon and wants no further requests.
 	Leaving bool
-	// Load is nil if the endpoint does not report its load.
+	// Load is nil if the endpoint does not report its load, or an invalid one.
 	Load *Load
+	// InvalidLoad is the beginning of a reported load that is invalid, for logs; else
+	// empty.
+	InvalidLoad string
 	// RefusedFor is how long the endpoint wants no further requests of this router, or 0
 	// if it does not say so. Only refusals state it.
 	RefusedFor time.Duration
--- a/internal/ingress/metadata.go
+++ b/internal/ingress/metadata.go
@@ -46,6 +46,19 @@
 	q.handler.deps.Limits.Learn(start, metadata.RateLimit, a.startedAt)
 }
 
+// learnLoad takes in the load that the response of an attempt reports. A load with
+// slowness is used only if the chosen endpoint has reported it.
+func (q *request) learnLoad(a *attempt) {
+	load := a.metadata.Load
+	switch {
+	case a.metadata.InvalidLoad != "":
+		q.handler.deps.Balancer.LogInvalidLoad(a.endpoint.ID, a.metadata.InvalidLoad)
+	case load == nil, load.Slowness > 0 && a.metadata.WrongInstance:
+	default:
+		q.handler.deps.Balancer.Report(a.endpoint.ID, *load)
+	}
+}
+
 // learnLeaving stops sending requests to the endpoint of an attempt if its response says
 // that it is leaving. Requests that it has go on.
 func (q *request) learnLeaving(a *attempt) {
--- a/internal/ingress/open.go
+++ b/internal/ingress/open.go
@@ -42,9 +42,7 @@
 	}
 	a.progress = responseStarted
 	a.metadata = h.deps.Codec.DecodeResponse(a.response.Status, a.response.Header)
-	if a.metadata.Load != nil {
-		h.deps.Balancer.Report(a.endpoint.ID, *a.metadata.Load)
-	}
+	q.learnLoad(a)
 	q.learnLimit(a)
 	q.learnLeaving(a)
 	if q.stream.headForwarded && q.serves(a) {
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -86,7 +86,9 @@
 	reportedAt         time.Time
 	startedSinceReport int
 	endedSinceReport   int
-	slots              int // in the last report
+	slots              int     // in the last report
+	slowness           float64 // in the last report, in percent of usual; 0 without one
+	invalidLoadLogged  bool
 
 	failureShare         float64 // moving average of the share of failed requests
 	samples              int     // observations in failureShare
@@ -156,7 +158,7 @@
 			ejected = append(ejected, e)
 			continue
 		}
-		candidates = append(candidates, Candidate{ID: e.ID, Load: b.loadLocked(s, now), Slots: e.Slots, Local: e.Domain == b.failureDomain})
+		candidates = append(candidates, Candidate{ID: e.ID, Load: b.loadLocked(s, now), Slots: e.Slots, Local: e.Domain == b.failureDomain, Slowness: b.slownessLocked(s, now)})
 		chosenFrom = append(chosenFrom, e)
 	}
 	if len(chosenFrom) == 0 && allowEjected {
@@ -164,7 +166,7 @@
 		// refusing the request.
 		for _, e := range ejected {
 			s := b.states[e.ID]
-			candidates = append(candidates, Candidate{ID: e.ID, Load: b.loadLocked(s, now), Slots: e.Slots, Local: e.Domain == b.failureDomain})
+			candidates = append(candidates, Candidate{ID: e.ID, Load: b.loadLocked(s, now), Slots: e.Slots, Local: e.Domain == b.failureDomain, Slowness: b.slownessLocked(s, now)})
 		}
 		chosenFrom = ejected
 	}
@@ -206,15 +208,37 @@
 	return max(s.reportedLoad+float64(s.startedSinceReport-s.endedSinceReport), float64(s.inFlight))
 }
 
+// slownessLocked returns the slowness that an endpoint reported, in percent of usual, or
+// 0 if it did not or the report is too old.
+func (b *Balancer) slownessLocked(s *endpointState, now time.Time) float64 {
+	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > b.settings.ReportMaxAge {
+		return 0
+	}
+	return s.slowness
+}
+
 // Report records the load that an endpoint reported.
 func (b *Balancer) Report(id string, load exchange.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateLocked(id, b.clock.Now())
-	s.reportedLoad, s.slots = float64(load.Running+load.Waiting), load.Slots
+	s.reportedLoad, s.slots, s.slowness = float64(load.Running+load.Waiting), load.Slots, load.Slowness
 	s.reportedAt, s.startedSinceReport, s.endedSinceReport = b.clock.Now(), 0, 0
 }
 
+// LogInvalidLoad logs the load that an endpoint reported and that is not used, once for
+// each endpoint.
+func (b *Balancer) LogInvalidLoad(id, value string) {
+	b.mu.Lock()
+	s := b.stateLocked(id, b.clock.Now())
+	logged := s.invalidLoadLogged
+	s.invalidLoadLogged = true
+	b.mu.Unlock()
+	if !logged {
+		b.log.Warn("load report of an endpoint ignored, it is invalid", "endpoint", id, "value", value)
+	}
+}
+
 // End ends an attempt that Begin started and records what it showed of the
 // endpoint.
 func (b *Balancer) End(e endpoints.Endpoint, observation Observation) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,9 @@
 	Slots int
 	// Local is set if the endpoint is in the router's failure domain.
 	Local bool
+	// Slowness is how long work takes at the endpoint, in percent of usual, or 0 if
+	// unknown.
+	Slowness float64
 }
 
 // A request is placed by its prompt only at endpoints with a load of at most
@@ -74,12 +77,17 @@
 	return affinityLoadFactor*sum/float64(len(candidates)) + affinityLoadSlack
 }
 
+// usualSlowness is the slowness of a machine that works as usual, in percent.
+const usualSlowness = 100
+
 // localBonus is subtracted from the load of endpoints in the router's failure
 // domain, in requests. It is less than one request, so that it only decides between
 // endpoints with equal load.
 const localBonus = 0.5
 
-// leastLoaded returns the index of the candidate with the least load per slot.
+// leastLoaded returns the index of the candidate with the least load per slot. The load
+// of a candidate with a known slowness includes the request itself, and is multiplied by
+// the slowness.
 func leastLoaded(candidates []Candidate, random uint64) int {
 	start := int(random % uint64(len(candidates)))
 	best, bestCost := -1, math.Inf(1)
@@ -89,6 +97,9 @@
 		if candidates[i].Local {
 			cost -= localBonus
 		}
+		if candidates[i].Slowness > 0 {
+			cost = (cost + 1) * candidates[i].Slowness / usualSlowness
+		}
 		if candidates[i].Slots > 0 {
 			cost /= float64(candidates[i].Slots)
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -195,6 +196,83 @@
 	b.End(probe.Endpoint, placement.Succeeded)
 }
 
+// leastLoadedByRequests is the choice without an affinity that pools without slowness must
+// keep.
+func leastLoadedByRequests(list []placement.Candidate, random uint64) int {
+	best, bestCost := -1, 0.0
+	for offset := range list {
+		i := (int(random%uint64(len(list))) + offset) % len(list)
+		cost := list[i].Load
+		if list[i].Local {
+			cost -= 0.5
+		}
+		if list[i].Slots > 0 {
+			cost /= float64(list[i].Slots)
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// byPromptAndRequests is the choice with an affinity that pools without slowness must keep.
+func byPromptAndRequests(list []placement.Candidate, affinity, random uint64) int {
+	sum := 0.0
+	for _, c := range list {
+		sum += c.Load
+	}
+	best, bestScore := -1, uint64(0)
+	for i, c := range list {
+		if c.Load > 1.3*sum/float64(len(list))+4 || c.Slots > 0 && c.Load >= float64(c.Slots) {
+			continue
+		}
+		if score := placement.Rendezvous(affinity, c.ID); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return leastLoadedByRequests(list, random)
+	}
+	return best
+}
+
+// TestPoolsWithoutSlownessAreServedAsBefore guards against another choice for any request of
+// a pool whose endpoints do not report four figures, under light, heavy and excessive load.
+func TestPoolsWithoutSlownessAreServedAsBefore(t *testing.T) {
+	generator := rand.New(rand.NewPCG(3, 4))
+	for range 20000 {
+		var list []placement.Candidate
+		most := 1 + generator.IntN(30)
+		for i := range 1 + generator.IntN(40) {
+			list = append(list, placement.Candidate{ID: fmt.Sprintf("i-%d", i), Load: float64(generator.IntN(most)), Slots: generator.IntN(20), Local: generator.IntN(3) == 0})
+		}
+		affinity, random := generator.Uint64N(50)+1, generator.Uint64()
+		assert.Equal(t, placement.Choose(list, 0, random), leastLoadedByRequests(list, random))
+		assert.Equal(t, placement.Choose(list, affinity, random), byPromptAndRequests(list, affinity, random))
+	}
+}
+
+// TestSlowEndpointIsNotTakenForIdle guards against requests to a machine that is slow at this
+// moment because it has few requests.
+func TestSlowEndpointIsNotTakenForIdle(t *testing.T) {
+	list := candidates(2, 1)
+	list[0].Slowness, list[1].Slowness = 100, 250
+	assert.Equal(t, placement.Choose(list, 0, 0), 0)
+}
+
+// TestInvalidLoadIsLoggedOnceForEachEndpoint guards against a log that an endpoint with
+// invalid reports fills, as each of its responses has one.
+func TestInvalidLoadIsLoggedOnceForEachEndpoint(t *testing.T) {
+	var lines strings.Builder
+	b := placement.NewBalancer(placement.DefaultSettings(), "a", clock.NewFake(time.Unix(1000, 0)), slog.New(slog.NewTextHandler(&lines, nil)))
+	for range 100 {
+		b.LogInvalidLoad("i-0", "x")
+		b.LogInvalidLoad("i-1", "y")
+	}
+	assert.Equal(t, strings.Count(lines.String(), "\n"), 2, "%s", lines.String())
+}
+
 // TestAffinityHashesSharedSegments checks that prompts that differ only in the last
 // segment have the same affinity.
 func TestAffinityHashesSharedSegments(t *testing.T) {
