Merge loads of four figures, and connect the pace of endpoints to what makes it active

Pools with a cold start in the configuration and pools whose endpoints report their slowness have a pace; endpoints return from an evacuation at a low one. Not measured yet.

--- a/internal/endpoints/evacuation.go
+++ b/internal/endpoints/evacuation.go
@@ -7,8 +7,9 @@
 
 // SetEvacuated replaces the set of evacuated failure domains. Their endpoints get no
 // requests until they are left out of a later call, after which they count as cold. The
-// set stays in force while the list of endpoints cannot be read.
-func (r *Registry) SetEvacuated(domains []string) {
+// set stays in force while the list of endpoints cannot be read. It returns the endpoints of
+// the domains whose evacuation has ended.
+func (r *Registry) SetEvacuated(domains []string) (returned []Endpoint) {
 	evacuated := make(map[string]bool, len(domains))
 	for _, d := range domains {
 		evacuated[d] = true
@@ -17,7 +18,7 @@
 	defer r.mu.Unlock()
 	old := r.evacuated
 	if maps.Equal(old, evacuated) {
-		return
+		return nil
 	}
 	r.evacuated = evacuated
 	for _, d := range slices.Sorted(maps.Keys(evacuated)) {
@@ -28,20 +29,23 @@
 	for _, d := range slices.Sorted(maps.Keys(old)) {
 		if !evacuated[d] {
 			r.log.Info("evacuation of a failure domain ends", "domain", d, "endpoints", r.countInLocked(d))
-			r.returnLocked(d)
+			returned = append(returned, r.returnLocked(d)...)
 		}
 	}
+	return returned
 }
 
 // returnLocked makes the endpoints of a failure domain count as cold after its evacuation.
 // They have had no requests and may have been restarted.
-func (r *Registry) returnLocked(domain string) {
+func (r *Registry) returnLocked(domain string) (returned []Endpoint) {
 	now := r.observedColdLocked()
 	for _, e := range r.entries {
 		if e.endpoint.Domain == domain {
 			e.cold.startedAt = now
+			returned = append(returned, e.endpoint)
 		}
 	}
+	return returned
 }
 
 // countInLocked returns the number of endpoints of a failure domain that could get
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -68,7 +68,9 @@
 			domains = append(domains, row.domain)
 		}
 	}
-	g.endpoints.SetEvacuated(domains)
+	for _, e := range g.endpoints.SetEvacuated(domains) {
+		g.pace.Started(e.ID, g.clock.Now())
+	}
 }
 
 // logUnknownDomains logs each evacuation of a failure domain that no endpoint is in and
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -88,6 +88,7 @@
 		g.log.Warn("configuration has the revision of the applied one and other content", "config", table.Revision, "row_version", row.Version)
 	}
 	g.log.Info("configuration applied", "config", table.Revision, "row_version", row.Version, "routes", table.RouteCount())
+	g.pace.SetActive(table.PoolsWithColdStart())
 	g.prepaid.LimitsChanged()
 	g.prepaid.SetWorkspaces(table.PrepaidWorkspaces())
 }
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -16,6 +16,8 @@
 	AnyLow() bool
 	Factor(id string) float64
 	Observe(id string, sample pace.Sample)
+	// MarkActive makes a pool one in which factors can be below 1.
+	MarkActive(pool string)
 	Ejected(id string, until time.Time)
 }
 
@@ -93,7 +95,10 @@
 	}
 	sample := pace.Sample{FirstByte: firstByte, Streamed: streamed, Refused: response.NotExecuted && !response.Leaving && !response.WrongInstance}
 	if response.Load != nil {
-		sample.Running, sample.Waiting, sample.Slots = response.Load.Running, response.Load.Waiting, response.Load.Slots
+		sample.Running, sample.Waiting, sample.Slots, sample.Slowness = response.Load.Running, response.Load.Waiting, response.Load.Slots, response.Load.Slowness
+		if response.Load.Slowness > 0 {
+			b.pace.MarkActive(e.Pool)
+		}
 	} else if sample.Refused {
 		now := b.clock.Now()
 		b.mu.Lock()
--- a/internal/placement/pace_test.go
+++ b/internal/placement/pace_test.go
@@ -29,6 +29,7 @@
 func (s slowStart) AnyLow() bool                { return true }
 func (s slowStart) Observe(string, pace.Sample) {}
 func (s slowStart) Ejected(string, time.Time)   {}
+func (s slowStart) MarkActive(string)           {}
 func (s slowStart) Factor(id string) float64 {
 	if id != s.id {
 		return 1
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -198,6 +198,19 @@
 	return names
 }
 
+// PoolsWithColdStart returns the sorted names of the pools whose endpoints are cold after
+// their start.
+func (t *Table) PoolsWithColdStart() []string {
+	var names []string
+	for name, p := range t.Pools {
+		if p.ColdStart > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
