--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -102,3 +102,22 @@
 		assert.Assert(t, !g.endpoints.AcceptsRequests("dies"))
 	})
 }
+
+// TestEndpointThatStartsLaterGetsLowPace guards against a list of endpoints that does not
+// reach the pace, and against a low pace of all endpoints when a router starts.
+func TestEndpointThatStartsLaterGetsLowPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		g := newTestGateway(store)
+		g.pace.SetActive([]string{"app"})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		putEndpoint(t, store, endpoints.Endpoint{ID: "i-1", Sequence: 1})
+		go g.watchEndpoints(ctx)
+		time.Sleep(time.Second)
+		putEndpoint(t, store, endpoints.Endpoint{ID: "i-2", Sequence: 1})
+		time.Sleep(time.Second)
+		assert.Equal(t, g.pace.Factor("i-1"), 1.0)
+		assert.Check(t, g.pace.Factor("i-2") < 0.2, "%v", g.pace.Factor("i-2"))
+	})
+}
