--- a/internal/endpointlimit/cold.go
+++ b/internal/endpointlimit/cold.go
@@ -94,17 +94,9 @@
 // ColdClosed returns how long it takes until a permit for a cold endpoint can be asked
 // for, and 0 if that is now.
 func (l *Limits) ColdClosed(endpoint string) time.Duration {
-	c := l.cold
-	now := l.options.Clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	until := c.closed[endpoint].until
-	if len(c.silent) > 0 {
-		if governor, found := l.options.Cold.Governor(endpoint); found && c.silent[governor].After(until) {
-			until = c.silent[governor]
-		}
-	}
-	return max(until.Sub(now), 0)
+	l.cold.mu.Lock()
+	defer l.cold.mu.Unlock()
+	return max(l.cold.closed[endpoint].until.Sub(l.options.Clock.Now()), 0)
 }
 
 // acquireCold reports whether a request may be sent to an endpoint as far as it may be
@@ -123,6 +115,8 @@
 	}
 	governor, response, err := l.askCold(ctx, coldPermitRequest{Endpoint: endpoint, PerSecond: perSecond})
 	switch {
+	case errors.Is(err, errSilentGovernor):
+		return false
 	case err != nil && ctx.Err() != nil:
 		return false // shows nothing of the governor
 	case err != nil:
@@ -153,6 +147,21 @@
 	l.cold.closed[endpoint] = closure
 }
 
+// closedBySilence closes an endpoint for as long as its governor is not asked, and reports
+// whether that is so.
+func (l *Limits) closedBySilence(endpoint string, governor bus.ID) bool {
+	l.cold.mu.Lock()
+	defer l.cold.mu.Unlock()
+	until, silent := l.cold.silent[governor]
+	if !silent || !until.After(l.options.Clock.Now()) {
+		return false
+	}
+	closure := l.cold.closed[endpoint]
+	closure.until = until
+	l.cold.closed[endpoint] = closure
+	return true
+}
+
 // closeDenied closes an endpoint for about the given time, or longer after several denials
 // in a row.
 func (l *Limits) closeDenied(endpoint string, wait time.Duration) {
@@ -174,6 +183,8 @@
 var (
 	errNoGovernor  = errors.New("governor not known")
 	errNotGovernor = errors.New("this router is not the governor of the endpoint")
+	// errSilentGovernor: the governor has not responded for another endpoint just now.
+	errSilentGovernor = errors.New("governor does not respond")
 )
 
 // askCold asks the governor of a cold endpoint for a permit.
@@ -185,6 +196,9 @@
 	if governor == l.options.Bus.Self().ID {
 		return governor, l.grantCold(r), nil
 	}
+	if l.closedBySilence(r.Endpoint, governor) {
+		return governor, permitResponse{}, errSilentGovernor
+	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	response, err := bus.Call[coldPermitRequest, permitResponse](ctx, l.options.Bus, governor, kindColdPermit, r)
--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -102,21 +102,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	var all, upToDate []Endpoint
+	var all, upToDate []*entry // copies of endpoints would be the larger part of the work
 	for _, e := range r.entries {
 		if e.endpoint.Pool != pool || !e.usable(now) || r.evacuated[e.endpoint.Domain] {
 			continue
 		}
-		all = append(all, e.endpoint)
+		all = append(all, e)
 		if !r.staleLocked(e, now) {
-			upToDate = append(upToDate, e.endpoint)
+			upToDate = append(upToDate, e)
 		}
 	}
-	usable := all
+	chosen := all
 	if 2*len(upToDate) >= len(all) {
-		usable = upToDate
+		chosen = upToDate
+	}
+	slices.SortFunc(chosen, func(a, b *entry) int { return strings.Compare(a.endpoint.ID, b.endpoint.ID) })
+	usable := make([]Endpoint, len(chosen))
+	for i, e := range chosen {
+		usable[i] = e.endpoint
 	}
-	slices.SortFunc(usable, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return usable
 }
 
