Take at most half of a pool for cold because of failed attempts

Cause: a router whose own link fails would take all endpoints for cold, get no permits, and refuse nearly all requests. An overloaded router has ejected 112 endpoints in seven seconds that others reached.

Change: further failures have no effect while half of a pool of four or more endpoints is cold for that reason.

Measured: go test of internal/endpoints and internal/ingress passes. Effect on an overloaded router: not measured.

--- a/internal/endpoints/cold.go
+++ b/internal/endpoints/cold.go
@@ -32,6 +32,11 @@
 	return until
 }
 
+// failed reports whether an attempt failed so recently that the endpoint counts as cold.
+func (c *coldState) failed(start time.Duration, now time.Time) bool {
+	return !c.failedAt.IsZero() && now.Sub(c.failedAt) < start
+}
+
 // SetColdStart sets the function that returns how long an endpoint of a pool is cold
 // after its start, or 0 if endpoints of the pool are never treated as cold. It is called
 // with a lock of the registry held, and before the registry is used.
@@ -115,15 +120,42 @@
 
 // MarkFailed records that an attempt at the start of an endpoint at startedMs ended as
 // unreachable or with a broken connection. The endpoint may have restarted since, so it
-// counts as cold until a newer entry of it says otherwise.
+// counts as cold until a newer entry of it says otherwise. It has no effect if half of the
+// pool counts as cold for that reason: then the cause is more likely this router or its
+// link, and a router that took all endpoints for cold would refuse most requests.
 func (r *Registry) MarkFailed(id string, startedMs int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.entries[id]; e != nil && e.endpoint.StartedMs == startedMs {
+	e := r.entries[id]
+	if e == nil || e.endpoint.StartedMs != startedMs {
+		return
+	}
+	if e.cold.failed(r.coldStartOf(e.endpoint.Pool), r.clock.Now()) || !r.halfFailedLocked(e.endpoint.Pool) {
 		e.cold.failedAt = r.observedColdLocked()
 	}
 }
 
+// minPoolForHalf is the size from which on failures of half of a pool say something of
+// this router.
+const minPoolForHalf = 4
+
+// halfFailedLocked reports whether half of the endpoints of a pool count as cold because
+// attempts at them failed.
+func (r *Registry) halfFailedLocked(pool string) bool {
+	start, now := r.coldStartOf(pool), r.clock.Now()
+	all, failed := 0, 0
+	for _, e := range r.entries {
+		if e.endpoint.Pool != pool || !e.usable(now) {
+			continue
+		}
+		all++
+		if e.cold.failed(start, now) {
+			failed++
+		}
+	}
+	return all >= minPoolForHalf && 2*failed >= all
+}
+
 // MarkCold records that the start of an endpoint at startedMs has said in a response that
 // it is cold for d.
 func (r *Registry) MarkCold(id string, startedMs int64, d time.Duration) {
--- a/internal/endpoints/cold_test.go
+++ b/internal/endpoints/cold_test.go
@@ -1,6 +1,8 @@
 package endpoints_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -165,6 +167,31 @@
 	assert.Equal(t, len(r.Usable("app")), 1)
 }
 
+// TestFailuresOfMostEndpointsDoNotMakeThemCold guards against a router that refuses nearly
+// all requests since its own link fails, which an overloaded router showed by ejecting 112
+// endpoints in seven seconds that other routers reached.
+func TestFailuresOfMostEndpointsDoNotMakeThemCold(t *testing.T) {
+	r, c := newRegistry()
+	r.SetColdStart(func(string) time.Duration { return coldStart })
+	var list []endpoints.Endpoint
+	for i := range 10 {
+		e := entry(1)
+		e.ID = fmt.Sprint("i-", i)
+		list = append(list, e)
+	}
+	r.Replace(list)
+	for range 2 {
+		slices.Reverse(list)
+		for _, e := range list {
+			r.MarkFailed(e.ID, 500)
+			r.MarkFailed(e.ID, 500)
+		}
+		assert.Equal(t, r.ColdCount(), 5)
+		c.Advance(coldStart)
+		assert.Equal(t, r.ColdCount(), 0)
+	}
+}
+
 // TestPoolWithoutColdStartIsNeverCold guards against a limit in a pool that has none.
 func TestPoolWithoutColdStartIsNeverCold(t *testing.T) {
 	r, c := newRegistry()
