--- a/internal/ingress/open_test.go
+++ b/internal/ingress/open_test.go
@@ -31,3 +31,19 @@
 	assert.ErrorIs(t, q.beginSend(a), errLeftPool)
 	assert.Assert(t, a.dropSend(), "the request counts as sent")
 }
+
+// TestEndpointEvacuatedWhileConnectingGetsNoRequest guards against a request that is sent to
+// an evacuated domain since its endpoint was chosen before, and against an endpoint there
+// that counts as ended.
+func TestEndpointEvacuatedWhileConnectingGetsNoRequest(t *testing.T) {
+	fake := clock.NewFake(time.Unix(0, 0))
+	registry := endpoints.NewRegistry(time.Second, fake, slog.New(slog.DiscardHandler))
+	e := endpoints.Endpoint{ID: "i-1", Pool: "app", Domain: "a", Addr: "127.0.0.1:1", Slots: 1, Sequence: 1}
+	registry.Replace([]endpoints.Endpoint{e})
+	q := &request{handler: &Handler{deps: Dependencies{Endpoints: registry, Clock: fake}}}
+	registry.SetEvacuated([]string{"b", "a"})
+	assert.ErrorIs(t, q.beginSend(&attempt{endpoint: e, connected: make(chan struct{})}), errLeftPool)
+	assert.Assert(t, registry.Listed("i-1") && registry.PoolEvacuated("app") && !registry.PoolEvacuated("other"))
+	registry.SetEvacuated([]string{"b"})
+	assert.NilError(t, q.beginSend(&attempt{endpoint: e, connected: make(chan struct{})}))
+}
