Keep the quota of withdrawals with delayed notices

Cause: routers of a domain that are overloaded at the same moment all withdrew before they heard of one another.

Change: a router does not begin within 800 ms of another that it knows of, and of those that began at the same time the ones beyond the quota return at once, by a random order in their notices.

--- a/internal/routerload/monitor.go
+++ b/internal/routerload/monitor.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,23 +166,19 @@
 	m.mu.Lock()
 	old := m.state.Level
 	m.state = Next(m.options.Settings, m.options.Capacity, m.state, sample)
-	since := time.Time{}
-	if m.withdrawal.Withdrawn {
-		since = m.withdrawal.Since
-	}
 	allowed, denied := true, ""
 	var fleet Fleet
-	if m.state.Level == Overloaded {
+	if m.state.Level == Overloaded || m.withdrawal.Withdrawn {
 		fleet = m.options.Fleet()
-		allowed, denied = m.quota.Allows(now, since, fleet)
+		allowed, denied = m.quota.Allows(now, m.withdrawal, fleet)
 	}
-	withdrawal := m.withdrawal.Next(now, m.state.Level, allowed)
+	withdrawal := m.withdrawal.Next(now, m.state.Level, allowed, rand.Uint32())
 	changed := withdrawal.Withdrawn != m.withdrawal.Withdrawn
 	lasted := now.Sub(m.withdrawal.Since)
 	m.withdrawal = withdrawal
 	newlyDenied := denied != "" && denied != m.denied && !withdrawal.Withdrawn
 	m.denied = denied
-	notice := Notice{Withdrawn: withdrawal.Withdrawn, Domain: m.options.Domain}
+	notice := Notice{Withdrawn: withdrawal.Withdrawn, Domain: m.options.Domain, Order: withdrawal.Order}
 	if changed {
 		m.quota.Record(m.options.Self, notice, now)
 	}
--- a/internal/routerload/quota.go
+++ b/internal/routerload/quota.go
@@ -11,6 +11,8 @@
 type Notice struct {
 	Withdrawn bool   `cbor:"1,keyasint"`
 	Domain    string `cbor:"2,keyasint"`
+	// Order is a random number that decides between withdrawals that begin at the same time.
+	Order uint32 `cbor:"3,keyasint"`
 }
 
 // Bounds on the withdrawals of several routers.
@@ -52,6 +54,7 @@
 // period is a withdrawal of one router.
 type period struct {
 	domain   string
+	order    uint32
 	from, to time.Time // to is at most maxWithdrawn after from
 	returned bool      // to is when the router returned
 }
@@ -67,7 +70,7 @@
 	last := len(list) - 1
 	switch {
 	case n.Withdrawn:
-		list = append(list, period{domain: n.Domain, from: at, to: at.Add(maxWithdrawn)})
+		list = append(list, period{domain: n.Domain, order: n.Order, from: at, to: at.Add(maxWithdrawn)})
 	case last >= 0 && !list[last].returned && at.Before(list[last].to):
 		list[last].to, list[last].returned = at, true
 	}
@@ -85,15 +88,29 @@
 	}
 }
 
-// Allows reports whether this router may be withdrawn at the time now. Since is when its
-// withdrawal began, or zero if it has not: a router that is withdrawn ignores those that
-// began later, so that of several that began at the same time some stay withdrawn. The
-// second result is why not, for the log.
-func (q *Quota) Allows(now, since time.Time, fleet Fleet) (bool, string) {
+// before reports whether a withdrawal of another router precedes that of this one. Notices take
+// a time to arrive, so the order of two that begin within claimTime is decided by Order, which
+// both routers compare in the same way. A router does not begin within claimTime of one that it
+// knows of, so all that do have begun before they heard of one another, and one order over them
+// decides as long as notices take less than half of claimTime.
+func (p period) before(origin, self bus.ID, w Withdrawal) bool {
+	switch d := p.from.Sub(w.Since); {
+	case !w.Withdrawn || d <= -claimTime:
+		return true
+	case d >= claimTime:
+		return false
+	}
+	return p.order < w.Order || p.order == w.Order && origin.String() < self.String()
+}
+
+// Allows reports whether this router may be withdrawn at the time now, with w as its present
+// state: a router that is withdrawn ignores those that follow it, so that of several that
+// begin at the same time some stay withdrawn. The second result is why not, for the log.
+func (q *Quota) Allows(now time.Time, w Withdrawal, fleet Fleet) (bool, string) {
 	if fleet.DomainSize <= 1 {
 		return false, "only router of its domain"
 	}
-	others, starts, total := 0, 0, time.Duration(0)
+	others, claims, starts, total := 0, 0, 0, time.Duration(0)
 	for origin, list := range q.periods {
 		if origin != q.self && !slices.Contains(fleet.Listed, origin) {
 			continue
@@ -105,17 +122,21 @@
 			if now.Sub(p.from) < startWindow {
 				starts++
 			}
-			before := since.IsZero() || p.from.Before(since) || p.from.Equal(since) && origin.String() < q.self.String()
-			if origin != q.self && p.domain == q.domain && now.Before(p.to) && before {
+			if origin != q.self && p.domain == q.domain && now.Before(p.to) && p.before(origin, q.self, w) {
 				others++
+				if now.Sub(p.from) < claimTime {
+					claims++
+				}
 			}
 		}
 	}
 	switch {
 	case others >= max(int(domainShare*float64(fleet.DomainSize)), 1):
 		return false, "quota of the domain"
-	case !since.IsZero():
+	case w.Withdrawn:
 		return true, ""
+	case claims > 0:
+		return false, "another router of the domain withdraws now"
 	case starts >= maxStarts:
 		return false, "withdrawals in a short time"
 	case float64(total+minWithdrawn) > fleetShare*float64(fleetWindow)*float64(len(fleet.Listed)):
--- a/internal/routerload/withdrawal.go
+++ b/internal/routerload/withdrawal.go
@@ -10,6 +10,11 @@
 	maxWithdrawn = 10 * time.Second
 	// minReady is how long a router stays ready after a withdrawal.
 	minReady = 2 * time.Second
+	// claimTime is the time in which a withdrawal ends at once if it turns out to exceed the
+	// quota, because others began at the same time. The load balancer checks once per second
+	// and needs two misses, so it has not taken the router out by then. Notices take some tens
+	// of milliseconds.
+	claimTime = 800 * time.Millisecond
 	// repeatWithin is the time after a return in which a further withdrawal lasts twice as
 	// long at least: the callers have come back at once, and the low load of the router while
 	// it was withdrawn shows nothing.
@@ -24,21 +29,23 @@
 	Since time.Time
 	// Hold is how long the withdrawal lasts at least, or how long the last one did.
 	Hold time.Duration
+	// Order is Notice.Order.
+	Order uint32
 }
 
 // Next returns the withdrawal at a later time. Allowed tells whether the quota permits that
-// this router is withdrawn.
-func (w Withdrawal) Next(now time.Time, level Level, allowed bool) Withdrawal {
+// this router is withdrawn, and order is that of a withdrawal that begins now.
+func (w Withdrawal) Next(now time.Time, level Level, allowed bool, order uint32) Withdrawal {
 	lasted := now.Sub(w.Since)
 	switch {
-	case w.Withdrawn && (lasted >= maxWithdrawn || lasted >= w.Hold && level == Normal || lasted >= minWithdrawn && !allowed):
+	case w.Withdrawn && (lasted >= maxWithdrawn || lasted >= w.Hold && level == Normal || !allowed && (lasted >= minWithdrawn || lasted <= claimTime)):
 		return Withdrawal{Since: now, Hold: w.Hold}
 	case !w.Withdrawn && level == Overloaded && allowed && (w.Since.IsZero() || lasted >= minReady):
 		hold := minWithdrawn
 		if !w.Since.IsZero() && lasted < repeatWithin {
 			hold = min(2*w.Hold, maxWithdrawn)
 		}
-		return Withdrawal{Withdrawn: true, Since: now, Hold: hold}
+		return Withdrawal{Withdrawn: true, Since: now, Hold: hold, Order: order}
 	}
 	return w
 }
