--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -137,7 +137,9 @@
 	q.writeResponse(response.Status, response.Header, prefix, int(response.Length))
 	// The writer's own io.ReaderFrom would take a larger buffer.
 	writer := struct{ io.Writer }{q.writer}
-	if _, err := io.CopyBuffer(writer, response, make([]byte, unchargedBytes)); err != nil {
+	n, err := io.CopyBuffer(writer, response, make([]byte, unchargedBytes))
+	q.countWritten(n, n/unchargedBytes)
+	if err != nil {
 		response.Abort()
 		return q.classifyIncomplete(ctx, err)
 	}
@@ -166,6 +168,7 @@
 	if len(body) == 0 {
 		return
 	}
+	q.countWritten(int64(len(body)), 1)
 	if _, err := q.writer.Write(body); err != nil {
 		q.writeFailed(err)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -113,10 +113,10 @@
 	inFlight := h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	h.deps.Load.Begin()
-	defer h.deps.Load.End()
 	h.closeAfterResponse(w.Header())
 	q := &request{handler: h, writer: w, httpRequest: r, startedAt: h.deps.Clock.Now(), kept: h.deps.Bytes.Open("", nil)}
 	defer q.kept.Close()
+	defer func() { h.deps.Load.End(int64(len(q.body))+q.written, q.writes) }()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	refused := q.answer(ctx, inFlight)
--- a/internal/ingress/overload.go
+++ b/internal/ingress/overload.go
@@ -32,3 +32,10 @@
 		header.Set("Connection", "close")
 	}
 }
+
+// countWritten counts bytes of a response that are written to the caller, for the work that a
+// request is.
+func (q *request) countWritten(bytes, writes int64) {
+	q.written += bytes
+	q.writes += writes
+}
--- /dev/null
+++ b/internal/ingress/overload_test.go
@@ -0,0 +1,67 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/endpoints"
+	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/routerload"
+)
+
+// TestOverloadedRouterEjectsNoEndpoint guards against ejections of healthy endpoints because the
+// router's own link or processor lets its dials and reads time out, and against a router that
+// ejects none after an overload.
+func TestOverloadedRouterEjectsNoEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		load := routerload.New(routerload.Options{
+			Settings: routerload.DefaultSettings(), Capacity: routerload.Capacity{LinkBytes: 1e6, Cores: 1}, Clock: clock.Real{},
+			Fleet:   func() routerload.Fleet { return routerload.Fleet{} },
+			Publish: func(routerload.Notice) {}, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		})
+		go load.Run(ctx)
+		synctest.Wait()
+		h := &Handler{deps: Dependencies{Load: load, Balancer: placement.NewBalancer(placement.DefaultSettings(), "zone-a", clock.Real{}, slog.New(slog.DiscardHandler))}}
+		list := []endpoints.Endpoint{{ID: "i-1"}}
+		ejected := func() bool {
+			c, ok := h.deps.Balancer.BeginNotEjected(list, 0, nil)
+			if ok {
+				h.deps.Balancer.End(c.Endpoint, placement.Inconclusive)
+			}
+			return !ok
+		}
+		for range 200 {
+			load.Begin()
+		}
+		time.Sleep(200 * time.Millisecond)
+		assert.Assert(t, load.Overloaded())
+		h.suspect(list[0])
+		assert.Assert(t, !ejected())
+		for _, o := range []placement.Observation{placement.Unreachable, placement.Stalled} {
+			assert.Equal(t, h.weigh(connectionBroken, o), placement.Inconclusive)
+		}
+		assert.Equal(t, h.weigh(stalled, placement.Failed), placement.Inconclusive)
+		assert.Equal(t, h.weigh(failed, placement.Failed), placement.Failed)
+		for range 200 {
+			load.End(1000, 1)
+		}
+		for load.Overloaded() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		h.suspect(list[0]) // what was sent during the overload may still time out
+		assert.Assert(t, !ejected())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, h.weigh(notSent, placement.Unreachable), placement.Unreachable)
+		h.suspect(list[0])
+		assert.Assert(t, ejected())
+	})
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -60,6 +60,7 @@
 	disconnected         bool             // the caller has disconnected
 	writeErr             error            // of the first write to the caller that failed
 	billedTokens         int64
+	written, writes      int64     // bytes of response bodies to the caller, and writes
 	firstByteAt          time.Time // start of forwarding a successful response; zero before
 }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -234,6 +234,7 @@
 	if q.attemptEvents >= servedEvents && q.attemptEvents-count < servedEvents {
 		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
 	}
+	q.countWritten(int64(len(ready)), 1)
 	if _, err := q.writer.Write(ready); err != nil {
 		q.writeFailed(err)
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -131,6 +131,11 @@
 		}
 		_, after := d.Available()
 		assert.Equal(t, after, version)
+		assert.Equal(t, d.DomainSize(), 2)
+		d.IgnoreSuspicions(func() bool { return true }) // the silence is that of this router
+		d.Suspect(id)
+		assert.DeepEqual(t, availableVMs(d), []string{"vm-0/1", "vm-1/1"})
+		d.IgnoreSuspicions(func() bool { return false })
 		d.Suspect(id)
 		d.MarkReachable(bus.Peer{ID: id})
 		assert.DeepEqual(t, availableVMs(d), []string{"vm-0/1", "vm-1/1"})
--- a/internal/routerload/decide.go
+++ b/internal/routerload/decide.go
@@ -28,6 +28,9 @@
 	// BytesIn and BytesOut were read from and written to callers and endpoints in Calls
 	// reads and writes.
 	BytesIn, BytesOut, Calls int64
+	// ServedBytes are the bytes of the requests that ended and of their responses, and
+	// ServedWrites the writes of these responses to callers.
+	ServedBytes, ServedWrites int64
 	// Late is how late the timer of the sample fired.
 	Late time.Duration
 }
@@ -62,7 +65,7 @@
 type Use struct {
 	// Rate is the running mean of the work done per second, a share of the capacity.
 	Rate float64
-	// Done is the work done for the requests of the last demandMemory.
+	// Done is the work of the requests that ended in the last demandMemory.
 	Done float64
 	// Backlog is the work of requests that have arrived beyond what the resource could do.
 	Backlog float64
@@ -77,9 +80,7 @@
 	Uses [resources]Use
 	// Arrivals is the running mean of the requests that begin per second.
 	Arrivals float64
-	// Requests is the number of requests to which Use.Done belongs. One that has only begun
-	// counts as a half, so that the first bytes of long streams don't look like those of a few
-	// large requests.
+	// Requests is the number of requests to which Use.Done belongs.
 	Requests float64
 	// ProcessorScale is the factor by which requests take more processor time than was
 	// assumed, from 1.
@@ -99,7 +100,7 @@
 	horizon = 2.0
 	// rateMemory and lateMemory are the time constants of the running means of rates and
 	// of the lateness, and demandMemory that of the work per request, in seconds.
-	rateMemory   = 0.5
+	rateMemory   = 1.0
 	lateMemory   = 1.0
 	demandMemory = 10.0
 	// maxLate bounds the lateness and maxLateInterval the interval of one sample in the
@@ -111,11 +112,15 @@
 // Estimates of the work of a request. Streams of 40 events, each of which is a read and a write,
 // took 1.3 to 1.7 ms of processor time at a router on the development machine.
 const (
-	// assumedRequests is the number of requests, each of assumedBytes in each direction and
-	// assumedCalls, that were served before the first.
+	// assumedRequests is the number of requests, each of assumedBytes and with assumedWrites,
+	// that are taken to have been served before the first.
 	assumedRequests = 20
-	assumedBytes    = 16 << 10
-	assumedCalls    = 60
+	assumedBytes    = 8 << 10
+	assumedWrites   = 20
+	// headBytes and headCalls are those of a request beyond bodies and events: what is sent
+	// before them and its reads and writes.
+	headBytes = 1 << 10
+	headCalls = 6
 	// requestSeconds and callSeconds are the processor times of a request and of a read or
 	// write on a connection, on one core.
 	requestSeconds = 300e-6
@@ -158,26 +163,27 @@
 	s.Arrivals += weight(seconds, rateMemory) * (float64(sample.Started)/seconds - s.Arrivals)
 	if s.Requests == 0 {
 		s.Requests = assumedRequests
-		for r, work := range c.work(assumedBytes, assumedBytes, assumedCalls, 1) {
-			s.Uses[r].Done = work * assumedRequests
+		for r, work := range c.served(assumedRequests, assumedRequests*assumedBytes, assumedRequests*assumedWrites) {
+			s.Uses[r].Done = work
 		}
 	}
 	forget := math.Exp(-seconds / demandMemory)
 	if s.Requests*forget < assumedRequests {
 		forget = min(assumedRequests/s.Requests, 1) // keeps the estimate while there is no traffic
 	}
-	s.Requests = s.Requests*forget + float64(sample.Started+sample.Ended)/2
+	s.Requests = s.Requests*forget + float64(sample.Ended)
 	s.ProcessorScale = s.nextScale(seconds)
 	s.Occupied = max(share(requestMemory*sample.InFlight, c.MemoryBytes), share(requestFiles*sample.InFlight, c.FileDescriptors))
 	pressed, relieved := s.Occupied > maxOccupied, s.Occupied < occupiedRelieved
+	served := c.served(sample.Ended, sample.ServedBytes, sample.ServedWrites)
 	for r, work := range c.work(sample.BytesIn, sample.BytesOut, sample.Calls, sample.Ended) {
+		u := &s.Uses[r]
+		u.Done = u.Done*forget + served[r]
+		demand := u.Done / s.Requests
 		if Resource(r) == Processor {
-			work *= s.ProcessorScale
+			work, demand = work*s.ProcessorScale, demand*s.ProcessorScale
 		}
-		u := &s.Uses[r]
 		u.Rate += weight(seconds, rateMemory) * (work/seconds - u.Rate)
-		u.Done = u.Done*forget + work
-		demand := u.Done / s.Requests
 		u.Backlog = min(max(u.Backlog+demand*float64(sample.Started)-seconds, 0), demand*float64(sample.InFlight))
 		u.Pressure = u.Backlog + horizon*(max(u.Rate, demand*s.Arrivals)-settings.TargetUse)
 		pressed = pressed || u.Pressure > settings.EnterBacklog
@@ -221,5 +227,12 @@
 	}
 }
 
+// served returns the seconds that each resource has needed for requests that ended. The request and
+// its response pass the link in both directions.
+func (c Capacity) served(ended, bytes, writes int64) [resources]float64 {
+	bytes += headBytes * ended
+	return c.work(bytes, bytes, 2*writes+headCalls*ended, ended)
+}
+
 // weight is the weight of a sample of some seconds in a running mean with a time constant.
 func weight(seconds, memory float64) float64 { return 1 - math.Exp(-seconds/memory) }
--- a/internal/routerload/decide_test.go
+++ b/internal/routerload/decide_test.go
@@ -74,6 +74,7 @@
 		s.state = Next(DefaultSettings(), s.capacity, s.state, Sample{
 			Interval: sampleInterval, InFlight: s.inFlight, Started: started, Ended: ended,
 			BytesIn: carried, BytesOut: carried, Calls: 2*carried/400 + 4*started,
+			ServedBytes: ended * (t.request + t.response), ServedWrites: ended * t.response / 400,
 		})
 		s.now += sampleInterval
 		if s.state.Level != before {
@@ -160,7 +161,7 @@
 // too low on a slow VM, so that each crowd is noticed only once the timer is late.
 func TestLateTimerRaisesProcessorDemand(t *testing.T) {
 	s := State{}
-	sample := Sample{Interval: 2 * sampleInterval, InFlight: 20, Started: 3, Ended: 3, BytesIn: 3000, BytesOut: 3000, Calls: 250, Late: sampleInterval + 20*time.Millisecond}
+	sample := Sample{Interval: 2 * sampleInterval, InFlight: 20, Started: 3, Ended: 3, BytesIn: 3000, BytesOut: 3000, Calls: 250, ServedBytes: 3000, ServedWrites: 120, Late: sampleInterval + 20*time.Millisecond}
 	for range 300 {
 		s = Next(DefaultSettings(), smallVM, s, sample)
 	}
--- a/internal/routerload/monitor.go
+++ b/internal/routerload/monitor.go
@@ -53,10 +53,11 @@
 	// Traffic counts the bytes of callers and endpoints.
 	Traffic Traffic
 
-	started, ended atomic.Int64 // requests
-	overloaded     atomic.Bool
-	withdrawn      atomic.Bool
-	doubtUntil     atomic.Int64 // Unix nanoseconds, while not overloaded
+	started, ended            atomic.Int64 // requests
+	servedBytes, servedWrites atomic.Int64 // of those that ended
+	overloaded                atomic.Bool
+	withdrawn                 atomic.Bool
+	doubtUntil                atomic.Int64 // Unix nanoseconds, while not overloaded
 
 	mu         sync.Mutex // guards the fields below
 	quota      *Quota
@@ -93,16 +94,19 @@
 	return 0
 }
 
-// Begin records that a request has begun, and End that it has ended.
+// Begin records that a request has begun.
 func (m *Monitor) Begin() {
 	if m != nil {
 		m.started.Add(1)
 	}
 }
 
-// End records that a request has ended.
-func (m *Monitor) End() {
+// End records that a request has ended, with the bytes of its body and of the response that was
+// written to the caller, in a number of writes.
+func (m *Monitor) End(bytes, writes int64) {
 	if m != nil {
+		m.servedBytes.Add(bytes)
+		m.servedWrites.Add(writes)
 		m.ended.Add(1)
 	}
 }
@@ -137,11 +141,12 @@
 type counts struct {
 	at                             time.Time
 	started, ended, in, out, calls int64
+	servedBytes, servedWrites      int64
 }
 
 func (m *Monitor) counts() counts {
 	ended := m.ended.Load() // before started, so that no request in flight is negative
-	return counts{m.options.Clock.Now(), m.started.Load(), ended, m.Traffic.in.Load(), m.Traffic.out.Load(), m.Traffic.calls.Load()}
+	return counts{m.options.Clock.Now(), m.started.Load(), ended, m.Traffic.in.Load(), m.Traffic.out.Load(), m.Traffic.calls.Load(), m.servedBytes.Load(), m.servedWrites.Load()}
 }
 
 // Run takes samples until ctx ends.
@@ -155,7 +160,8 @@
 		interval := next.at.Sub(last.at)
 		m.take(next.at, Sample{
 			Interval: interval, InFlight: next.started - next.ended, Started: next.started - last.started, Ended: next.ended - last.ended,
-			BytesIn: next.in - last.in, BytesOut: next.out - last.out, Calls: next.calls - last.calls, Late: interval - sampleInterval,
+			BytesIn: next.in - last.in, BytesOut: next.out - last.out, Calls: next.calls - last.calls,
+			ServedBytes: next.servedBytes - last.servedBytes, ServedWrites: next.servedWrites - last.servedWrites, Late: interval - sampleInterval,
 		})
 		last = next
 	}
