Let operators bound the time of a withdrawal, and count a router once

Change: settings min_withdrawn and max_withdrawn. A notice of withdrawal ends the previous one of the same router, whose return was lost. A withdrawal that the quota ended at once does not lengthen the next.

--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -46,11 +46,13 @@
 func TestLoadSettingsReportsEveryProblem(t *testing.T) {
 	_, err := LoadSettings(writeSettings(t, `{"prepaid":{"horizon":"0s","clear_share":2,"release_after":"90s","colour":"red"},
 		"ingress":{"max_in_flight":0,"max_body_bytes":"many"},"upstream":{"connect_timeout":"-1s"},
-		"placement":{"failure_share":1.5,"failure_factor":0.5},"peers":{}}`))
+		"placement":{"failure_share":1.5,"failure_factor":0.5},
+		"router_load":{"target_use":2,"exit_backlog_s":1,"max_withdrawn":"1m"},"peers":{}}`))
 	assert.Assert(t, err != nil)
 	for _, path := range []string{
 		"prepaid.horizon", "prepaid.clear_share", "prepaid.release_after", "prepaid.colour", "ingress.max_in_flight",
 		"ingress.max_body_bytes", "upstream.connect_timeout", "placement.failure_share", "placement.failure_factor", "peers",
+		"router_load.target_use", "router_load.exit_backlog_s", "router_load.max_withdrawn",
 	} {
 		assert.Assert(t, strings.Contains(err.Error(), path), "%s is not in %v", path, err)
 	}
--- a/internal/routerload/monitor.go
+++ b/internal/routerload/monitor.go
@@ -178,7 +178,7 @@
 		fleet = m.options.Fleet()
 		allowed, denied = m.quota.Allows(now, m.withdrawal, fleet)
 	}
-	withdrawal := m.withdrawal.Next(now, m.state.Level, allowed, rand.Uint32())
+	withdrawal := m.withdrawal.Next(m.options.Settings, now, m.state.Level, allowed, rand.Uint32())
 	changed := withdrawal.Withdrawn != m.withdrawal.Withdrawn
 	lasted := now.Sub(m.withdrawal.Since)
 	m.withdrawal = withdrawal
--- a/internal/routerload/quota.go
+++ b/internal/routerload/quota.go
@@ -70,6 +70,9 @@
 	last := len(list) - 1
 	switch {
 	case n.Withdrawn:
+		if last >= 0 && at.Before(list[last].to) {
+			list[last].to = at // the notice of its return was lost
+		}
 		list = append(list, period{domain: n.Domain, order: n.Order, from: at, to: at.Add(maxWithdrawn)})
 	case last >= 0 && !list[last].returned && at.Before(list[last].to):
 		list[last].to, list[last].returned = at, true
--- a/internal/routerload/quota_test.go
+++ b/internal/routerload/quota_test.go
@@ -28,7 +28,7 @@
 		}
 		for i, w := range all {
 			allowed, _ := quotas[i].Allows(now, w, Fleet{Listed: ids, DomainSize: routers})
-			all[i] = w.Next(now, Overloaded, allowed, random.Uint32())
+			all[i] = w.Next(DefaultSettings(), now, Overloaded, allowed, random.Uint32())
 			if all[i].Withdrawn == w.Withdrawn {
 				continue
 			}
@@ -104,12 +104,12 @@
 func TestRepeatedWithdrawalLastsLonger(t *testing.T) {
 	now, w := time.Unix(1000, 0), Withdrawal{}
 	for _, hold := range []time.Duration{minWithdrawn, 2 * minWithdrawn, maxWithdrawn, maxWithdrawn} {
-		w = w.Next(now, Overloaded, true, 0)
-		assert.Assert(t, w.Withdrawn && w.Next(now.Add(hold-time.Millisecond), Normal, true, 0).Withdrawn)
+		w = w.Next(DefaultSettings(), now, Overloaded, true, 0)
+		assert.Assert(t, w.Withdrawn && w.Next(DefaultSettings(), now.Add(hold-time.Millisecond), Normal, true, 0).Withdrawn)
 		now = now.Add(hold)
-		w = w.Next(now, Normal, true, 0)
+		w = w.Next(DefaultSettings(), now, Normal, true, 0)
 		assert.Assert(t, !w.Withdrawn, "after %s", hold)
 		now = now.Add(minReady)
 	}
-	assert.Equal(t, w.Next(now.Add(repeatWithin), Overloaded, true, 0).Hold, minWithdrawn)
+	assert.Equal(t, w.Next(DefaultSettings(), now.Add(repeatWithin), Overloaded, true, 0).Hold, minWithdrawn)
 }
--- a/internal/routerload/settings.go
+++ b/internal/routerload/settings.go
@@ -20,6 +20,10 @@
 	// EnterLateness and ExitLateness are the thresholds of the mean lateness of a timer.
 	EnterLateness time.Duration `json:"enter_lateness"`
 	ExitLateness  time.Duration `json:"exit_lateness"`
+	// MinWithdrawn and MaxWithdrawn bound the time for which readiness is withdrawn. Without
+	// doubling for callers that come back at once, both are equal.
+	MinWithdrawn time.Duration `json:"min_withdrawn"`
+	MaxWithdrawn time.Duration `json:"max_withdrawn"`
 }
 
 // DefaultSettings returns the defaults.
@@ -34,6 +38,7 @@
 		// A processor quota that is shared out in periods of 100 ms makes timers up to
 		// 100 ms late, and half of that in the mean, even without load.
 		EnterLateness: 100 * time.Millisecond, ExitLateness: 60 * time.Millisecond,
+		MinWithdrawn: minWithdrawn, MaxWithdrawn: maxWithdrawn,
 	}
 }
 
@@ -48,4 +53,6 @@
 	l.Share(path+".target_use", s.TargetUse)
 	l.Duration(path+".enter_lateness", s.EnterLateness, time.Millisecond, time.Minute)
 	l.Duration(path+".exit_lateness", s.ExitLateness, 0, s.EnterLateness)
+	l.Duration(path+".min_withdrawn", s.MinWithdrawn, minWithdrawn, maxWithdrawn)
+	l.Duration(path+".max_withdrawn", s.MaxWithdrawn, s.MinWithdrawn, maxWithdrawn)
 }
--- a/internal/routerload/withdrawal.go
+++ b/internal/routerload/withdrawal.go
@@ -4,8 +4,8 @@
 
 // Times of a withdrawal.
 const (
-	// minWithdrawn is how long readiness stays withdrawn at least: two checks of the load
-	// balancer, one second apart, and a margin. maxWithdrawn is how long at most.
+	// minWithdrawn is the least of Settings.MinWithdrawn: two checks of the load balancer, one
+	// second apart, and a margin. maxWithdrawn is the most of Settings.MaxWithdrawn.
 	minWithdrawn = 2500 * time.Millisecond
 	maxWithdrawn = 10 * time.Second
 	// minReady is how long a router stays ready after a withdrawal.
@@ -35,15 +35,17 @@
 
 // Next returns the withdrawal at a later time. Allowed tells whether the quota permits that
 // this router is withdrawn, and order is that of a withdrawal that begins now.
-func (w Withdrawal) Next(now time.Time, level Level, allowed bool, order uint32) Withdrawal {
+func (w Withdrawal) Next(settings Settings, now time.Time, level Level, allowed bool, order uint32) Withdrawal {
 	lasted := now.Sub(w.Since)
 	switch {
-	case w.Withdrawn && (lasted >= maxWithdrawn || lasted >= w.Hold && level == Normal || !allowed && (lasted >= minWithdrawn || lasted <= claimTime)):
+	case w.Withdrawn && !allowed && lasted <= claimTime:
+		return Withdrawal{Since: now} // it has moved no callers
+	case w.Withdrawn && (lasted >= settings.MaxWithdrawn || lasted >= w.Hold && level == Normal || lasted >= settings.MinWithdrawn && !allowed):
 		return Withdrawal{Since: now, Hold: w.Hold}
 	case !w.Withdrawn && level == Overloaded && allowed && (w.Since.IsZero() || lasted >= minReady):
-		hold := minWithdrawn
+		hold := settings.MinWithdrawn
 		if !w.Since.IsZero() && lasted < repeatWithin {
-			hold = min(2*w.Hold, maxWithdrawn)
+			hold = min(max(2*w.Hold, hold), settings.MaxWithdrawn)
 		}
 		return Withdrawal{Withdrawn: true, Since: now, Hold: hold, Order: order}
 	}
