Place requests by expected completion among the homes and two random endpoints

Cause: with loads of four figures, all routers compare the same outdated reports and choose the endpoint that looks least loaded, and the rule of the homes knows neither slowness, queue nor the size of a request. Each choice copied, sorted and examined the whole list.

Change: in pools whose endpoints report four figures, the expected completion time decides among the homes of the prefix, its next home and two random endpoints. Reports are discounted by age, the speed of endpoints is learnt from events, and a prefix gets up to three homes by the work at them. Registry.Usable returns a cached list until the result changes. placement.expected_completion switches it off.

--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -69,6 +69,10 @@
 
 	mu      sync.Mutex // guards all below
 	entries map[string]*entry
+	// snapshots has the last result of Usable by pool, and changes counts the changes of
+	// the state from which it is computed.
+	snapshots map[string]snapshot
+	changes   uint64
 	// listUnreadable is set while the list cannot be read. listReadableSince is
 	// when it last became readable again or was restored; zero if neither happened.
 	listUnreadable    bool
@@ -78,20 +82,14 @@
 // NewRegistry returns an empty registry. Endpoints write their entries every
 // heartbeatInterval.
 func NewRegistry(heartbeatInterval time.Duration, c clock.Clock, log *slog.Logger) *Registry {
-	return &Registry{clock: c, log: log, heartbeatInterval: heartbeatInterval, entries: make(map[string]*entry)}
+	return &Registry{clock: c, log: log, heartbeatInterval: heartbeatInterval, entries: make(map[string]*entry), snapshots: make(map[string]snapshot)}
 }
 
 // Synced reports whether Replace was called at least once with a complete list.
 func (r *Registry) Synced() bool { return r.synced.Load() }
 
-// Usable returns the endpoints of a pool that may get requests now, sorted by id.
-// Endpoints with stale entries are left out, unless fewer than half would remain:
-// then the cause is more likely a failure to write entries than failures of the
-// endpoints.
-func (r *Registry) Usable(pool string) []Endpoint {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
+// usableLocked computes the result of Usable.
+func (r *Registry) usableLocked(pool string, now time.Time) []Endpoint {
 	var all, upToDate []Endpoint
 	for _, e := range r.entries {
 		if e.endpoint.Pool != pool || !e.usable(now) {
@@ -113,11 +111,17 @@
 // staleLocked reports whether the list was readable for more than staleHeartbeats
 // intervals in which the endpoint wrote no new entry.
 func (r *Registry) staleLocked(e *entry, now time.Time) bool {
+	return !r.listUnreadable && now.After(r.staleAfterLocked(e))
+}
+
+// staleAfterLocked returns the time after which an endpoint is stale if it writes no new
+// entry and the list is readable.
+func (r *Registry) staleAfterLocked(e *entry) time.Time {
 	upToDateSince := e.sequenceAdvancedAt
 	if r.listReadableSince.After(upToDateSince) {
 		upToDateSince = r.listReadableSince
 	}
-	return !r.listUnreadable && now.Sub(upToDateSince) > time.Duration(staleHeartbeats*float64(r.heartbeatInterval))
+	return upToDateSince.Add(time.Duration(staleHeartbeats * float64(r.heartbeatInterval)))
 }
 
 // AcceptsRequests reports whether the endpoint may still get requests. It is
@@ -135,6 +139,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listUnreadable = true
+	r.changes++
 }
 
 // MarkListRead records that the list was read, which ends the effect of
@@ -144,6 +149,7 @@
 	defer r.mu.Unlock()
 	if r.listUnreadable {
 		r.listUnreadable, r.listReadableSince = false, r.clock.Now()
+		r.changes++
 	}
 }
 
@@ -153,6 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listUnreadable, r.listReadableSince = false, r.clock.Now()
+	r.changes++
 }
 
 // Set adds or updates an entry, unless the known entry is newer. An endpoint that
@@ -161,6 +168,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.entries[e.ID]
+	r.changes++
 	if known == nil {
 		r.entries[e.ID] = &entry{endpoint: e, sequenceAdvancedAt: r.clock.Now()}
 		r.log.Info("endpoint added", "endpoint", e.ID, "pool", e.Pool, "addr", e.Addr, "domain", e.Domain, "leaving", e.Leaving)
@@ -196,6 +204,7 @@
 		return false
 	}
 	e.endpoint.Leaving = true
+	r.changes++
 	r.log.Info("endpoint is leaving, as it says in a response", "endpoint", id, "pool", e.endpoint.Pool)
 	return true
 }
@@ -232,6 +241,7 @@
 		return
 	}
 	now := r.clock.Now()
+	r.changes++
 	e.removed, e.usableUntil = true, now
 	if graceEnd := r.listReadableSince.Add(RecoveryGrace); !r.listReadableSince.IsZero() && graceEnd.After(now) {
 		e.usableUntil = graceEnd
@@ -270,6 +280,7 @@
 	for id, e := range r.entries {
 		if e.removed && now.Sub(e.usableUntil) > removedRetention {
 			delete(r.entries, id)
+			r.changes++
 		}
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,6 +23,8 @@
 	// length of the response.
 	PromptTokens    int64
 	MaxOutputTokens int64
+	// OutputTokensHint is an estimate of the length of the response, or 0 without one.
+	OutputTokensHint int64
 	// Segments make up the prompt, in order. The last segment belongs to this
 	// request or its session; the ones before it can occur in other prompts, too.
 	Segments []Segment
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -287,6 +287,7 @@
 func (g *Gateway) registerGauges() {
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
 	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
+	g.balancer.RegisterMetrics(g.metrics)
 	g.metrics.NewGauge("daisyslip_store_era", func() float64 { return float64(g.platform.Store.Era()) })
 	stats, pool := g.prepaid.HolderStats(), g.prepaid.Stats()
 	for name, value := range map[string]*atomic.Int64{
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -24,6 +24,7 @@
 // attempt is one attempt to have an endpoint serve the request.
 type attempt struct {
 	endpoint  endpoints.Endpoint
+	choice    placement.Choice
 	startedAt time.Time
 	progress  responseProgress // how far the response has come
 	ctx       context.Context  // ends the exchange with the endpoint
@@ -121,7 +122,7 @@
 			}
 		}
 		open, opensIn := q.openEndpoints()
-		choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
+		choice, ok := h.deps.Balancer.Begin(open, q.placed, q.excluded)
 		if ok {
 			permitted := h.deps.Limits.Acquire(ctx, startOf(choice.Endpoint))
 			// The request can have waited for its body, for tokens or for a permit.
@@ -129,7 +130,7 @@
 			if permitted && refused == nil {
 				return q.newAttempt(ctx, choice), nil
 			}
-			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+			h.deps.Balancer.End(choice, placement.Inconclusive)
 			if refused != nil {
 				return nil, refused
 			}
@@ -162,7 +163,7 @@
 	q.logPlacement(choice)
 	q.attempts++
 	q.excluded[choice.Endpoint.ID] = true
-	a := &attempt{endpoint: choice.Endpoint, startedAt: q.handler.deps.Clock.Now(), progress: noResponse, connected: make(chan struct{}), opened: make(chan struct{})}
+	a := &attempt{endpoint: choice.Endpoint, choice: choice, startedAt: q.handler.deps.Clock.Now(), progress: noResponse, connected: make(chan struct{}), opened: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.kept = q.handler.deps.Bytes.Open(choice.Endpoint.ID, func() {
 		a.cancel()
@@ -176,7 +177,7 @@
 	a.cancel()
 	a.kept.Close()
 	a.ended = true
-	q.handler.deps.Balancer.End(a.endpoint, observation)
+	q.handler.deps.Balancer.End(a.choice, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
 	}
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -11,10 +11,17 @@
 
 // logPlacement logs the chosen endpoint with the data that led to the choice.
 func (q *request) logPlacement(c placement.Choice) {
-	q.handler.deps.Log.LogAttrs(context.Background(), slog.LevelInfo, "request placed",
+	attrs := []slog.Attr{
 		slog.String("request", q.params.ID), slog.String("endpoint", c.Endpoint.ID), slog.String("pool", q.pool),
 		slog.Float64("load", c.Load), slog.Int64("report_age_ms", c.ReportAge.Milliseconds()), slog.Int("candidates", c.Candidates),
-		slog.Int64("config", q.table.Revision), slog.Bool("shared_prompt", q.affinity != 0))
+		slog.Int64("config", q.table.Revision), slog.Bool("shared_prompt", q.placed.Affinity != 0),
+	}
+	if c.ByCompletion {
+		attrs = append(attrs, slog.Int("expected_ms", int(c.Expected.Completion())), slog.Int("expected_first_ms", int(c.Expected.First())),
+			slog.Int("wait_ms", int(c.Expected.Wait)), slog.Int("slowness", int(c.Slowness)), slog.String("home", c.Home.String()), slog.Int("homes", c.Homes),
+			slog.Int64("unread_tokens", c.UnreadTokens), slog.Int64("output_tokens", c.OutputTokens))
+	}
+	q.handler.deps.Log.LogAttrs(context.Background(), slog.LevelInfo, "request placed", attrs...)
 }
 
 // logFailedAttempt logs an attempt without a complete response and counts it in the
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -37,8 +37,8 @@
 	// deadline is when the timeout of the caller or of the route ends, whichever
 	// is earlier.
 	deadline time.Time
-	// affinity is the hash of the shared prompt; see placement.Affinity.
-	affinity uint64
+	// placed is what the balancer needs to know of the request.
+	placed placement.Request
 
 	reservation *prepaid.Reservation
 
@@ -95,7 +95,7 @@
 		}
 	}
 	q.stream.lastEventID = params.ResumeAfter
-	q.affinity = placement.Affinity(params.Generation)
+	q.placed = placement.RequestOf(params.Generation)
 	return nil
 }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -231,6 +231,7 @@
 	q.stream.forwardedEvents += count
 	a.progress = eventsForwarded
 	q.attemptEvents += count
+	q.handler.deps.Balancer.Progress(a.choice.Task, int64(count)*max(q.table.Pools[q.pool].MaxEventTokens, 1))
 	if q.attemptEvents >= servedEvents && q.attemptEvents-count < servedEvents {
 		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
 	}
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -191,7 +191,7 @@
 		return nil, deniedBySuspicion
 	}
 	open, _ := q.openEndpoints()
-	choice, ok := h.deps.Balancer.BeginNotEjected(open, q.affinity, q.excluded)
+	choice, ok := h.deps.Balancer.BeginNotEjected(open, q.placed, q.excluded)
 	if !ok {
 		return nil, "no other endpoint that is not ejected"
 	}
@@ -205,7 +205,7 @@
 		deniedBy = "rate limit of other endpoint"
 	}
 	if deniedBy != "" {
-		h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+		h.deps.Balancer.End(choice, placement.Inconclusive)
 		return nil, deniedBy
 	}
 	h.stats.retries.Inc()
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -26,6 +26,9 @@
 	// the other endpoints.
 	FailureShare  float64 `json:"failure_share"`
 	FailureFactor float64 `json:"failure_factor"`
+	// ExpectedCompletion lets requests of pools whose endpoints report their slowness
+	// be placed by expected completion time.
+	ExpectedCompletion bool `json:"expected_completion"`
 }
 
 // DefaultSettings returns the defaults.
@@ -36,6 +39,8 @@
 		MaxEjectFor:   4 * time.Second,
 		FailureShare:  0.4,
 		FailureFactor: 2,
+
+		ExpectedCompletion: true,
 	}
 }
 
@@ -89,6 +94,15 @@
 	slots              int     // in the last report
 	slowness           float64 // in the last report, in percent of usual; 0 without one
 	invalidLoadLogged  bool
+	running, waiting   int // in the last report
+
+	// pool is that of the endpoint when it was last chosen.
+	pool string
+	// unread and toCome are the prompt and output tokens of this router's requests at
+	// the endpoint that were placed by expected completion; see Work.
+	unread, toCome float64
+	usualSlowness  average
+	speed          speed
 
 	failureShare         float64 // moving average of the share of failed requests
 	samples              int     // observations in failureShare
@@ -108,13 +122,20 @@
 	log           *slog.Logger
 	failureDomain string
 
-	mu     sync.Mutex // guards states
-	states map[string]*endpointState
+	stats balancerStats
+
+	mu       sync.Mutex // guards all below
+	states   map[string]*endpointState
+	pools    map[string]*poolState
+	prefixes map[prefixKey]*prefixState
 }
 
 // NewBalancer returns a balancer for a router in the given failure domain.
 func NewBalancer(s Settings, failureDomain string, c clock.Clock, log *slog.Logger) *Balancer {
-	return &Balancer{settings: s, clock: c, log: log, failureDomain: failureDomain, states: make(map[string]*endpointState)}
+	return &Balancer{
+		settings: s, clock: c, log: log, failureDomain: failureDomain, stats: newBalancerStats(),
+		states: make(map[string]*endpointState), pools: make(map[string]*poolState), prefixes: make(map[prefixKey]*prefixState),
+	}
 }
 
 // Choice is the chosen endpoint and the data that led to the choice.
@@ -126,26 +147,67 @@
 	ReportAge time.Duration
 	// Candidates is the number of endpoints among which the choice was made.
 	Candidates int
+
+	// Task is passed to Progress. It is nil unless ByCompletion is set, that is, the
+	// endpoint was chosen by expected completion. The fields below are 0 otherwise.
+	Task         *Task
+	ByCompletion bool
+	Expected     Estimate
+	// Home is the kind of home that the endpoint is for the prefix, which has Homes of
+	// them at present.
+	Home  HomeKind
+	Homes int
+	// Slowness is the expected factor of the endpoint's times, in percent.
+	Slowness float64
+	// UnreadTokens are the tokens of the prompt that the endpoint probably has to read,
+	// and OutputTokens the expected length of the response.
+	UnreadTokens, OutputTokens int64
 }
 
 // Begin chooses an endpoint from the available ones that are not excluded, and
 // counts the attempt as in flight there. Ejected endpoints are chosen only if there
-// are no others. Affinity is the hash of the shared prompt, or 0 without one. Begin
-// returns false if there is no endpoint to choose from. If it returns true, the
-// caller must call End exactly once.
-func (b *Balancer) Begin(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool) (Choice, bool) {
-	return b.begin(available, affinity, excluded, true)
+// are no others. Begin returns false if there is no endpoint to choose from. If it
+// returns true, the caller must call End exactly once. The available endpoints are of
+// one pool, and the slice must not be changed afterwards.
+func (b *Balancer) Begin(available []endpoints.Endpoint, r Request, excluded map[string]bool) (Choice, bool) {
+	return b.begin(available, r, excluded, true)
 }
 
 // BeginNotEjected is Begin without the ejected endpoints.
-func (b *Balancer) BeginNotEjected(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool) (Choice, bool) {
-	return b.begin(available, affinity, excluded, false)
+func (b *Balancer) BeginNotEjected(available []endpoints.Endpoint, r Request, excluded map[string]bool) (Choice, bool) {
+	return b.begin(available, r, excluded, false)
 }
 
-func (b *Balancer) begin(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool, allowEjected bool) (Choice, bool) {
+func (b *Balancer) begin(available []endpoints.Endpoint, r Request, excluded map[string]bool, allowEjected bool) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(available) == 0 {
+		return Choice{}, false
+	}
 	now := b.clock.Now()
+	var choice Choice
+	chosen := false
+	if p := b.pools[available[0].Pool]; p != nil && p.active {
+		choice, chosen = b.beginByCompletionLocked(available, r, excluded, now)
+	}
+	if !chosen {
+		if choice, chosen = b.beginByLoadLocked(available, r.Affinity, excluded, allowEjected, now); !chosen {
+			return Choice{}, false
+		}
+	}
+	s := b.states[choice.Endpoint.ID]
+	s.inFlight++
+	s.startedSinceReport++
+	s.probing = s.consecutiveEjections > 0
+	s.pool = choice.Endpoint.Pool
+	if !s.reportedAt.IsZero() {
+		choice.ReportAge = now.Sub(s.reportedAt)
+	}
+	return choice, true
+}
+
+// beginByLoadLocked chooses an endpoint by Choose, among all that are available.
+func (b *Balancer) beginByLoadLocked(available []endpoints.Endpoint, affinity uint64, excluded map[string]bool, allowEjected bool, now time.Time) (Choice, bool) {
 	var candidates []Candidate
 	var chosenFrom []endpoints.Endpoint
 	var ejected []endpoints.Endpoint
@@ -174,15 +236,7 @@
 	if i < 0 {
 		return Choice{}, false
 	}
-	s := b.states[chosenFrom[i].ID]
-	s.inFlight++
-	s.startedSinceReport++
-	s.probing = s.consecutiveEjections > 0
-	choice := Choice{Endpoint: chosenFrom[i], Load: candidates[i].Load, Candidates: len(candidates)}
-	if !s.reportedAt.IsZero() {
-		choice.ReportAge = now.Sub(s.reportedAt)
-	}
-	return choice, true
+	return Choice{Endpoint: chosenFrom[i], Load: candidates[i].Load, Candidates: len(candidates)}, true
 }
 
 // stateLocked returns the state of an endpoint, creating it if needed, and marks
@@ -221,9 +275,12 @@
 func (b *Balancer) Report(id string, load exchange.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.stateLocked(id, b.clock.Now())
+	now := b.clock.Now()
+	s := b.stateLocked(id, now)
+	s.running, s.waiting = load.Running, load.Waiting
 	s.reportedLoad, s.slots, s.slowness = float64(load.Running+load.Waiting), load.Slots, load.Slowness
-	s.reportedAt, s.startedSinceReport, s.endedSinceReport = b.clock.Now(), 0, 0
+	s.reportedAt, s.startedSinceReport, s.endedSinceReport = now, 0, 0
+	b.learnReportLocked(s, load, now)
 }
 
 // LogInvalidLoad logs the load that an endpoint reported and that is not used, once for
@@ -241,10 +298,12 @@
 
 // End ends an attempt that Begin started and records what it showed of the
 // endpoint.
-func (b *Balancer) End(e endpoints.Endpoint, observation Observation) {
+func (b *Balancer) End(c Choice, observation Observation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	e := c.Endpoint
+	c.Task.endLocked(now, observation == Succeeded)
 	s := b.stateLocked(e.ID, now)
 	s.inFlight--
 	s.endedSinceReport++
@@ -326,15 +385,21 @@
 const stateRetention = 5 * time.Minute
 
 // Prune drops the state of endpoints that have not been seen for stateRetention
-// and have no requests in flight.
+// and have no requests in flight, and that of prefixes that are not in use.
 func (b *Balancer) Prune() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.clock.Now()
 	for id, s := range b.states {
-		if s.inFlight == 0 && b.clock.Now().Sub(s.lastSeen) > stateRetention {
+		if s.inFlight == 0 && now.Sub(s.lastSeen) > stateRetention {
 			delete(b.states, id)
 		}
 	}
+	for key, p := range b.prefixes {
+		if now.Sub(p.usedAt) > prefixRetention {
+			delete(b.prefixes, key)
+		}
+	}
 }
 
 // Affinity returns a hash of the model and the shared prompt of a generation,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,8 +27,41 @@
 	// Slowness is how long work takes at the endpoint, in percent of usual, or 0 if
 	// unknown.
 	Slowness float64
+
+	// The remaining fields are used by ChooseByCompletion only.
+
+	// Capacity is the number of requests that the endpoint may execute at once, or 0
+	// if unknown.
+	Capacity float64
+	Report   LoadReport
+	Own      Work
+	// UsualSlowness is the mean of the slowness that the endpoint reports, in
+	// percent; 0 if unknown.
+	UsualSlowness float64
+	// Speed is the learnt factor of the endpoint's times, relative to its pool, that
+	// the slowness does not explain; 0 if unknown.
+	Speed float64
+	// Cached is set if the endpoint probably has the shared tokens in its cache.
+	Cached bool
+	Home   HomeKind
 }
 
+// HomeKind says whether an endpoint is a home of the prefix of a request.
+type HomeKind int
+
+// The kinds of homes.
+const (
+	// NoHome: requests with the prefix go there only if it is clearly better.
+	NoHome HomeKind = iota
+	// FirstHomes: one of the homes that the prefix has at present.
+	FirstHomes
+	// NextHome: the endpoint that becomes a home if the prefix gets one more.
+	NextHome
+)
+
+// String returns the name of the kind in log lines and metrics.
+func (k HomeKind) String() string { return [...]string{"none", "home", "next"}[k] }
+
 // A request is placed by its prompt only at endpoints with a load of at most
 // affinityLoadFactor times the mean load plus affinityLoadSlack requests. With less
 // slack, single requests in flight would move prompts between endpoints.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -129,12 +129,12 @@
 func shareOfFirstEndpoint(b *placement.Balancer, c *clock.Fake, n int, observe func(id string) placement.Observation) float64 {
 	chosen := 0
 	for range n {
-		choice, _ := b.Begin(endpointList(3), 0, nil)
+		choice, _ := b.Begin(endpointList(3), placement.Request{}, nil)
 		if choice.Endpoint.ID == "i-0" {
 			chosen++
 		}
 		c.Advance(40 * time.Millisecond)
-		b.End(choice.Endpoint, observe(choice.Endpoint.ID))
+		b.End(choice, observe(choice.Endpoint.ID))
 	}
 	return float64(chosen) / float64(n)
 }
@@ -169,9 +169,9 @@
 // endpoints are ejected.
 func TestEjectedEndpointIsUsedIfNoOther(t *testing.T) {
 	b, _ := newBalancer()
-	choice, _ := b.Begin(endpointList(1), 0, nil)
-	b.End(choice.Endpoint, placement.Unreachable)
-	_, ok := b.Begin(endpointList(1), 0, nil)
+	choice, _ := b.Begin(endpointList(1), placement.Request{}, nil)
+	b.End(choice, placement.Unreachable)
+	_, ok := b.Begin(endpointList(1), placement.Request{}, nil)
 	assert.Assert(t, ok)
 }
 
@@ -182,18 +182,18 @@
 	both := endpointList(2)
 	b.Suspect(both[0])
 	c.Advance(placement.DefaultSettings().EjectFor + time.Millisecond)
-	probe, ok := b.Begin(both[:1], 0, nil)
+	probe, ok := b.Begin(both[:1], placement.Request{}, nil)
 	assert.Assert(t, ok)
 	for range 3 {
-		_, ok := b.BeginNotEjected(both[:1], 0, nil)
+		_, ok := b.BeginNotEjected(both[:1], placement.Request{}, nil)
 		assert.Assert(t, !ok)
 	}
 	for range 20 {
-		choice, ok := b.Begin(both, 0, nil)
+		choice, ok := b.Begin(both, placement.Request{}, nil)
 		assert.Assert(t, ok)
 		assert.Equal(t, choice.Endpoint.ID, both[1].ID)
 	}
-	b.End(probe.Endpoint, placement.Succeeded)
+	b.End(probe, placement.Succeeded)
 }
 
 // leastLoadedByRequests is the choice without an affinity that pools without slowness must
