Estimate queues between reports, and learn speeds per endpoint

Change: a report is discounted towards the endpoint's own mean of some seconds, and an own request that is silent shows a queue before any report does. Reading shared tokens again costs four times its time, and an endpoint that is no home must be better by 1.3. Attempts without a stream count by their whole duration.

--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -96,6 +96,7 @@
 	}
 	q.stream.lastEventID = params.ResumeAfter
 	q.placed = placement.RequestOf(params.Generation)
+	q.placed.Streaming = q.route.Kind == routetable.Streaming
 	return nil
 }
 
--- a/internal/placement/balancer.go
+++ b/internal/placement/balancer.go
@@ -101,8 +101,10 @@
 	// unread and toCome are the prompt and output tokens of this router's requests at
 	// the endpoint that were placed by expected completion; see Work.
 	unread, toCome float64
-	usualSlowness  average
-	speed          speed
+	// silent has the attempts without an output token, the oldest first.
+	silent                          []*Task
+	usualSlowness, usualUtilisation average
+	speed                           speed
 
 	failureShare         float64 // moving average of the share of failed requests
 	samples              int     // observations in failureShare
--- a/internal/placement/bycompletion.go
+++ b/internal/placement/bycompletion.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"daisyslip.dev/daisyslip/internal/endpoints"
@@ -15,6 +16,8 @@
 	Affinity uint64
 	// PromptTokens, SharedTokens and MaxOutputTokens are 0 if unknown.
 	PromptTokens, SharedTokens, MaxOutputTokens int64
+	// Streaming is set if the response is a stream of events.
+	Streaming bool
 	// OutputTokensHint is an estimate of the length of the response, or 0.
 	OutputTokensHint int64
 }
@@ -56,7 +59,8 @@
 	tokens, firstTokens        int64
 	startedAt, firstAt, lastAt time.Time
 	// expectedFirst and expectedStep are in ms, without the learnt speed.
-	expectedFirst, expectedStep float64
+	expectedFirst, expectedStep, expectedWhole float64
+	streaming                                  bool
 }
 
 const (
@@ -138,7 +142,13 @@
 	pool.promptTokens.add(now, unread, 1, poolHalfLife)
 	task := &Task{
 		endpoint: list[places[chosen].index], state: s, pool: pool, unread: unread, toCome: size.OutputTokens,
-		startedAt: now, expectedFirst: estimate.First() / c.Speed, expectedStep: estimate.Step / c.Speed,
+		startedAt: now, expectedFirst: estimate.First() / c.Speed, expectedStep: estimate.Step / c.Speed, expectedWhole: estimate.Completion() / c.Speed,
+		streaming: r.Streaming,
+	}
+	if r.Streaming {
+		s.silent = append(s.silent, task)
+	} else {
+		task.unread = 0 // nothing shows when the prompt has been read
 	}
 	s.unread += task.unread
 	s.toCome += task.toCome
@@ -186,8 +196,12 @@
 func (b *Balancer) candidateLocked(e endpoints.Endpoint, s *endpointState, means PoolMeans, now time.Time) Candidate {
 	c := Candidate{
 		ID: e.ID, Capacity: b.capacityLocked(e, s), Local: e.Domain == b.failureDomain,
-		Own:           Work{Requests: s.inFlight, PromptTokens: s.unread, OutputTokens: s.toCome},
-		UsualSlowness: s.usualSlowness.mean(now, endpointHalfLife, means.Slowness, priorSamples), Speed: s.speed.factor(now),
+		Own:              Work{Requests: s.inFlight, PromptTokens: s.unread, OutputTokens: s.toCome},
+		UsualUtilisation: s.usualUtilisation.mean(now, utilisationHalfLife, means.Utilisation, 1),
+		UsualSlowness:    s.usualSlowness.mean(now, endpointHalfLife, means.Slowness, priorSamples), Speed: s.speed.factor(now),
+	}
+	if len(s.silent) > 0 {
+		c.Own.Silent = now.Sub(s.silent[0].startedAt)
 	}
 	if age := now.Sub(s.reportedAt); !s.reportedAt.IsZero() && age <= b.settings.ReportMaxAge {
 		c.Report = LoadReport{Known: true, Age: age, Running: s.running, Waiting: s.waiting, Started: s.startedSinceReport, Ended: s.endedSinceReport, Slowness: s.slowness}
@@ -235,7 +249,9 @@
 		p.slowness.add(now, load.Slowness, 1, poolHalfLife)
 		s.usualSlowness.add(now, load.Slowness, 1, endpointHalfLife)
 		if load.Slots > 0 {
-			p.utilisation.add(now, float64(load.Running+load.Waiting)/float64(load.Slots), 1, poolHalfLife)
+			utilisation := float64(load.Running+load.Waiting) / float64(load.Slots)
+			p.utilisation.add(now, utilisation, 1, poolHalfLife)
+			s.usualUtilisation.add(now, utilisation, 1, utilisationHalfLife)
 		}
 	}
 	p.withSlowness.add(now, share, 1, poolHalfLife)
@@ -264,9 +280,10 @@
 		return
 	}
 	t.firstAt, t.firstTokens = now, t.tokens
+	t.state.dropSilent(t)
 	t.state.unread -= t.unread
 	t.unread = 0
-	t.state.speed.learn(now, milliseconds(now.Sub(t.startedAt)), t.expectedFirst, firstEventWeight, &t.pool.firstRatio)
+	t.state.speed.learn(now, milliseconds(now.Sub(t.startedAt)), t.expectedFirst, queueWeight, &t.pool.firstRatio)
 	// The head of this response has brought a report.
 	means := t.pool.means(now)
 	c := b.candidateLocked(t.endpoint, t.state, means, now)
@@ -277,16 +294,27 @@
 // tokens is a sample of the speed. Fewer can arrive in one read.
 const minStepTokens = 8
 
+// dropSilent removes an attempt from those without an output token.
+func (s *endpointState) dropSilent(t *Task) {
+	if i := slices.Index(s.silent, t); i >= 0 {
+		s.silent = slices.Delete(s.silent, i, i+1)
+	}
+}
+
 // endLocked ends a task and learns from it. Complete is set if the response was complete.
 func (t *Task) endLocked(now time.Time, complete bool) {
 	if t == nil {
 		return
 	}
+	t.state.dropSilent(t)
 	t.state.unread = max(t.state.unread-t.unread, 0)
 	t.state.toCome = max(t.state.toCome-t.toCome, 0)
 	if complete && t.tokens > 0 {
 		t.pool.outputTokens.add(now, float64(t.tokens), 1, poolHalfLife)
 	}
+	if complete && !t.streaming {
+		t.state.speed.learn(now, milliseconds(now.Sub(t.startedAt)), t.expectedWhole, queueWeight, &t.pool.wholeRatio)
+	}
 	if n := t.tokens - t.firstTokens; n >= minStepTokens {
 		t.state.speed.learn(now, milliseconds(t.lastAt.Sub(t.firstAt))/float64(n), t.expectedStep, 1, &t.pool.stepRatio)
 	}
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -20,6 +20,9 @@
 	// PromptTokens are those that the endpoint has not read yet, and OutputTokens
 	// those that are expected to come.
 	PromptTokens, OutputTokens float64
+	// Silent is how long the oldest of the requests with streams is without an output
+	// token.
+	Silent time.Duration
 }
 
 // LoadReport is the load that an endpoint reported last.
@@ -45,6 +48,9 @@
 	// PromptTokens is the number of tokens of a prompt that are not cached, and
 	// OutputTokens the length of a response.
 	PromptTokens, OutputTokens float64
+	// FirstRatio is that of the observed to the expected time to the first token. It is
+	// high while the router itself is slow.
+	FirstRatio float64
 }
 
 // Properties of engines that the estimates use, measured at the engines of the known
@@ -71,15 +77,20 @@
 	slownessMemory = 400 * time.Millisecond
 )
 
+// slowRouterRatio is the ratio of the observed to the expected time to the first token from
+// which the router itself is taken to be slow. It leaves a margin for queues that the
+// estimates miss.
+const slowRouterRatio = 2
+
 const (
 	// spillMargin and otherMargin are the factors by which the completion time must be
 	// better at the next home, and at an endpoint that is no home of the prefix. Without
 	// them, differences within the error of the estimates would scatter prefixes.
 	spillMargin = 1.1
-	otherMargin = 1.2
+	otherMargin = 1.3
 	// rereadPrice is the price of reading a shared token again, in reading times of a
 	// token. It comes on top of that time itself, for the work that others lose.
-	rereadPrice = 1
+	rereadPrice = 3
 	// localBonusMs decides between endpoints that are otherwise equal.
 	localBonusMs = 1
 )
@@ -99,11 +110,15 @@
 func (e Estimate) First() float64 { return e.Wait + e.Prefill + e.Step }
 
 // expectedLoad returns the numbers of requests that run and wait at a candidate. The
-// report is discounted by its age towards the mean of the pool: about 70 routers read
-// the same outdated reports, and would otherwise all prefer the same endpoint until
-// the next report.
+// report is discounted by its age towards what is usual there: about 70 routers read the
+// same outdated reports, and would otherwise all prefer the same endpoint until the next
+// report. The home of a prefix in demand is usually busier than the mean of the pool.
 func expectedLoad(c Candidate, pool PoolMeans) (running, waiting float64) {
-	load := pool.Utilisation * c.capacity()
+	usual := c.UsualUtilisation
+	if usual <= 0 {
+		usual = pool.Utilisation
+	}
+	load := usual * c.capacity()
 	if c.Report.Known {
 		weight := math.Exp(-float64(c.Report.Age) / float64(loadMemory))
 		load = weight*float64(c.Report.Running+c.Report.Waiting) + (1-weight)*load + float64(c.Report.Started-c.Report.Ended)
@@ -179,17 +194,25 @@
 	}
 	unread = max(unread, 0)
 	e.Prefill = slowness * ((prompt+unread)/prefillTokensPerMs + unread/prefillChunkTokens*step)
+	// A request that is silent for longer shows a queue that no report has shown yet.
+	e.Wait = max(e.Wait, silence(c, pool)-e.Prefill)
 	e.Step = slowness * step
 	e.Decode = e.Step * size.OutputTokens
 	return e
 }
 
+// silence returns the silence of a candidate in ms, less the part for which this router is
+// the cause.
+func silence(c Candidate, pool PoolMeans) float64 {
+	return milliseconds(c.Own.Silent) / max(pool.FirstRatio/slowRouterRatio, 1)
+}
+
 // WorkAt returns the time in which a candidate would complete all requests that it has, in
 // ms. It is the measure of the work at the homes of a prefix.
 func WorkAt(c Candidate, pool PoolMeans) float64 {
 	running, waiting := expectedLoad(c, pool)
 	output, prompt := outstanding(c, running, waiting, pool)
-	return expectedSlowness(c) * (output*stepMs(running, pool)/c.capacity() + prompt/prefillTokensPerMs)
+	return max(silence(c, pool), expectedSlowness(c)*(output*stepMs(running, pool)/c.capacity()+prompt/prefillTokensPerMs))
 }
 
 // ChooseByCompletion returns the index of the candidate at which a request has the least
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -37,6 +37,9 @@
 	// endpointHalfLife is that of what is learnt of one endpoint. An endpoint that gets
 	// no requests for being slow is tried again after a few half-lives.
 	endpointHalfLife = 30 * time.Second
+	// utilisationHalfLife is that of the usual utilisation of an endpoint. It is short
+	// against the changes of the demand for a prefix.
+	utilisationHalfLife = 5 * time.Second
 	// priorSamples is the weight of the pool's mean in that of an endpoint. With it, one
 	// slow response changes the speed of an endpoint by at most a factor of 1.3.
 	priorSamples = 4
@@ -44,10 +47,9 @@
 	// responses slow beyond all measure. It corresponds to a factor of 4, the most by
 	// which endpoints are taken to differ.
 	maxLogRatio = 1.386
-	// firstEventWeight is the weight of a time to the first event as a sample of the
-	// speed, in those of a time between events. It contains the queue, which is known
-	// less well.
-	firstEventWeight = 0.3
+	// queueWeight is the weight of a time that contains the queue as a sample of the
+	// speed, relative to the time between events. The queue is known less well.
+	queueWeight = 0.3
 )
 
 // speed is the learnt factor of an endpoint's times.
@@ -83,7 +85,7 @@
 // poolState is what the balancer has learnt of a pool.
 type poolState struct {
 	utilisation, promptTokens, outputTokens, slowness average
-	firstRatio, stepRatio                             average // baselines of speed.learn
+	firstRatio, stepRatio, wholeRatio                 average // baselines of speed.learn
 	// withSlowness is the share of reports with slowness.
 	withSlowness average
 	// active is set while requests of the pool are placed by expected completion.
@@ -94,6 +96,7 @@
 // means returns the means that the estimates use.
 func (p *poolState) means(now time.Time) PoolMeans {
 	return PoolMeans{
+		FirstRatio:   math.Exp(p.firstRatio.mean(now, poolHalfLife, 0, initialWeight)),
 		Slowness:     p.slowness.mean(now, poolHalfLife, usualSlowness, initialWeight),
 		Utilisation:  p.utilisation.mean(now, poolHalfLife, initialUtilisation, initialWeight),
 		PromptTokens: p.promptTokens.mean(now, poolHalfLife, initialPromptTokens, initialWeight),
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,6 +38,9 @@
 	// UsualSlowness is the mean of the slowness that the endpoint reports, in
 	// percent; 0 if unknown.
 	UsualSlowness float64
+	// UsualUtilisation is the mean of the requests per slot that the endpoint
+	// reports; 0 if unknown.
+	UsualUtilisation float64
 	// Speed is the learnt factor of the endpoint's times, relative to its pool, that
 	// the slowness does not explain; 0 if unknown.
 	Speed float64
