--- a/internal/endpoints/evacuation.go
+++ b/internal/endpoints/evacuation.go
@@ -21,6 +21,7 @@
 		return nil
 	}
 	r.evacuated = evacuated
+	r.changes++
 	for _, d := range slices.Sorted(maps.Keys(evacuated)) {
 		if !old[d] {
 			r.log.Info("evacuation of a failure domain begins", "domain", d, "endpoints", r.countInLocked(d))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -317,6 +317,7 @@
 func (g *Gateway) registerGauges() {
 	g.metrics.NewGauge("daisyslip_requests_in_flight", func() float64 { return float64(g.handler.InFlight()) })
 	g.metrics.NewGauge("daisyslip_config_revision", func() float64 { return float64(g.ConfigRevision()) })
+	g.balancer.RegisterMetrics(g.metrics)
 	g.metrics.NewGauge("daisyslip_store_era", func() float64 { return float64(g.platform.Store.Era()) })
 	g.metrics.NewGauge("daisyslip_cold_endpoints", func() float64 { return float64(g.endpoints.ColdCount()) })
 	g.metrics.NewGauge("daisyslip_evacuated_domains", func() float64 { return float64(g.endpoints.EvacuatedDomains()) })
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -24,6 +24,7 @@
 // attempt is one attempt to have an endpoint serve the request.
 type attempt struct {
 	endpoint  endpoints.Endpoint
+	choice    placement.Choice
 	startedAt time.Time
 	// permittedAt is when the permit for a cold endpoint began to be valid; zero without one.
 	permittedAt time.Time
@@ -123,7 +124,7 @@
 			}
 		}
 		open, opensIn := q.openEndpoints(q.coldUse())
-		choice, ok := h.deps.Balancer.Begin(open, q.affinity, q.excluded)
+		choice, ok := h.deps.Balancer.Begin(open, q.placed, q.excluded)
 		if ok {
 			permittedAt, permitted := q.acquire(ctx, choice.Endpoint)
 			// The request can have waited for its body, for tokens or for a permit.
@@ -131,7 +132,7 @@
 			if permitted && refused == nil {
 				return q.newAttempt(ctx, choice, permittedAt), nil
 			}
-			h.deps.Balancer.End(choice.Endpoint, placement.Inconclusive)
+			h.deps.Balancer.End(choice, placement.Inconclusive)
 			if refused != nil {
 				return nil, refused
 			}
@@ -168,7 +169,10 @@
 	q.logPlacement(choice)
 	q.attempts++
 	q.excluded[choice.Endpoint.ID] = true
-	a := &attempt{endpoint: choice.Endpoint, startedAt: q.handler.deps.Clock.Now(), permittedAt: permittedAt, progress: noResponse, connected: make(chan struct{}), opened: make(chan struct{})}
+	a := &attempt{
+		endpoint: choice.Endpoint, choice: choice, startedAt: q.handler.deps.Clock.Now(), permittedAt: permittedAt, progress: noResponse,
+		connected: make(chan struct{}), opened: make(chan struct{}),
+	}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.kept = q.handler.deps.Bytes.Open(choice.Endpoint.ID, func() {
 		a.cancel()
@@ -183,7 +187,7 @@
 	a.kept.Close()
 	a.ended = true
 	observation = q.handler.weigh(outcome, observation)
-	q.handler.deps.Balancer.End(a.endpoint, observation)
+	q.handler.deps.Balancer.End(a.choice, observation)
 	q.learnFailure(a, outcome, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -86,6 +86,23 @@
 	return float64(Rendezvous(^affinity, id)) < factor*math.MaxUint64
 }
 
+// admitsByPace reports whether an endpoint is a candidate for a request that examines few
+// endpoints. With factor f it is one for the part f of the prompts, or of the requests if the
+// affinity is 0.
+func (b *Balancer) admitsByPace(id string, affinity uint64) bool {
+	if b.pace == nil {
+		return true
+	}
+	factor := b.pace.Factor(id)
+	switch {
+	case factor >= 1:
+		return true
+	case affinity == 0:
+		return rand.Float64() < factor
+	}
+	return admitsPrompt(id, affinity, factor)
+}
+
 // ObserveResponse records the head of a response for the pace of an endpoint. FirstByte
 // is the time from the send of the request to the head, or 0 if the response does not
 // show how fast the endpoint is. Streamed is set if events follow as they are made.
