--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 	draining   atomic.Bool
 	// evacuations are the rows that evacuate failure domains.
 	evacuations evacuations
-	load       *routerload.Monitor
+	load        *routerload.Monitor
 
 	callerServer, readyServer, metricsServer *server
 }
--- a/internal/ingress/overload_test.go
+++ b/internal/ingress/overload_test.go
@@ -33,9 +33,9 @@
 		h := &Handler{deps: Dependencies{Load: load, Balancer: placement.NewBalancer(placement.DefaultSettings(), "zone-a", clock.Real{}, slog.New(slog.DiscardHandler))}}
 		list := []endpoints.Endpoint{{ID: "i-1"}}
 		ejected := func() bool {
-			c, ok := h.deps.Balancer.BeginNotEjected(list, 0, nil)
+			c, ok := h.deps.Balancer.BeginNotEjected(list, placement.Request{}, nil)
 			if ok {
-				h.deps.Balancer.End(c.Endpoint, placement.Inconclusive)
+				h.deps.Balancer.End(c, placement.Inconclusive)
 			}
 			return !ok
 		}
--- a/internal/placement/pace_test.go
+++ b/internal/placement/pace_test.go
@@ -60,7 +60,7 @@
 func play(cold time.Duration, affine bool, naive *slowStart) (received, refused [playSeconds]int) {
 	type execution struct {
 		router        *placement.Balancer
-		endpoint      endpoints.Endpoint
+		choice        placement.Choice
 		begun, endsAt time.Time
 	}
 	fake, random := clock.NewFake(playStart.Add(-5*time.Second)), rand.New(rand.NewPCG(3, 5))
@@ -97,9 +97,9 @@
 					running[i] = append(running[i], x)
 					continue
 				}
-				x.router.ObserveResponse(x.endpoint, now.Sub(x.begun), false, exchange.Response{})
-				x.router.Report(x.endpoint.ID, exchange.Load{Running: len(list), Slots: 8})
-				x.router.End(x.endpoint, placement.Succeeded)
+				x.router.ObserveResponse(x.choice.Endpoint, now.Sub(x.begun), false, exchange.Response{})
+				x.router.Report(x.choice.Endpoint.ID, exchange.Load{Running: len(list), Slots: 8})
+				x.router.End(x.choice, placement.Succeeded)
 			}
 		}
 		for due += playRate * playStep.Seconds() * 2 * random.Float64(); due >= 1; due-- {
@@ -108,7 +108,7 @@
 				prompt = random.Uint64N(400) + 1
 			}
 			for range 3 { // attempts
-				choice, _ := router.Begin(known, prompt, excluded)
+				choice, _ := router.Begin(known, placement.Request{Affinity: prompt}, excluded)
 				e, slots, takes := choice.Endpoint, 8, 200*time.Millisecond
 				i, second := index[e.ID], int(now.Sub(playStart)/time.Second)
 				if i == 9 {
@@ -118,7 +118,7 @@
 					}
 				}
 				if len(running[i]) < slots {
-					running[i] = append(running[i], execution{router, e, now, now.Add(takes)})
+					running[i] = append(running[i], execution{router, choice, now, now.Add(takes)})
 					break
 				}
 				if i == 9 {
@@ -128,7 +128,7 @@
 				report := exchange.Load{Running: len(running[i]), Slots: 8}
 				router.Report(e.ID, report)
 				router.ObserveResponse(e, 0, false, exchange.Response{NotExecuted: true, Load: &report})
-				router.End(e, placement.AtCapacity)
+				router.End(choice, placement.AtCapacity)
 			}
 		}
 	}
@@ -214,11 +214,11 @@
 	assert.Assert(t, p.AnyLow())
 	plain, _ := newBalancer()
 	for prompt := range uint64(300) {
-		want, _ := plain.Begin(list, prompt+1, nil)
-		got, _ := b.Begin(list, prompt+1, nil)
+		want, _ := plain.Begin(list, placement.Request{Affinity: prompt + 1}, nil)
+		got, _ := b.Begin(list, placement.Request{Affinity: prompt + 1}, nil)
 		assert.DeepEqual(t, got, want)
-		plain.End(want.Endpoint, placement.Inconclusive)
-		b.End(got.Endpoint, placement.Inconclusive)
+		plain.End(want, placement.Inconclusive)
+		b.End(got, placement.Inconclusive)
 	}
 	for _, e := range list {
 		p.Started(e.ID, c.Now())
@@ -226,9 +226,9 @@
 	for _, affinity := range []uint64{0, 42} {
 		chosen := make(map[string]int)
 		for range 300 {
-			choice, ok := b.Begin(list, affinity, nil)
+			choice, ok := b.Begin(list, placement.Request{Affinity: affinity}, nil)
 			assert.Assert(t, ok && p.Factor(choice.Endpoint.ID) == pace.MinFactor)
-			b.End(choice.Endpoint, placement.Inconclusive)
+			b.End(choice, placement.Inconclusive)
 			chosen[choice.Endpoint.ID]++
 		}
 		assert.Check(t, affinity != 0 || len(chosen) == 3, "%v", chosen)
