--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -33,11 +33,12 @@
 // TestLoadSettings checks that the settings in the file replace the defaults, and
 // that missing ones keep them.
 func TestLoadSettings(t *testing.T) {
-	s, err := LoadSettings(writeSettings(t, `{"prepaid":{"horizon":"12s","clear_share":0.02},"upstream":{"max_idle":8}}`))
+	s, err := LoadSettings(writeSettings(t, `{"prepaid":{"horizon":"12s","clear_share":0.02},"upstream":{"max_idle":8},"placement":{"expected_completion":false}}`))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Prepaid.Horizon, 12*time.Second)
 	assert.Equal(t, s.Prepaid.ActivateShare, 0.02)
 	assert.Equal(t, s.Upstream.MaxIdle, 8)
+	assert.Assert(t, !s.Placement.ExpectedCompletion && DefaultSettings().Placement.ExpectedCompletion)
 	assert.Equal(t, s.Ingress, DefaultSettings().Ingress)
 }
 
--- a/internal/placement/completion_test.go
+++ b/internal/placement/completion_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -186,7 +187,8 @@
 }
 
 // TestHotPrefixSpreadsAndReturns answers the load of a prefix in such demand that its home has a queue.
-// It guards against a prefix that stays at one home, and against homes that remain without demand.
+// It guards against a prefix that stays at one home, homes that remain without demand, and places
+// in a list that has changed.
 func TestHotPrefixSpreadsAndReturns(t *testing.T) {
 	f := newFleet(12)
 	r := placement.Request{Affinity: 7, PromptTokens: 7000, SharedTokens: 6300, MaxOutputTokens: 80, Streaming: true}
@@ -216,6 +218,9 @@
 	last := f.serve(r)
 	assert.Equal(t, last.Homes, 1)
 	assert.Equal(t, last.Endpoint.ID, home)
+	others := slices.DeleteFunc(endpointList(12), func(e endpoints.Endpoint) bool { return e.ID == home })
+	assert.Assert(t, f.serveAt(others, r).Endpoint.ID != home)
+	assert.Equal(t, f.serve(r).Endpoint.ID, home)
 }
 
 // TestCompletionOnlyWithSlowness guards against another placement of pools without four figures,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,5 +1,6 @@
-// Package placement chooses the endpoint for each attempt. Choose is a pure
-// function of the candidates; Balancer keeps the state between requests.
+// Package placement chooses the endpoint for each attempt. Choose, and for pools whose
+// endpoints report their slowness ChooseByCompletion, are pure functions of the
+// candidates; Balancer keeps the state between requests.
 //
 // The choice is made for generations whose prompts share prefixes: an endpoint
 // that has cached a prefix saves most of the prefill. A prefix in high demand must
