Bound what clients outside the limits can take

Change: internal/connlimit wraps each listener (callers, readiness, metrics, peers until authenticated). It bounds the number of connections by memory and descriptors and closes those with incomplete requests, the largest and newest first; draws heads from the byte budget; sets the kernel's buffers; ends bodies without progress for 10 s. The byte budget evicts callers' accounts: those without progress, then those larger than the one that grows. A request that was passed on is never closed. limits.max_fds is decoded.

Processor time per request not measured yet.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -25,14 +25,17 @@
 // Budget is a number of bytes that accounts draw on. It is safe for concurrent use. All
 // requests are granted if it is nil.
 type Budget struct {
-	limit     int64
-	log       *slog.Logger
-	evictions *metrics.Counter
-	refusals  *metrics.Counter
+	limit           int64
+	log             *slog.Logger
+	evictions       *metrics.Counter
+	callerEvictions *metrics.Counter
+	refusals        *metrics.Counter
 
-	mu     sync.Mutex // guards the fields below, and those of all accounts
-	used   int64
-	owners map[string]*owner
+	mu      sync.Mutex // guards the fields below, and those of all accounts
+	used    int64
+	owners  map[string]*owner
+	callers map[*Account]struct{} // accounts of callers that have bytes and may be evicted
+	opened  int64                 // number of accounts of callers opened so far
 }
 
 // owner is an endpoint with its open accounts.
@@ -43,20 +46,24 @@
 
 // Account has the bytes that one exchange or request keeps.
 type Account struct {
-	budget  *Budget
-	owner   string
-	evict   func()
-	bytes   int64
-	evicted bool
+	budget    *Budget
+	owner     string
+	evict     func()
+	bytes     int64
+	evicted   bool
+	caller    Caller // nil unless the account is that of a caller
+	protected bool
+	number    int64 // of an account of a caller, in the order of their opening
 }
 
 // New returns a budget of limit bytes that registers its metrics in set. Without a limit,
 // which is 0, it only counts.
 func New(limit int64, log *slog.Logger, set *metrics.Set) *Budget {
 	b := &Budget{
-		limit: limit, log: log, owners: make(map[string]*owner),
-		evictions: set.NewCounter("daisyslip_kept_bytes_evictions_total"),
-		refusals:  set.NewCounter("daisyslip_kept_bytes_refusals_total"),
+		limit: limit, log: log, owners: make(map[string]*owner), callers: make(map[*Account]struct{}),
+		evictions:       set.NewCounter("daisyslip_kept_bytes_evictions_total"),
+		callerEvictions: set.NewCounter("daisyslip_kept_bytes_caller_evictions_total"),
+		refusals:        set.NewCounter("daisyslip_kept_bytes_refusals_total"),
 	}
 	set.NewGauge("daisyslip_kept_bytes", func() float64 {
 		b.mu.Lock()
@@ -84,9 +91,10 @@
 	return a
 }
 
-// Grow adds n bytes to the account. If there is no room, all accounts of the owner that
-// holds most are evicted, provided that it holds a good part of the budget. The error is
-// ErrFull or ErrEvicted.
+// Grow adds n bytes to the account. If there is no room, accounts of callers are evicted, see
+// chooseVictims. If that does not suffice, all accounts of the owner that holds most are
+// evicted, provided that it holds a good part of the budget. The error is ErrFull or
+// ErrEvicted.
 func (a *Account) Grow(n int64) error {
 	b := a.budget
 	if b == nil {
@@ -94,8 +102,10 @@
 	}
 	b.mu.Lock()
 	var victims []*Account
-	if b.limit > 0 && b.used+n > b.limit {
-		victims = b.evictLargestLocked()
+	if b.limit > 0 && b.used+n > a.limitLocked() {
+		if victims = b.evictCallersLocked(a, n); victims == nil {
+			victims = b.evictLargestLocked()
+		}
 	}
 	err := a.takeLocked(n)
 	b.mu.Unlock()
@@ -111,7 +121,7 @@
 	switch {
 	case a.evicted:
 		return ErrEvicted
-	case b.limit > 0 && b.used+n > b.limit:
+	case b.limit > 0 && b.used+n > a.limitLocked():
 		b.refusals.Inc()
 		return ErrFull
 	}
@@ -123,6 +133,13 @@
 func (a *Account) addLocked(n int64) {
 	a.bytes += n
 	a.budget.used += n
+	if a.caller != nil && !a.protected {
+		if a.bytes > 0 {
+			a.budget.callers[a] = struct{}{}
+		} else {
+			delete(a.budget.callers, a)
+		}
+	}
 	if o := a.budget.owners[a.owner]; o != nil {
 		o.bytes += n
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/coord/rowstore"
 	"daisyslip.dev/daisyslip/internal/bytebudget"
+	"daisyslip.dev/daisyslip/internal/connlimit"
 	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
@@ -71,6 +72,8 @@
 	// MemoryBytes is the memory limit above which the platform kills the
 	// process; 0 if there is none.
 	MemoryBytes int64
+	// MaxFDs is the number of file descriptors that the process may have; 0 if it is unknown.
+	MaxFDs int64
 	// Grace is the time between the signal to stop and the kill of the process.
 	Grace time.Duration
 	// ConfigWithin is the time within which a new configuration must be applied, and
@@ -110,6 +113,7 @@
 	draining   atomic.Bool
 
 	callerServer, readyServer, metricsServer *server
+	connections                              connectionGroups
 }
 
 // New assembles a router, which doesn't listen or run yet.
@@ -123,11 +127,13 @@
 	g.endpoints = endpoints.NewRegistry(ps.Heartbeat, g.clock, g.componentLog("endpoints"))
 	g.balancer = placement.NewBalancer(s.Placement, ps.Domain, g.clock, g.componentLog("placement"))
 	g.retries = retrybudget.New(g.clock, ps.Retries, g.countRouters)
+	budget := bytebudget.New(int64(keptBytesShare*float64(ps.MemoryBytes)), g.componentLog("ingress"), g.metrics)
+	g.connections = g.newConnectionGroups(ps, budget)
 	g.newPool(ps)
 	g.upstream = upstream.NewPool(s.Upstream, g.clock, g.metrics)
 	g.handler = ingress.NewHandler(s.Ingress, ingress.Dependencies{
 		Codec: p.Codec, Tables: g.tables, Endpoints: g.endpoints, Balancer: g.balancer, Retries: g.retries,
-		Bytes:   bytebudget.New(int64(keptBytesShare*float64(ps.MemoryBytes)), g.componentLog("ingress"), g.metrics),
+		Bytes:   budget,
 		Prepaid: g.prepaid, Upstream: g.upstream, Quarantine: g.quarantine, Limits: g.limits, Clock: g.clock, Log: g.componentLog("ingress"), Metrics: g.metrics,
 	})
 	g.registerGauges()
@@ -149,6 +155,7 @@
 		settings.Listen = ps.PeerAddr
 		g.link = peer.New(settings, bus.Peer{ID: self.ID, Domain: ps.Domain}, peer.Dependencies{
 			Directory: g.members, Clock: hlc.New(g.clock), Events: event.Discard{}, Metrics: g.metrics, Log: g.componentLog("peer"),
+			Connections: g.connections.peers,
 		})
 		peers = g.link
 	}
@@ -187,9 +194,12 @@
 	if ps.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(goHeapShare * float64(ps.MemoryBytes)))
 	}
-	g.callerServer = newServer("callers", g.handler, g.componentLog("ingress"))
-	g.readyServer = newServer("the balancer", g.readyHandler(), g.componentLog("ready"))
-	g.metricsServer = newServer("metrics", g.metricsHandler(), g.componentLog("metrics"))
+	g.callerServer = newServer("callers", g.handler, g.connections.callers, g.componentLog("ingress"))
+	g.readyServer = newServer("the balancer", g.readyHandler(), g.connections.ready, g.componentLog("ready"))
+	g.metricsServer = newServer("metrics", g.metricsHandler(), g.connections.metrics, g.componentLog("metrics"))
+	for _, s := range []*server{g.readyServer, g.metricsServer} {
+		s.http.ReadTimeout, s.http.WriteTimeout = headerTimeout, headerTimeout
+	}
 	err := errors.Join(g.callerServer.listen(ps.CallerAddr), g.readyServer.listen(ps.ReadyAddr), g.metricsServer.listen(ps.MetricsAddr))
 	if g.link != nil {
 		err = errors.Join(err, g.link.Provision())
@@ -302,6 +312,7 @@
 type server struct {
 	name     string // who it serves, for error messages
 	http     *http.Server
+	group    *connlimit.Group
 	listener net.Listener
 }
 
@@ -315,16 +326,18 @@
 
 // newServer returns a server that doesn't listen yet. Errors of single connections
 // are logged at the debug level.
-func newServer(name string, h http.Handler, log *slog.Logger) *server {
-	return &server{name: name, http: &http.Server{
+func newServer(name string, h http.Handler, group *connlimit.Group, log *slog.Logger) *server {
+	s := &server{name: name, group: group, http: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}}
+	group.Configure(s.http)
+	return s
 }
 
 // listen opens the listener on addr, which is host:port.
 func (s *server) listen(addr string) error {
-	listener, err := net.Listen("tcp", addr)
+	listener, err := s.group.Listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", s.name, err)
 	}
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -35,6 +35,7 @@
 		g.endpoints.Prune()
 		g.balancer.Prune()
 		g.limits.Prune()
+		g.connections.sweep()
 		g.Reload("interval")
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/internal/bytebudget"
 	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/connlimit"
 	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
@@ -112,7 +113,8 @@
 	if h.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{handler: h, writer: w, httpRequest: r, startedAt: h.deps.Clock.Now(), kept: h.deps.Bytes.Open("", nil)}
+	q := &request{handler: h, writer: w, httpRequest: r, startedAt: h.deps.Clock.Now(), conn: connlimit.FromContext(r.Context())}
+	q.kept = h.deps.Bytes.OpenCaller(q.conn)
 	defer q.kept.Close()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -147,6 +149,7 @@
 	}
 	if refused != nil {
 		q.writeRefusal(refused)
+		q.discardRemaining()
 	}
 	return refused
 }
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -73,6 +73,11 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.Overloaded), reason: fmt.Sprintf("no memory for the body after %d bytes", received), retryAfter: withJitter(overloadRetryDelay)}
 }
 
+// refuseStalled refuses a request whose body stopped after the given bytes.
+func refuseStalled(received int) *refusal {
+	return &refusal{status: http.StatusRequestTimeout, code: string(failure.Deadline), reason: fmt.Sprintf("body stopped after %d bytes", received)}
+}
+
 // refuseDraining refuses a request that may outlast the drain. The caller's retry
 // reaches another router.
 func refuseDraining() *refusal {
@@ -141,12 +146,15 @@
 // writeRefusal writes a refusal to the caller as JSON with the fields "error" (a
 // code of package failure) and "message".
 func (q *request) writeRefusal(r *refusal) {
-	if q.httpRequest.Context().Err() != nil {
+	if q.httpRequest.Context().Err() != nil && q.conn.Err() == nil { // the end of reads by a limit ends the context, too
 		q.disconnected = true
 		return
 	}
 	q.status = r.status
 	header := q.writer.Header()
+	if q.conn.Err() != nil {
+		header.Set("Connection", "close")
+	}
 	q.handler.deps.Codec.SetRequestID(header, q.params.ID)
 	if r.retryAfter > 0 {
 		q.handler.deps.Codec.SetRetryAfter(header, r.retryAfter)
@@ -162,6 +170,19 @@
 	}
 }
 
+// discardRemaining sends a refusal to a caller whose request a limit has ended, and discards what the
+// caller still sends. Otherwise the close of the connection could overtake the refusal.
+func (q *request) discardRemaining() {
+	if q.conn.Err() == nil || q.disconnected {
+		return
+	}
+	if err := http.NewResponseController(q.writer).Flush(); err != nil {
+		q.writeFailed(err)
+		return
+	}
+	q.conn.Discard(q.deadline)
+}
+
 // writeFailed records that a write to the caller failed. The connection is of no use any
 // more.
 func (q *request) writeFailed(err error) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -14,6 +14,7 @@
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/internal/bytebudget"
+	"daisyslip.dev/daisyslip/internal/connlimit"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
 	"daisyslip.dev/daisyslip/internal/routetable"
@@ -25,6 +26,7 @@
 	writer      http.ResponseWriter
 	httpRequest *http.Request
 	startedAt   time.Time
+	conn        *connlimit.Conn // nil if the connections have no limits
 
 	params    exchange.Request  // decoded from the headers
 	table     *routetable.Table // the configuration that applies to the request since its body was read
@@ -87,6 +89,10 @@
 	if refused := q.readBody(); refused != nil {
 		return refused
 	}
+	if !q.kept.Protect() || !q.conn.BeginServing() {
+		q.conn.Evict()
+		return refuseNoMemory(len(q.body))
+	}
 	// The body can take long, and the configuration can change meanwhile.
 	if table := h.deps.Tables.Load(); table != q.table {
 		q.table = table
@@ -136,8 +142,13 @@
 	limited := http.MaxBytesReader(q.writer, q.httpRequest.Body, maxBytes)
 	body, err := q.readWhole(limited, min(q.httpRequest.ContentLength, maxBytes))
 	var tooLarge *http.MaxBytesError
+	if errors.Is(err, bytebudget.ErrEvicted) {
+		q.conn.Evict() // the budget does it, too, but that may be late and meet the next request
+	}
 	switch {
-	case errors.Is(err, bytebudget.ErrFull):
+	case errors.Is(q.conn.Err(), connlimit.ErrStalled):
+		return refuseStalled(len(body))
+	case errors.Is(err, bytebudget.ErrFull), errors.Is(err, bytebudget.ErrEvicted), q.conn.Err() != nil:
 		q.kept.Close()
 		// A caller that still sends when its connection is closed may lose the refusal.
 		_, _ = io.Copy(io.Discard, limited) // it is refused in any case
@@ -268,6 +279,8 @@
 		level, outcome = slog.LevelWarn, "cut off"
 	case errors.Is(q.writeErr, os.ErrDeadlineExceeded):
 		level, outcome = slog.LevelWarn, "caller not reading"
+	case q.disconnected && q.conn.Err() != nil:
+		outcome = "closed by limits"
 	case q.disconnected:
 		outcome = "caller gone"
 		h.stats.callersDisconnected.Inc()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,6 +19,7 @@
 	"daisyslip.dev/daisyslip/coord/event"
 	"daisyslip.dev/daisyslip/coord/failure"
 	"daisyslip.dev/daisyslip/coord/hlc"
+	"daisyslip.dev/daisyslip/internal/connlimit"
 	"daisyslip.dev/daisyslip/internal/tlsfile"
 )
 
@@ -54,23 +55,26 @@
 	Events    event.Recorder
 	Metrics   *metrics.Set
 	Log       *slog.Logger
+	// Connections bounds the connections that are not authenticated yet; nil for no bound.
+	Connections *connlimit.Group
 }
 
 // Link is the peer link of a router. It implements bus.Bus and keeps one
 // connection per peer, which is dialed when a request needs it and closed when
 // idle. It is safe for concurrent use.
 type Link struct {
-	settings   Settings
-	directory  Directory
-	hlc        *hlc.Clock
-	events     event.Recorder
-	metrics    *linkMetrics
-	log        *slog.Logger
-	server     server
-	started    time.Time
-	scheme     string       // of dialed URLs, set by Provision
-	client     *http.Client // for dials; nil means http.DefaultClient
-	goroutines sync.WaitGroup
+	settings    Settings
+	directory   Directory
+	hlc         *hlc.Clock
+	events      event.Recorder
+	metrics     *linkMetrics
+	log         *slog.Logger
+	server      server
+	connections *connlimit.Group
+	started     time.Time
+	scheme      string       // of dialed URLs, set by Provision
+	client      *http.Client // for dials; nil means http.DefaultClient
+	goroutines  sync.WaitGroup
 
 	ctx  context.Context // ends with the link
 	stop context.CancelCauseFunc
@@ -99,7 +103,7 @@
 func New(s Settings, self bus.Peer, d Dependencies) *Link {
 	ctx, stop := context.WithCancelCause(context.Background())
 	l := &Link{
-		settings: s, self: self, secret: s.Secret, directory: d.Directory, hlc: d.Clock, events: d.Events, log: d.Log,
+		settings: s, self: self, secret: s.Secret, directory: d.Directory, hlc: d.Clock, events: d.Events, log: d.Log, connections: d.Connections,
 		metrics: newLinkMetrics(d.Metrics), started: time.Now(), ctx: ctx, stop: stop, scheme: schemePlain,
 		handlers: make(map[bus.Kind]bus.Handler), conns: make(map[bus.ID]*conn), dialing: make(map[bus.ID]*dialing),
 	}
@@ -339,7 +343,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	wrapped, err := l.settings.TLS.Wrap(listener)
+	wrapped, err := l.settings.TLS.Wrap(l.connections.Wrap(listener))
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for peers: %w", err), listener.Close())
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,8 +7,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/coder/websocket"
+
+	"daisyslip.dev/daisyslip/internal/connlimit"
 )
 
 // server accepts the connections of other routers. The zero value does nothing; a
@@ -27,10 +30,19 @@
 	s.http = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: l.settings.DialTimeout,
-		ErrorLog:          slog.NewLogLogger(l.log.Handler(), slog.LevelDebug),
+		// These end when a connection is upgraded.
+		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: requestTimeout, MaxHeaderBytes: maxHeadBytes,
+		ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelDebug),
 	}
+	l.connections.Configure(s.http)
 }
 
+// Bounds of HTTP requests, of which other routers send only one, for the upgrade to WebSocket.
+const (
+	requestTimeout = 5 * time.Second
+	maxHeadBytes   = 8 << 10
+)
+
 // run serves until close is called; it returns nil then.
 func (s *server) run() error {
 	if s.http == nil {
@@ -79,6 +91,7 @@
 		ws.CloseNow()
 		return
 	}
+	connlimit.FromContext(r.Context()).Release()
 	if _, err := l.install(ws, peer); err != nil {
 		l.log.Debug("authenticated peer connection closed, the link is stopping", "peer", peer.ID.String(), "err", err)
 	}
