Return the bytes of evicted requests only once they are freed

Cause: an eviction returned the bytes at once, before the goroutine of the connection had ended.

Change: evicted accounts of callers keep their bytes until they are closed. The account that grows waits for that, for at most a second, and is refused otherwise.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -36,6 +36,10 @@
 	owners  map[string]*owner
 	callers map[*Account]struct{} // accounts of callers that have bytes and may be evicted
 	opened  int64                 // number of accounts of callers opened so far
+	// releasing are the bytes of callers' accounts that were evicted and not closed yet, and
+	// waiting those that accounts wait for. changed is closed at an eviction or a release.
+	releasing, waiting int64
+	changed            chan struct{}
 }
 
 // owner is an endpoint with its open accounts.
@@ -60,7 +64,7 @@
 // which is 0, it only counts.
 func New(limit int64, log *slog.Logger, set *metrics.Set) *Budget {
 	b := &Budget{
-		limit: limit, log: log, owners: make(map[string]*owner), callers: make(map[*Account]struct{}),
+		limit: limit, log: log, owners: make(map[string]*owner), callers: make(map[*Account]struct{}), changed: make(chan struct{}),
 		evictions:       set.NewCounter("daisyslip_kept_bytes_evictions_total"),
 		callerEvictions: set.NewCounter("daisyslip_kept_bytes_caller_evictions_total"),
 		refusals:        set.NewCounter("daisyslip_kept_bytes_refusals_total"),
@@ -92,7 +96,7 @@
 }
 
 // Grow adds n bytes to the account. If there is no room, accounts of callers are evicted, see
-// chooseVictims. If that does not suffice, all accounts of the owner that holds most are
+// chooseVictims, and Grow waits until they are closed. If that does not suffice, all accounts of the owner that holds most are
 // evicted, provided that it holds a good part of the budget. The error is ErrFull or
 // ErrEvicted.
 func (a *Account) Grow(n int64) error {
@@ -103,9 +107,10 @@
 	b.mu.Lock()
 	var victims []*Account
 	if b.limit > 0 && b.used+n > a.limitLocked() {
-		if victims = b.evictCallersLocked(a, n); victims == nil {
-			victims = b.evictLargestLocked()
+		if victims, enough := b.evictCallersLocked(a, n); enough {
+			return a.waitLocked(n, victims)
 		}
+		victims = b.evictLargestLocked()
 	}
 	err := a.takeLocked(n)
 	b.mu.Unlock()
@@ -133,7 +138,7 @@
 func (a *Account) addLocked(n int64) {
 	a.bytes += n
 	a.budget.used += n
-	if a.caller != nil && !a.protected {
+	if a.caller != nil && !a.protected && !a.evicted {
 		if a.bytes > 0 {
 			a.budget.callers[a] = struct{}{}
 		} else {
@@ -178,6 +183,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if a.caller != nil && a.evicted && a.bytes > 0 {
+		b.releasing -= a.bytes
+		b.notifyLocked()
+	}
 	a.addLocked(-a.bytes)
 	if o := b.owners[a.owner]; o != nil {
 		delete(o.accounts, a)
--- a/internal/bytebudget/callers.go
+++ b/internal/bytebudget/callers.go
@@ -92,11 +92,15 @@
 	return nil
 }
 
-// evictCallersLocked evicts accounts of callers so that the account a can grow by n bytes. It returns
-// none if a was evicted or the accounts do not suffice.
-func (b *Budget) evictCallersLocked(a *Account, n int64) (victims []*Account) {
-	if a.evicted || a.protected || len(b.callers) == 0 {
-		return nil
+// evictCallersLocked evicts accounts of callers so that the account a can grow by n bytes once they
+// are closed. If the accounts do not suffice, it evicts none and enough is false.
+func (b *Budget) evictCallersLocked(a *Account, n int64) (victims []*Account, enough bool) {
+	if a.evicted || a.protected {
+		return nil, false
+	}
+	missing := b.used - b.releasing + b.waiting + n - b.limit
+	if missing <= 0 {
+		return nil, true
 	}
 	now := time.Now()
 	var candidates []candidate
@@ -105,11 +109,51 @@
 			candidates = append(candidates, candidate{account: other, bytes: other.bytes, number: other.number, idle: now.Sub(other.caller.LastProgress())})
 		}
 	}
-	for _, c := range chooseVictims(candidates, a.bytes+n, b.used+n-b.limit) {
-		c.account.addLocked(-c.bytes)
+	for _, c := range chooseVictims(candidates, a.bytes+n, missing) {
 		c.account.evicted = true
+		delete(b.callers, c.account)
+		b.releasing += c.bytes
 		b.callerEvictions.Inc()
 		victims = append(victims, c.account)
 	}
-	return victims
+	if victims != nil {
+		b.notifyLocked()
+	}
+	return victims, victims != nil
+}
+
+// releaseTime bounds the wait for evicted accounts to be closed, which takes as long as their
+// goroutines take to run.
+const releaseTime = time.Second
+
+// waitLocked evicts the victims and adds n bytes to the account once there is room. It unlocks b.mu.
+func (a *Account) waitLocked(n int64, victims []*Account) error {
+	b := a.budget
+	b.waiting += n
+	b.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+	timer := time.NewTimer(releaseTime)
+	defer timer.Stop()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer func() { b.waiting -= n }()
+	for expired := false; !expired && !a.evicted && b.used+n > b.limit; {
+		changed := b.changed
+		b.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		}
+		b.mu.Lock()
+	}
+	return a.takeLocked(n)
+}
+
+// notifyLocked wakes the accounts that wait.
+func (b *Budget) notifyLocked() {
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
--- a/internal/bytebudget/callers_test.go
+++ b/internal/bytebudget/callers_test.go
@@ -14,9 +14,16 @@
 type fakeCaller struct {
 	progress time.Time
 	evicted  bool
+	evict    func() // called once
 }
 
-func (f *fakeCaller) Evict() { f.evicted = true }
+func (f *fakeCaller) Evict() {
+	f.evicted = true
+	if f.evict != nil {
+		f.evict()
+		f.evict = nil
+	}
+}
 
 func (f *fakeCaller) LastProgress() time.Time { return f.progress }
 
@@ -48,8 +55,9 @@
 	assert.Assert(t, s.Protect())
 	assert.Assert(t, errors.Is(s.Grow(200), ErrFull))
 	assert.NilError(t, x.Grow(400))
+	stopped.evict = x.Close
 	assert.NilError(t, o.Grow(100))
-	assert.Assert(t, stopped.evicted && !served.evicted)
+	assert.Assert(t, stopped.evict == nil && !served.evicted)
 	assert.Assert(t, !x.Protect())
 	assert.Assert(t, errors.Is(o.Grow(400), ErrFull))
 	for _, a := range []*Account{s, x, o} {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -206,7 +206,8 @@
 		switch {
 		case victim != nil:
 			if victim.end(ErrEvicted, byNumber) {
-				_ = victim.Close() // closed in any case
+				_ = victim.Conn.Close() // its server calls Close once it has ended the request
+				g.remove(victim)
 			}
 		case wait == 0:
 			return g.holds(c)
@@ -294,7 +295,6 @@
 	group      *Group
 	acceptedAt time.Time
 	progressAt atomic.Int64 // Unix ns
-	closeOnce  sync.Once
 
 	mu        sync.Mutex // guards the fields below
 	phase     phase
@@ -544,11 +544,9 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.closeOnce.Do(func() {
-		c.group.remove(c)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.releaseLocked()
-	})
+	c.group.remove(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseLocked()
 	return err
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -91,7 +91,10 @@
 	}
 	if !q.kept.Protect() || !q.conn.BeginServing() {
 		q.conn.Evict()
-		return refuseNoMemory(len(q.body))
+		received := len(q.body)
+		q.body = nil
+		q.kept.Close()
+		return refuseNoMemory(received)
 	}
 	// The body can take long, and the configuration can change meanwhile.
 	if table := h.deps.Tables.Load(); table != q.table {
@@ -145,14 +148,18 @@
 	if errors.Is(err, bytebudget.ErrEvicted) {
 		q.conn.Evict() // the budget does it, too, but that may be late and meet the next request
 	}
+	received := len(body)
 	switch {
 	case errors.Is(q.conn.Err(), connlimit.ErrStalled):
-		return refuseStalled(len(body))
+		body = nil // before its bytes are returned
+		q.kept.Close()
+		return refuseStalled(received)
 	case errors.Is(err, bytebudget.ErrFull), errors.Is(err, bytebudget.ErrEvicted), q.conn.Err() != nil:
+		body = nil
 		q.kept.Close()
 		// A caller that still sends when its connection is closed may lose the refusal.
 		_, _ = io.Copy(io.Discard, limited) // it is refused in any case
-		return refuseNoMemory(len(body))
+		return refuseNoMemory(received)
 	case errors.As(err, &tooLarge):
 		return refuseTooLarge(maxBytes)
 	case err != nil:
