--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -45,7 +45,7 @@
 	LargeSendBytes = 2*largeSendBuffer - 2*smallSendBuffer
 	// freeHeadBytes of a head are part of ConnBytes. For each byte beyond it, headMemory bytes are
 	// drawn from the budget: 1,200 heads of 60,000 bytes in short lines took a process from 17 MB
-	// to 237 to 263 MB, 3.2 to 3.6 times their size.
+	// to 237 to 263 MB, 3.1 to 3.4 times their size.
 	freeHeadBytes = 4 << 10
 	headMemory    = 4
 	// progressBytes must arrive so that the time without progress begins anew.
