--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -36,6 +36,7 @@
 		g.balancer.Prune()
 		g.pace.Prune()
 		g.limits.Prune()
+		g.connections.sweep()
 		g.Reload("interval")
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"daisyslip.dev/daisyslip/coord/prepaid"
 	"daisyslip.dev/daisyslip/internal/bytebudget"
 	"daisyslip.dev/daisyslip/internal/check"
+	"daisyslip.dev/daisyslip/internal/connlimit"
 	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
@@ -114,7 +115,8 @@
 	defer h.inFlight.Add(-1)
 	h.deps.Load.Begin()
 	h.closeAfterResponse(w.Header())
-	q := &request{handler: h, writer: w, httpRequest: r, startedAt: h.deps.Clock.Now(), kept: h.deps.Bytes.Open("", nil)}
+	q := &request{handler: h, writer: w, httpRequest: r, startedAt: h.deps.Clock.Now(), conn: connlimit.FromContext(r.Context())}
+	q.kept = h.deps.Bytes.OpenCaller(q.conn)
 	defer q.kept.Close()
 	defer func() { h.deps.Load.End(int64(len(q.body))+q.written, q.writes) }()
 	ctx, cancel := context.WithCancel(r.Context())
@@ -150,6 +152,7 @@
 	}
 	if refused != nil {
 		q.writeRefusal(refused)
+		q.discardRemaining()
 	}
 	return refused
 }
--- a/internal/routerload/conn.go
+++ b/internal/routerload/conn.go
@@ -61,6 +61,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that is counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side. The HTTP server uses it, so that a caller that still
 // sends gets the response.
 func (c *conn) CloseWrite() error {
