Use no permit for a cold endpoint that arrives after its time

Cause: right before a request is sent, a router whose permit has expired asks for another one and sends with it whenever the response arrives. On a router that is short of processor time that can be long after the permit was granted, so that the request arrives together with those of later permits. The rate of permits is computed from their validity of 100 ms.

Change: the time is checked again after the response, by the longer of the monotonic and the wall clock, since a VM can be suspended meanwhile. Otherwise the request counts as not sent and goes to another endpoint.

TestPermitThatArrivesLateIsNotUsed failed before the change (the request was sent 101 ms after the permit was asked for) and passes after it. The rate at an endpoint: not measured.

--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/endpointlimit"
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/placement"
@@ -94,16 +95,24 @@
 
 // confirmPermit is called right before the first byte is sent. It reports whether the
 // endpoint of a is not cold, or there is a permit that is still valid. If the connection
-// took long to open, or the endpoint has turned cold meanwhile, it asks for another one.
+// took long to open, or the endpoint has turned cold meanwhile, it asks for another one,
+// whose response can also arrive after the permit's time.
 func (q *request) confirmPermit(a *attempt) bool {
 	d := q.handler.deps
 	if _, cold := d.Endpoints.Cold(a.endpoint); !cold {
 		return true
 	}
-	if !a.permittedAt.IsZero() && d.Clock.Now().Sub(a.permittedAt) <= endpointlimit.ColdPermitValidity {
+	if !a.permittedAt.IsZero() && q.permitValid(a.permittedAt) {
 		return true
 	}
-	return d.Limits.Acquire(a.ctx, startOf(a.endpoint))
+	permittedAt := d.Clock.Now()
+	return d.Limits.Acquire(a.ctx, startOf(a.endpoint)) && q.permitValid(permittedAt)
+}
+
+// permitValid reports whether a permit that was asked for at the given time may still be
+// used.
+func (q *request) permitValid(permittedAt time.Time) bool {
+	return clock.Elapsed(permittedAt, q.handler.deps.Clock.Now()) <= endpointlimit.ColdPermitValidity
 }
 
 // learnFailure records that the endpoint of an attempt may have restarted and be cold, if
--- a/internal/ingress/cold_test.go
+++ b/internal/ingress/cold_test.go
@@ -22,6 +22,8 @@
 	clock    *clock.Fake
 	registry *endpoints.Registry
 	request  *request
+	// permitTime is the time that passes while a permit is asked for.
+	permitTime time.Duration
 }
 
 func newColdPool() *coldPool {
@@ -33,7 +35,10 @@
 	limits := endpointlimit.New(endpointlimit.Options{
 		Bus: bus.NewNetwork().Join(bus.Peer{ID: self}), Clock: p.clock, Log: log, Metrics: metrics.NewSet(),
 		Cold: endpointlimit.ColdOptions{
-			Governor: func(string) (bus.ID, bool) { return self, true },
+			Governor: func(string) (bus.ID, bool) {
+				p.clock.Advance(p.permitTime)
+				return self, true
+			},
 			Rate: func(id string) (float64, bool, bool) {
 				_, cold := p.registry.Cold(endpoints.Endpoint{ID: id, Pool: "app"})
 				return 5, cold, true
@@ -113,3 +118,18 @@
 	outcome, _, _ := p.request.classifyNoResponse(t.Context(), fmt.Errorf("%w: %w", upstream.ErrNotSent, errNoPermit))
 	assert.Equal(t, outcome, notSent)
 }
+
+// TestPermitThatArrivesLateIsNotUsed guards against a request that is sent with a permit whose
+// time has passed when its response arrives, as on a router that is short of processor time.
+// Such requests arrive together with those of later permits.
+func TestPermitThatArrivesLateIsNotUsed(t *testing.T) {
+	p := newColdPool()
+	assert.Assert(t, !p.acquire(t, "i-2"), "the bucket begins empty")
+	p.clock.Advance(time.Second)
+	p.permitTime = endpointlimit.ColdPermitValidity + time.Millisecond
+	a := &attempt{ctx: t.Context(), endpoint: endpoints.Endpoint{ID: "i-2", Pool: "app"}, connected: make(chan struct{})}
+	assert.ErrorIs(t, p.request.beginSend(a), errNoPermit)
+	p.clock.Advance(time.Second)
+	p.permitTime = endpointlimit.ColdPermitValidity
+	assert.NilError(t, p.request.beginSend(a))
+}
