Keep the cold time of a response when an older entry is read

Cause: an endpoint that restarts under the same id says in a response that it is cold. Entries of its earlier start are up to 3 s old when they are read. The next one, with a higher sequence number and no cold time, ended the cold time that the response had stated, so the router sent its usual share until the entry of the new start was read. Responses that overtook each other could shorten the time as well.

Change: for 3 s after a response that states a cold time, entries of the same start and other responses only extend it. Entries that are read later decide again.

TestOlderEntryDoesNotEndColdTimeOfResponse failed before the change (not cold 1 s after a response that stated 8 s) and passes after it. The rate at an endpoint: not measured.

--- a/internal/endpoints/cold.go
+++ b/internal/endpoints/cold.go
@@ -7,6 +7,8 @@
 type coldState struct {
 	// statedUntil is the end of the time for which the endpoint says that it is cold.
 	statedUntil time.Time
+	// respondedAt is when the endpoint last said so in a response; zero without one.
+	respondedAt time.Time
 	// startedAt is when the endpoint was last observed to start, to return from an
 	// evacuation, or to state an invalid time.
 	startedAt time.Time
@@ -17,6 +19,11 @@
 	logged map[string]bool
 }
 
+// maxEntryAge is how old an entry can be when it is read, by the stated delay of the list
+// (docs/design/load.md). An entry that is read within this time after a response can have
+// been written before it.
+const maxEntryAge = 3 * time.Second
+
 // maxLoggedInvalid bounds the invalid times that are logged for one endpoint.
 const maxLoggedInvalid = 16
 
@@ -157,11 +164,17 @@
 }
 
 // MarkCold records that the start of an endpoint at startedMs has said in a response that
-// it is cold for d.
+// it is cold for d. Responses may overtake each other, so it does not shorten that time.
 func (r *Registry) MarkCold(id string, startedMs int64, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.entries[id]; e != nil && e.endpoint.StartedMs == startedMs {
+	e := r.entries[id]
+	if e == nil || e.endpoint.StartedMs != startedMs {
+		return
+	}
+	now := r.clock.Now()
+	e.cold.respondedAt = now
+	if now.Add(d).After(e.cold.statedUntil) {
 		r.statedColdLocked(e, d)
 	}
 }
@@ -209,7 +222,7 @@
 func (r *Registry) learnColdLocked(known *entry, read entryRead, before string) {
 	e := known.endpoint
 	if read.newStart {
-		known.cold.failedAt = time.Time{}
+		known.cold.failedAt, known.cold.respondedAt = time.Time{}, time.Time{}
 		if r.synced.Load() {
 			known.cold.startedAt = r.observedColdLocked()
 		}
@@ -225,7 +238,11 @@
 		r.logInvalidColdLocked(known)
 		return
 	}
-	r.statedColdLocked(known, e.ColdFor)
+	now := r.clock.Now()
+	responded := !known.cold.respondedAt.IsZero() && now.Sub(known.cold.respondedAt) <= maxEntryAge
+	if !responded || now.Add(e.ColdFor).After(known.cold.statedUntil) {
+		r.statedColdLocked(known, e.ColdFor)
+	}
 	if e.ColdFor == 0 && !read.newStart {
 		known.cold.failedAt = time.Time{}
 	}
--- a/internal/endpoints/cold_test.go
+++ b/internal/endpoints/cold_test.go
@@ -204,3 +204,30 @@
 	checkCold(t, r, c, 0)
 	assert.Equal(t, r.ColdCount(), 0)
 }
+
+// TestOlderEntryDoesNotEndColdTimeOfResponse guards against the usual share of requests to
+// an endpoint that says in a response that it is cold, because an entry that it wrote
+// before is read afterwards: entries are up to 3 s old. It also guards against an endpoint
+// that stays cold although entries written after that response say otherwise.
+func TestOlderEntryDoesNotEndColdTimeOfResponse(t *testing.T) {
+	r, c := newColdRegistry(t)
+	r.MarkCold("i-1", 500, 8*time.Second)
+	c.Advance(time.Second)
+	r.Set(entry(2))
+	checkCold(t, r, c, 7*time.Second)
+	r.MarkCold("i-1", 500, time.Second) // an earlier response that arrives late
+	checkCold(t, r, c, 7*time.Second)
+	longer := entry(3)
+	longer.ColdFor = 9 * time.Second
+	r.Set(longer)
+	checkCold(t, r, c, 9*time.Second)
+	c.Advance(4 * time.Second)
+	r.Set(entry(4))
+	checkCold(t, r, c, 0)
+
+	r.MarkCold("i-1", 500, time.Minute)
+	restarted := entry(1)
+	restarted.StartedMs++
+	r.Set(restarted)
+	checkCold(t, r, c, coldStart)
+}
