Learn no pace from the response of another endpoint

Cause: a response with status 421 carries the load of the endpoint that now has the address. Its slowness lowered the pace of the chosen endpoint, and made a pool active whose own endpoints report none, so that requests of that pool were placed otherwise than without paces. Balancer.Report already leaves out such loads.

Change: ObserveResponse ignores responses of another endpoint.

TestLoadOfAnotherEndpointDoesNotChangePace failed before the change (factor 0.16) and passes after it. Effect in a fleet: not measured.

--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -105,12 +105,13 @@
 
 // ObserveResponse records the head of a response for the pace of an endpoint. FirstByte
 // is the time from the send of the request to the head, or 0 if the response does not
-// show how fast the endpoint is. Streamed is set if events follow as they are made.
+// show how fast the endpoint is. Streamed is set if events follow as they are made. The
+// response of another endpoint shows nothing of this one.
 func (b *Balancer) ObserveResponse(e endpoints.Endpoint, firstByte time.Duration, streamed bool, response exchange.Response) {
-	if b.pace == nil {
+	if b.pace == nil || response.WrongInstance {
 		return
 	}
-	sample := pace.Sample{FirstByte: firstByte, Streamed: streamed, Refused: response.NotExecuted && !response.Leaving && !response.WrongInstance}
+	sample := pace.Sample{FirstByte: firstByte, Streamed: streamed, Refused: response.NotExecuted && !response.Leaving}
 	if response.Load != nil {
 		sample.Running, sample.Waiting, sample.Slots, sample.Slowness = response.Load.Running, response.Load.Waiting, response.Load.Slots, response.Load.Slowness
 		if response.Load.Slowness > 0 {
--- a/internal/placement/pace_test.go
+++ b/internal/placement/pace_test.go
@@ -234,3 +234,22 @@
 		assert.Check(t, affinity != 0 || len(chosen) == 3, "%v", chosen)
 	}
 }
+
+// TestLoadOfAnotherEndpointDoesNotChangePace guards against an endpoint that gets a low pace,
+// or a pool without slowness that gets paces at all, by the load of another endpoint that
+// responds at its address.
+func TestLoadOfAnotherEndpointDoesNotChangePace(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	log := slog.New(slog.DiscardHandler)
+	p := pace.New(fake, log, metrics.NewSet())
+	e := endpoints.Endpoint{ID: "i-1", Pool: "app", Slots: 8}
+	p.Replace([]endpoints.Endpoint{e})
+	b := placement.NewBalancer(placement.DefaultSettings(), "", fake, log)
+	b.SetPace(p)
+	for range 3 {
+		b.ObserveResponse(e, 0, false, exchange.Response{WrongInstance: true, Load: &exchange.Load{Slots: 8, Slowness: 900}})
+		fake.Advance(time.Second)
+	}
+	p.Observe("i-1", pace.Sample{Failed: true})
+	assert.Equal(t, p.Factor("i-1"), 1.0)
+}
