Log short cold times of an endpoint once

Cause: a cold time is logged when the one before it has passed. An endpoint that states a time shorter than the interval between its responses in each of them wrote one line for each.

Change: it is logged after 10 s without a stated cold time, and after a new start.

TestShortColdTimesAreLoggedOnce failed before the change (50 lines for 50 responses) and passes after it.

--- a/internal/endpoints/cold.go
+++ b/internal/endpoints/cold.go
@@ -186,11 +186,21 @@
 	return r.latestObserved
 }
 
+// minColdLogInterval is the time without a stated cold time after which another one is
+// logged. An endpoint can state short times in all of its responses.
+const minColdLogInterval = 10 * time.Second
+
 // statedColdLocked records that an endpoint says that it is cold for d from now on, or not
 // cold if d is 0.
 func (r *Registry) statedColdLocked(e *entry, d time.Duration) {
 	now := r.clock.Now()
-	if d > 0 && !now.Before(e.cold.statedUntil) && r.coldStartOf(e.endpoint.Pool) > 0 {
+	if d <= 0 {
+		if now.Before(e.cold.statedUntil) {
+			e.cold.statedUntil = now
+		}
+		return
+	}
+	if now.Sub(e.cold.statedUntil) >= minColdLogInterval && r.coldStartOf(e.endpoint.Pool) > 0 {
 		r.log.Info("endpoint says that it is cold", "endpoint", e.endpoint.ID, "pool", e.endpoint.Pool, "for_ms", d.Milliseconds())
 	}
 	e.cold.statedUntil = now.Add(d)
@@ -222,7 +232,7 @@
 func (r *Registry) learnColdLocked(known *entry, read entryRead, before string) {
 	e := known.endpoint
 	if read.newStart {
-		known.cold.failedAt, known.cold.respondedAt = time.Time{}, time.Time{}
+		known.cold.statedUntil, known.cold.respondedAt, known.cold.failedAt = time.Time{}, time.Time{}, time.Time{}
 		if r.synced.Load() {
 			known.cold.startedAt = r.observedColdLocked()
 		}
--- a/internal/endpoints/cold_test.go
+++ b/internal/endpoints/cold_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,3 +233,26 @@
 	r.Set(restarted)
 	checkCold(t, r, c, coldStart)
 }
+
+// TestShortColdTimesAreLoggedOnce guards against a log line for each response of an endpoint
+// that always states a cold time shorter than the time between its responses, and against
+// an endpoint that turns cold without a log line.
+func TestShortColdTimesAreLoggedOnce(t *testing.T) {
+	var log strings.Builder
+	c := clock.NewFake(time.Unix(1000, 0))
+	r := endpoints.NewRegistry(time.Second, c, slog.New(slog.NewTextHandler(&log, nil)))
+	r.SetColdStart(func(string) time.Duration { return coldStart })
+	r.Replace([]endpoints.Endpoint{entry(1)})
+	lines := func() int { return strings.Count(log.String(), "says that it is cold") }
+	for range 50 {
+		r.MarkCold("i-1", 500, time.Millisecond)
+		c.Advance(10 * time.Millisecond)
+	}
+	assert.Equal(t, lines(), 1)
+	for i := range int64(10) {
+		c.Advance(2 * time.Second)
+		r.Set(entry(2 + i))
+	}
+	r.MarkCold("i-1", 500, time.Second)
+	assert.Equal(t, lines(), 2)
+}
