Take an unreachable endpoint for cold while the router is overloaded

Cause: a failed attempt makes an endpoint count as cold by what the attempt shows of it, which an overloaded router replaces by "inconclusive" so that it ejects no endpoint by its own fault.

Change: the outcome before that replacement decides. Ejections stay as they are.

TestUnreachableEndpointIsColdForOverloadedRouter failed before the change (not cold) and passes after it. Requests at a cold endpoint, and permits asked for by an overloaded router: not measured.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -186,8 +186,8 @@
 	a.cancel()
 	a.kept.Close()
 	a.ended = true
-	observation = q.handler.weigh(outcome, observation)
-	q.handler.deps.Balancer.End(a.choice, observation)
+	q.handler.deps.Balancer.End(a.choice, q.handler.weigh(outcome, observation))
+	// An endpoint that may be cold needs the limit, whatever the load of this router.
 	q.learnFailure(a, outcome, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
