End an attempt whose handler panics

Cause: a panic in the handler ends the request without a call of Balancer.End. Placement by expected completion takes an attempt without output tokens for the sign of a queue as long as the attempt is silent. Such an attempt stays silent for good, so the endpoint gets no more streams of this router. A probe of an ejected endpoint does not end either, and memory that the attempt holds is not returned.

Change: the attempt is ended as inconclusive. Its connection is interrupted but not aborted, since it may be back in the pool.

No input that makes the handler panic is known.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -81,7 +81,13 @@
 func (q *request) sendWithRetries(ctx context.Context) *refusal {
 	h := q.handler
 	q.excluded = make(map[string]bool)
-	defer q.dropTakeover() // of an attempt that panicked
+	var current *attempt
+	defer func() {
+		if current != nil && !current.ended { // it panicked
+			q.endAttempt(current, notNeeded, placement.Inconclusive)
+		}
+	}()
+	defer q.dropTakeover() // before that, as it uses the state of the request
 	for {
 		a, started := q.accepted, true
 		if q.accepted = nil; a != nil {
@@ -93,6 +99,7 @@
 			}
 			started = false
 		}
+		current = a
 		outcome, observation, err := q.attempt(ctx, a, started)
 		q.endAttempt(a, outcome, observation)
 		switch outcome {
--- a/internal/ingress/open_test.go
+++ b/internal/ingress/open_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/internal/bytebudget"
 	"daisyslip.dev/daisyslip/internal/endpoints"
+	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/routetable"
 )
 
 // TestEndpointThatLeavesWhileConnectingGetsNoRequest guards against a request that is sent to
@@ -47,3 +53,24 @@
 	registry.SetEvacuated([]string{"b"})
 	assert.NilError(t, q.beginSend(&attempt{endpoint: e, connected: make(chan struct{})}))
 }
+
+// TestPanickedAttemptIsNotInFlight guards against an endpoint that gets no more requests of
+// this router since the balancer counts a silent attempt there whose handler panicked.
+func TestPanickedAttemptIsNotInFlight(t *testing.T) {
+	p := newColdPool()
+	log := slog.New(slog.DiscardHandler)
+	deps := &p.request.handler.deps
+	deps.Log, deps.Bytes = log, bytebudget.New(0, log, metrics.NewSet())
+	deps.Balancer = placement.NewBalancer(placement.DefaultSettings(), "zone-a", p.clock, log)
+	func() {
+		defer func() { assert.Assert(t, recover() != nil) }()
+		p.request.httpRequest, p.request.table = httptest.NewRequest(http.MethodPost, "/", nil), &routetable.Table{}
+		p.request.sendWithRetries(t.Context()) // without a route
+	}()
+	assert.Equal(t, len(p.request.excluded), 1, "no attempt was begun")
+	for id := range p.request.excluded {
+		choice, ok := deps.Balancer.Begin([]endpoints.Endpoint{{ID: id, Pool: "app"}}, placement.Request{}, nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Load, 0.0)
+	}
+}
