--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -81,7 +81,13 @@
 func (q *request) sendWithRetries(ctx context.Context) *refusal {
 	h := q.handler
 	q.excluded = make(map[string]bool)
-	defer q.dropTakeover() // of an attempt that panicked
+	var current *attempt
+	defer func() {
+		if current != nil && !current.ended { // it panicked
+			q.endAttempt(current, notNeeded, placement.Inconclusive)
+		}
+	}()
+	defer q.dropTakeover() // before that, as it uses the state of the request
 	for {
 		a, started := q.accepted, true
 		if q.accepted = nil; a != nil {
@@ -93,6 +99,7 @@
 			}
 			started = false
 		}
+		current = a
 		outcome, observation, err := q.attempt(ctx, a, started)
 		q.endAttempt(a, outcome, observation)
 		switch outcome {
@@ -186,8 +193,8 @@
 	a.cancel()
 	a.kept.Close()
 	a.ended = true
-	observation = q.handler.weigh(outcome, observation)
-	q.handler.deps.Balancer.End(a.choice, observation)
+	q.handler.deps.Balancer.End(a.choice, q.handler.weigh(outcome, observation))
+	// An endpoint that may be cold needs the limit, whatever the load of this router.
 	q.learnFailure(a, outcome, observation)
 	if outcome.mayHaveExecuted() {
 		q.executions++
