End withdrawals once the routers of the fleet reach an eighth of the time

Cause: the time withdrawn was checked only when a withdrawal began, and with its least time of 2.5 s. One that began just below the bound went on for up to 10 s, and so did all others. The test allowed 10 s for each of them.

Change: a withdrawal ends after its least time once the routers reach the bound, and those that have begun count with their least time before another begins. The test allows only the time of a notice for each router that may be withdrawn; it failed before.

--- a/internal/routerload/monitor.go
+++ b/internal/routerload/monitor.go
@@ -78,6 +78,7 @@
 		withdraws:  o.Metrics.NewCounter("daisyslip_router_withdrawals_total"),
 		notAllowed: o.Metrics.NewCounter("daisyslip_router_withdrawals_denied_total"),
 	}
+	m.quota.shortest = o.Settings.MinWithdrawn
 	o.Metrics.NewGauge("daisyslip_router_overloaded", func() float64 { return gauge(m.Overloaded()) })
 	o.Metrics.NewGauge("daisyslip_router_withdrawn", func() float64 { return gauge(m.Withdrawn()) })
 	for r := range resources {
--- a/internal/routerload/quota.go
+++ b/internal/routerload/quota.go
@@ -49,6 +49,8 @@
 	self    bus.ID
 	domain  string
 	periods map[bus.ID][]period
+	// shortest is how long a withdrawal lasts at least.
+	shortest time.Duration
 }
 
 // period is a withdrawal of one router.
@@ -61,7 +63,7 @@
 
 // NewQuota returns the quota of a router in a failure domain.
 func NewQuota(self bus.ID, domain string) *Quota {
-	return &Quota{self: self, domain: domain, periods: make(map[bus.ID][]period)}
+	return &Quota{self: self, domain: domain, periods: make(map[bus.ID][]period), shortest: minWithdrawn}
 }
 
 // Record records the notice of a router that was made at a time.
@@ -119,7 +121,7 @@
 			continue
 		}
 		for _, p := range list {
-			if from, to := later(p.from, now.Add(-fleetWindow)), earlier(p.to, now); to.After(from) {
+			if from, to := later(p.from, now.Add(-fleetWindow)), q.endOf(p, now); to.After(from) {
 				total += to.Sub(from)
 			}
 			if now.Sub(p.from) < startWindow {
@@ -133,30 +135,35 @@
 			}
 		}
 	}
+	share := time.Duration(fleetShare * float64(fleetWindow) * float64(len(fleet.Listed)))
 	switch {
 	case others >= max(int(domainShare*float64(fleet.DomainSize)), 1):
 		return false, "quota of the domain"
+	case w.Withdrawn && now.Sub(w.Since) >= q.shortest && total >= share:
+		return false, "time withdrawn of the fleet"
 	case w.Withdrawn:
 		return true, ""
 	case claims > 0:
 		return false, "another router of the domain withdraws now"
 	case starts >= maxStarts:
 		return false, "withdrawals in a short time"
-	case float64(total+minWithdrawn) > fleetShare*float64(fleetWindow)*float64(len(fleet.Listed)):
+	case total+q.shortest > share:
 		return false, "time withdrawn of the fleet"
 	}
 	return true, ""
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// endOf returns until when a period counts at the time now: if it goes on, until the router may
+// return.
+func (q *Quota) endOf(p period, now time.Time) time.Time {
+	if p.returned || !now.Before(p.to) {
+		return p.to
 	}
-	return b
+	return later(now, p.from.Add(q.shortest))
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
 		return a
 	}
 	return b
--- a/internal/routerload/quota_test.go
+++ b/internal/routerload/quota_test.go
@@ -71,8 +71,8 @@
 					if n := len(samples) - int(fleetWindow/sampleInterval); n > 0 {
 						total -= samples[n-1]
 					}
-					// A withdrawal that is permitted at the bound lasts up to maxWithdrawn.
-					bound := fleetWindow/8*time.Duration(routers) + maxWithdrawn*time.Duration(quota)
+					// Each withdrawal is known to the others too late by the time of its notice.
+					bound := fleetWindow/8*time.Duration(routers) + claimTime*time.Duration(quota)
 					assert.Assert(t, total <= bound, "routers %d, delay %s: %s in a minute", routers, delay, total)
 				})
 			}
