Bound the measured use of a link by what the link carries

Cause: the bytes of a body that is written in one call are counted in one sample of 50 ms. One of 2 MiB showed as a use of 1.64 of a link of 10 Mbit/s in the running mean and made an idle router overloaded; one of 4 MiB did so for more than a second.

Change: a sample shows a use of 1 of a direction of the link at most. The added test fails without it.

--- a/internal/routerload/decide.go
+++ b/internal/routerload/decide.go
@@ -184,7 +184,11 @@
 		if Resource(r) == Processor {
 			work, demand = work*s.ProcessorScale, demand*s.ProcessorScale
 		}
-		u.Rate += weight(seconds, rateMemory) * (work/seconds - u.Rate)
+		rate := work / seconds
+		if Resource(r) != Processor {
+			rate = min(rate, 1) // a body that is written at once is counted in one sample
+		}
+		u.Rate += weight(seconds, rateMemory) * (rate - u.Rate)
 		u.Backlog = min(max(u.Backlog+demand*float64(sample.Started)-seconds, 0), demand*float64(sample.InFlight))
 		u.Pressure = u.Backlog + horizon*(max(u.Rate, demand*s.Arrivals)-settings.TargetUse)
 		pressed = pressed || u.Pressure > settings.EnterBacklog
--- a/internal/routerload/decide_test.go
+++ b/internal/routerload/decide_test.go
@@ -154,3 +154,15 @@
 		assert.Equal(t, Next(DefaultSettings(), c, State{}, Sample{Interval: sampleInterval, InFlight: 9999}).Level, Normal)
 	}
 }
+
+// TestBodyWrittenAtOnceIsNoOverload guards against a body that is written in one call, and so
+// counted in one sample, and shows as many times what the link can carry.
+func TestBodyWrittenAtOnceIsNoOverload(t *testing.T) {
+	s := newChat(smallVM)
+	s.play(12, 5*time.Second)
+	for _, sample := range []Sample{{InFlight: 1, BytesOut: 4 << 20, Calls: 1}, {InFlight: 1, BytesIn: 4 << 20, Calls: 1}} {
+		sample.Interval = sampleInterval
+		next := Next(DefaultSettings(), smallVM, s.state, sample)
+		assert.Equal(t, next.Level, Normal, "%+v", next)
+	}
+}
