Forget the work of past requests without traffic

Cause: without traffic the mean work of a request was kept. After bodies of 4 MiB, 12 requests of 9 KB per second a minute later made an idle router overloaded at the first request.

Change: requests that are forgotten without others in their place give way to the assumed ones, so the estimate returns to the assumption with the same time constant of 10 s. The added test fails without it.

--- a/internal/routerload/decide.go
+++ b/internal/routerload/decide.go
@@ -161,25 +161,25 @@
 		return s
 	}
 	s.InFlight = sample.InFlight
+	assumed := c.served(assumedRequests, assumedRequests*assumedBytes, assumedRequests*assumedWrites)
 	s.Arrivals += weight(seconds, rateMemory) * (float64(sample.Started)/seconds - s.Arrivals)
 	if s.Requests == 0 {
 		s.Requests = assumedRequests
-		for r, work := range c.served(assumedRequests, assumedRequests*assumedBytes, assumedRequests*assumedWrites) {
+		for r, work := range assumed {
 			s.Uses[r].Done = work
 		}
 	}
 	forget := math.Exp(-seconds / demandMemory)
-	if s.Requests*forget < assumedRequests {
-		forget = min(assumedRequests/s.Requests, 1) // keeps the estimate while there is no traffic
-	}
-	s.Requests = s.Requests*forget + float64(sample.Ended)
+	// Requests that are forgotten without others in their place give way to the assumed ones.
+	refill := max(1-s.Requests*forget/assumedRequests, 0)
+	s.Requests = s.Requests*forget + refill*assumedRequests + float64(sample.Ended)
 	s.ProcessorScale = s.nextScale(seconds)
 	s.Occupied = max(share(requestMemory*sample.InFlight, c.MemoryBytes), share(requestFiles*sample.InFlight, c.FileDescriptors))
 	pressed, relieved := s.Occupied > maxOccupied, s.Occupied < occupiedRelieved
 	served := c.served(sample.Ended, sample.ServedBytes, sample.ServedWrites)
 	for r, work := range c.work(sample.BytesIn, sample.BytesOut, sample.Calls, sample.Ended) {
 		u := &s.Uses[r]
-		u.Done = u.Done*forget + served[r]
+		u.Done = u.Done*forget + refill*assumed[r] + served[r]
 		demand := u.Done / s.Requests
 		if Resource(r) == Processor {
 			work, demand = work*s.ProcessorScale, demand*s.ProcessorScale
--- a/internal/routerload/decide_test.go
+++ b/internal/routerload/decide_test.go
@@ -166,3 +166,15 @@
 		assert.Equal(t, next.Level, Normal, "%+v", next)
 	}
 }
+
+// TestLargeRequestsOfThePastAreForgotten guards against an overload by small requests because the
+// last ones, a minute ago, were large.
+func TestLargeRequestsOfThePastAreForgotten(t *testing.T) {
+	s := newChat(smallVM)
+	s.request = 4 << 20
+	s.play(0.2, 30*time.Second)
+	s.play(0, time.Minute)
+	assert.Equal(t, s.state.Level, Normal, "%+v", s.state)
+	s.request = 9 << 10
+	assert.Equal(t, s.play(12, 10*time.Second), int64(0), "%+v", s.state)
+}
