Withdraw no readiness while a router starts or stops

Cause: the load of a router that has no configuration yet, or that drains, led to withdrawals. Timers are late while a router starts on a small VM. Such a withdrawal used up the quota of the domain and the time of the fleet, and kept a router that had just started out of rotation for up to 10 s more.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -287,8 +287,11 @@
 // Ready reports whether the load balancer should open connections to this router.
 // It has to have a configuration and a complete list of endpoints, and not drain or be
 // withdrawn because of its load.
-func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && !g.load.Withdrawn() && g.tables.Load() != nil && g.endpoints.Synced()
+func (g *Gateway) Ready() bool { return g.serving() && !g.load.Withdrawn() }
+
+// serving reports whether this router is ready but for its load.
+func (g *Gateway) serving() bool {
+	return !g.draining.Load() && g.tables.Load() != nil && g.endpoints.Synced()
 }
 
 // readyHandler responds to readiness checks with 200 or 503.
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -20,6 +20,7 @@
 		Fleet: func() routerload.Fleet {
 			return routerload.Fleet{Listed: g.members.Listed(), DomainSize: g.members.DomainSize()}
 		},
+		Serving: g.serving,
 		Publish: func(n routerload.Notice) { g.gossip.Publish(topicLoad, "", gossip.Encode(n)) },
 		Clock:   g.clock, Log: log, Metrics: g.metrics,
 	})
--- a/internal/routerload/monitor.go
+++ b/internal/routerload/monitor.go
@@ -39,6 +39,9 @@
 	Domain string
 	// Fleet returns the members that are known.
 	Fleet func() Fleet
+	// Serving reports whether the router is in rotation but for its load: it has started and
+	// does not stop. Nil stands for a router that always is.
+	Serving func() bool
 	// Publish tells the other routers of a change.
 	Publish func(Notice)
 	Clock   clock.Clock
@@ -179,6 +182,12 @@
 		fleet = m.options.Fleet()
 		allowed, denied = m.quota.Allows(now, m.withdrawal, fleet)
 	}
+	if m.options.Serving != nil && !m.options.Serving() {
+		allowed, denied = false, "" // there is no readiness to withdraw
+		if !m.withdrawal.Withdrawn {
+			m.withdrawal.Since = now // once it serves, it stays ready for minReady
+		}
+	}
 	withdrawal := m.withdrawal.Next(m.options.Settings, now, m.state.Level, allowed, rand.Uint32())
 	changed := withdrawal.Withdrawn != m.withdrawal.Withdrawn
 	lasted := now.Sub(m.withdrawal.Since)
