Refuse connections with 503 when all others are served

Cause: a connection that found no room was closed without a statement, so its client could not know that nothing ran. connlimit also found its connections only below crypto/tls.

Change: up to 16 such connections at a time get 503 before they are closed. Connections are found below any wrapper with NetConn.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -64,6 +64,8 @@
 	closed [len(reasons)]*metrics.Counter
 	logged uint64       // connections closed by limits that the log has; used by Sweep only
 	large  atomic.Int64 // served connections with a large send buffer
+	// refusing is the number of connections to which a refusal is being sent.
+	refusing atomic.Int64
 
 	mu    sync.Mutex // guards the field below; taken before that of a connection
 	conns map[*Conn]struct{}
@@ -161,11 +163,17 @@
 
 // unwrap returns the connection of the group below nc, or nil.
 func unwrap(nc net.Conn) *Conn {
-	if t, ok := nc.(*tls.Conn); ok {
-		nc = t.NetConn()
+	for nc != nil {
+		if c, ok := nc.(*Conn); ok {
+			return c
+		}
+		outer, ok := nc.(interface{ NetConn() net.Conn }) // as *tls.Conn
+		if !ok {
+			return nil
+		}
+		nc = outer.NetConn()
 	}
-	c, _ := nc.(*Conn)
-	return c
+	return nil
 }
 
 type listener struct {
@@ -189,10 +197,39 @@
 		if l.admit(c) {
 			return c, nil
 		}
-		_ = nc.Close() // refused in any case
+		l.group.refuse(c)
 	}
 }
 
+// Bounds of the refusals that are sent at the same time. Further connections are closed at once.
+const (
+	maxRefusing = 16
+	refuseTime  = 250 * time.Millisecond
+)
+
+// refusal states that no request of the connection runs.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refuse sends a refusal on c, without waiting for a request, and closes c.
+func (g *Group) refuse(c *Conn) {
+	if g.refusing.Add(1) > maxRefusing {
+		g.refusing.Add(-1)
+		_ = c.Conn.Close() // refused in any case
+		return
+	}
+	go func() {
+		defer g.refusing.Add(-1)
+		defer c.Conn.Close()
+		until := time.Now().Add(refuseTime)
+		if c.Conn.SetDeadline(until) != nil {
+			return
+		}
+		if _, err := io.WriteString(c.Conn, refusal); err == nil && c.CloseWrite() == nil {
+			c.Discard(until)
+		}
+	}()
+}
+
 func (l *listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
 	return l.Listener.Close()
@@ -422,7 +459,7 @@
 	} else {
 		c.group.large.Add(-1)
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error })
 	if ok && size != c.sendSize {
 		c.sendSize = size
 		_ = tcp.SetWriteBuffer(size) // it fails only if the connection is closed
@@ -535,7 +572,7 @@
 // CloseWrite closes the sending side, which net/http does before it closes a connection whose client
 // may still send.
 func (c *Conn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -110,3 +110,21 @@
 	assert.Assert(t, strings.HasSuffix(string(text), "done"), "%q", text)
 	s.waitFor(t, `daisyslip_connections_closed_total{listener="test",reason="number"} 18`)
 }
+
+// TestRefusedConnectionGetsUnavailable guards against a connection that is closed without the statement that nothing
+// ran, and against a bound that is exceeded when all connections are served.
+func TestRefusedConnectionGetsUnavailable(t *testing.T) {
+	release, began := make(chan struct{}), make(chan struct{}, 1)
+	s := startServer(t, connlimit.Bounds{Conns: 1, LargeSends: 1}, 1<<20, func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, connlimit.FromContext(r.Context()).BeginServing())
+		began <- struct{}{}
+		<-release
+	})
+	defer close(release)
+	s.dial(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-began
+	text, err := io.ReadAll(s.dial(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(text), "HTTP/1.1 503 "), "%q", text)
+	s.waitFor(t, `daisyslip_connections{listener="test"} 1`)
+}
