Wake accounts that wait for room when their connection ends

Cause: a connection that was closed for the number of connections kept waiting for room in the byte budget, for up to a second, and with it its goroutine and its bytes.

Change: the end of a connection revokes the account of its head, which ends the wait.

--- a/internal/bytebudget/callers.go
+++ b/internal/bytebudget/callers.go
@@ -61,6 +61,26 @@
 	return a.budget.limit
 }
 
+// Revoke evicts the account, whose connection has ended, so that Grow waits no longer.
+func (a *Account) Revoke() {
+	b := a.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !a.evicted && !a.protected {
+		a.markEvictedLocked()
+		b.notifyLocked()
+	}
+}
+
+func (a *Account) markEvictedLocked() {
+	a.evicted = true
+	delete(a.budget.callers, a)
+	a.budget.releasing += a.bytes
+}
+
 // candidate is an account of a caller that may be evicted.
 type candidate struct {
 	account *Account
@@ -110,9 +130,7 @@
 		}
 	}
 	for _, c := range chooseVictims(candidates, a.bytes+n, missing) {
-		c.account.evicted = true
-		delete(b.callers, c.account)
-		b.releasing += c.bytes
+		c.account.markEvictedLocked()
 		b.callerEvictions.Inc()
 		victims = append(victims, c.account)
 	}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -527,6 +527,9 @@
 	}
 	if c.ended == nil {
 		c.ended = err
+		if c.account != nil {
+			c.account.Revoke()
+		}
 		c.group.closed[why].Inc()
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // it fails only if the connection is closed
 	}
