--- a/internal/connlimit/choose.go
+++ b/internal/connlimit/choose.go
@@ -51,7 +51,7 @@
 
 // choose returns the index of the connection to close so that another one can be accepted. If none
 // may be closed yet, the index is -1 and wait is the time until one may, or 0 if there is none. It
-// responds to clients that open connections and do not complete requests on them: of equal rank, the
+// responds to callers that open connections and do not complete requests on them: of equal rank, the
 // one with the largest head is closed, then the newest.
 func choose(views []view, grace time.Duration) (index int, wait time.Duration) {
 	index = -1
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -168,7 +168,7 @@
 	return true
 }
 
-// Release removes the connection from its group: its client is trusted from now on.
+// Release removes the connection from its group: its other side is trusted from now on.
 func (c *Conn) Release() {
 	if c == nil {
 		return
@@ -222,7 +222,7 @@
 	return true
 }
 
-// Discard reads and drops what the client still sends after a limit has ended reads, until it closes
+// Discard reads and drops what the caller still sends after a limit has ended reads, until it closes
 // the connection, stops for stalledAfter, or the time until is reached.
 func (c *Conn) Discard(until time.Time) {
 	if c == nil {
@@ -258,7 +258,7 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// CloseWrite closes the sending side, which net/http does before it closes a connection whose client
+// CloseWrite closes the sending side, which net/http does before it closes a connection whose caller
 // may still send.
 func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/endpoints/validate.go
+++ b/internal/endpoints/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 )
 
 const (
@@ -46,3 +47,15 @@
 	a, err := netip.ParseAddrPort(address)
 	return err == nil && a.Port() != 0 && a.Addr().Zone() == "" && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
 }
+
+// maxCold bounds the time for which an endpoint can be cold.
+const maxCold = 10 * time.Minute
+
+// ColdTime returns the time for which an endpoint says that it is still cold, in
+// milliseconds, and whether that is a valid time.
+func ColdTime(ms float64) (left time.Duration, valid bool) {
+	if !(ms >= 0 && ms <= float64(maxCold.Milliseconds())) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -52,3 +52,12 @@
 // ColdBounds bound the requests to a cold endpoint in any second: as many as the endpoint
 // tolerates times Overshoot, and Slack more.
 type ColdBounds struct{ Overshoot, Slack float64 }
+
+// NewColdBounds returns the bounds that the platform states. Without them, an endpoint gets
+// no more than it tolerates.
+func NewColdBounds(overshoot, slack float64) ColdBounds {
+	if !(overshoot > 0) {
+		overshoot = 1
+	}
+	return ColdBounds{Overshoot: overshoot, Slack: max(slack, 0)}
+}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -9,8 +9,8 @@
 const bytesPerMegabit = 1e6 / 8
 
 // payloadShare is the share of a link that carries the bytes of callers and endpoints. The rest is
-// for packet headers, handshakes, the store and other routers, which are not counted: on a day with
-// a crowd, a router at a counted use of 0.64 to 0.8 had 220 to 364 requests in flight.
+// for packet headers, handshakes, the store and other routers, which are not counted. Routers at a
+// counted use of 0.64 to 0.8 had 220 to 364 requests in flight.
 const payloadShare = 0.75
 
 // newLoad creates the monitor of this router's load and subscribes to what it needs.
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -14,8 +14,7 @@
 	"time"
 )
 
-// Parameters of Next. They are set by hand; docs/design/pace.md has the figures of the
-// simulation that they were checked with.
+// Parameters of Next, for endpoints whose requests come from about 70 routers.
 const (
 	// MinFactor is the factor of an endpoint that has just started. A tenth of the
 	// usual share is below the rate that a cold endpoint tolerates.
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -53,8 +53,7 @@
 	FirstRatio float64
 }
 
-// Properties of engines that the estimates use, measured at the engines of the known
-// deployments. Differences between endpoints are learnt; see speed.
+// Properties of typical engines that the estimates use. Differences between endpoints are learnt; see speed.
 const (
 	// baseStepMs and runningStepMs are the time of one step, in which each running
 	// request gets one token: 3.5 to 5 ms, plus 0.037 ms for each running request.
@@ -62,8 +61,8 @@
 	runningStepMs = 0.037
 	// prefillTokensPerMs is the rate at which prompts are read: 36 to 50 tokens per ms.
 	prefillTokensPerMs = 43
-	// prefillChunkTokens is the part of a prompt that is read between two steps. It is
-	// an assumption; a step takes about a third of the time of such a part.
+	// prefillChunkTokens is the part of a prompt that is read between two steps. A
+	// step takes about a third of the time of such a part.
 	prefillChunkTokens = 512
 )
 
--- a/internal/routerload/decide.go
+++ b/internal/routerload/decide.go
@@ -141,8 +141,8 @@
 )
 
 // What a request in flight takes, wherever it waits, and the shares of the limits at which that
-// is an overload. A connection costs up to 150 KB in the trial of section 1.7 of the page on
-// load; 64 KB are those of a usual request, its goroutines and the buffers of its connections.
+// is an overload. 64 KB are those of a usual request, its goroutines and the buffers of its
+// connections.
 const (
 	requestMemory    = 64 << 10
 	requestFiles     = 2
--- a/internal/routerload/settings.go
+++ b/internal/routerload/settings.go
@@ -20,8 +20,8 @@
 	// EnterLateness and ExitLateness are the thresholds of the mean lateness of a timer.
 	EnterLateness time.Duration `json:"enter_lateness"`
 	ExitLateness  time.Duration `json:"exit_lateness"`
-	// MinWithdrawn and MaxWithdrawn bound the time for which readiness is withdrawn. Without
-	// doubling for callers that come back at once, both are equal.
+	// MinWithdrawn and MaxWithdrawn bound the time for which readiness is withdrawn. A
+	// withdrawal lasts longer than the former if the callers came back after the last one.
 	MinWithdrawn time.Duration `json:"min_withdrawn"`
 	MaxWithdrawn time.Duration `json:"max_withdrawn"`
 }
@@ -30,10 +30,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Enabled: true,
-		// A lasting use of 0.95 is an overload, and one below 0.7 none any more. A crowd that
-		// begins at a router of 10 Mbit/s is noticed at about 45 requests of 25 KB in flight; in
-		// the trial 40 was a good bound. With a target of 0.7 instead, random arrivals at a use of
-		// 0.72 were an overload for three quarters of the time.
+		// A lasting use of 0.95 is an overload, and one below 0.7 none any more. With a target
+		// of 0.7, random arrivals at a use of 0.72 are an overload most of the time.
 		EnterBacklog: 0.3, ExitBacklog: -0.2, TargetUse: 0.8,
 		// A router that ran for 14 or 19 ms of every 100 had a mean lateness of 50 to 53 ms
 		// with 12 requests per second.
