Log whether a connection has carried a request's id before

Connections now keep hashes of the ids that they have carried, the evidence shows the number of the exchange and whether the id is there for the second time, and daisyslip_upstream_same_id_total counts these requests. No decision is changed.

The hashes of a connection are not bounded yet. Tests of internal/upstream, internal/ingress and platform/pathtest pass.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,6 +24,7 @@
 	maxIdle   time.Duration
 	// hadResponse is set once the head of a response was read that is not interim.
 	hadResponse bool
+	carried     carriedIDs // ids of the requests that were sent on it
 
 	mu          sync.Mutex // guards interrupted, so that no deadline is set after interrupt
 	interrupted bool
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -55,7 +55,8 @@
 	clock       clock.Clock
 	newConns    *metrics.Counter
 	reusedConns *metrics.Counter
-	traffic     Traffic // nil without one
+	sameID      *metrics.Counter // requests on a connection that had carried their id
+	traffic     Traffic          // nil without one
 
 	mu        sync.Mutex         // guards all below
 	idle      map[string][]*conn // by address, most recently used last
@@ -68,6 +69,7 @@
 	p := &Pool{settings: s, clock: c, idle: make(map[string][]*conn),
 		newConns:    set.NewCounter(`daisyslip_upstream_connections_total{how="made"}`),
 		reusedConns: set.NewCounter(`daisyslip_upstream_connections_total{how="reused"}`),
+		sameID:      set.NewCounter("daisyslip_upstream_same_id_total"),
 	}
 	set.NewGauge("daisyslip_upstream_connections_open", func() float64 {
 		p.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -69,6 +69,11 @@
 	Framed bool
 	// First is set if no other response was read from its connection before.
 	First bool
+	// Exchange is the number of requests that its connection has carried, this one included.
+	Exchange int
+	// SameID is set if its connection has carried a request with the same id before. The id
+	// of the response does not tell which of them it answers.
+	SameID bool
 
 	conn         *conn
 	httpResponse *http.Response
@@ -110,7 +115,12 @@
 		}
 	}
 	detachContext := context.AfterFunc(ctx, c.interrupt)
-	resp := &Response{conn: c, detachContext: detachContext}
+	sameID := c.carried.contains(r.ID)
+	if sameID {
+		p.sameID.Inc()
+	}
+	c.carried.add(r.ID)
+	resp := &Response{conn: c, detachContext: detachContext, Exchange: c.carried.len(), SameID: sameID}
 	write := c.writeRequest(r)
 	if err := resp.readHead(r, headDeadline, idOf); err != nil {
 		resp.Abort()
