Send a request id at most once on a connection to an endpoint

Cause: an endpoint may write an answer too many, the copy of a refusal. The id tells a copy from the response to another request, but not from that to the same request sent again on the same connection. The pool handed out the connection used last, whatever it had carried. When an endpoint is replaced at its address, the refusal (421) excludes its id only; the new id has the same address, and the next send used the connection of the refusal. Taken for the response, the copy lets the request run elsewhere, too, or ends it with 503 while it runs.

Change: each connection remembers the ids that it has carried, and an idle one that has carried the id of a request is passed over, so that every response on a connection names one send. This holds for every way to another attempt, since it is a property of the pool. A connection is closed after 1,024 requests, so that its memory stays within 8 KiB. same_id leaves the evidence in logs again, since it can't occur any more.

--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -40,8 +40,8 @@
 	if a.response == nil {
 		return ""
 	}
-	return fmt.Sprintf("status=%d id=%t signed=%t not_executed=%t wrong_instance=%t first_on_connection=%t exchange=%d same_id=%t",
-		a.response.Status, a.metadata.ID != "", a.metadata.Signed, a.metadata.NotExecuted, a.metadata.WrongInstance, a.response.First, a.response.Exchange, a.response.SameID)
+	return fmt.Sprintf("status=%d id=%t signed=%t not_executed=%t wrong_instance=%t first_on_connection=%t exchange=%d",
+		a.response.Status, a.metadata.ID != "", a.metadata.Signed, a.metadata.NotExecuted, a.metadata.WrongInstance, a.response.First, a.response.Exchange)
 }
 
 // errorText returns the text of err, or "" if err is nil.
--- a/internal/upstream/carried.go
+++ b/internal/upstream/carried.go
@@ -6,6 +6,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// maxCarried bounds the requests on one connection. Their hashes take 8 KiB at most, and a
+// new connection is made for one request in so many.
+const maxCarried = 1024
+
 // carriedIDs holds the ids of the requests that a connection has carried, as hashes. Ids
 // with the same hash are taken for the same id.
 type carriedIDs struct{ hashes []uint64 }
@@ -20,3 +24,6 @@
 
 // len returns the number of requests that were sent.
 func (c *carriedIDs) len() int { return len(c.hashes) }
+
+// full reports whether the connection may carry no further request.
+func (c *carriedIDs) full() bool { return len(c.hashes) >= maxCarried }
--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -10,6 +10,9 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 )
 
+// MaxCarried is the greatest number of requests on a connection.
+const MaxCarried = maxCarried
+
 // ExchangeOn makes one exchange on an open connection. It is used for fuzzing.
 func ExchangeOn(raw net.Conn, r *Request, headDeadline time.Time, idOf func(http.Header) string) (*Response, error) {
 	c := newConn(NewPool(DefaultSettings(), clock.Real{}, metrics.NewSet()), "", raw)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,7 +56,7 @@
 	clock       clock.Clock
 	newConns    *metrics.Counter
 	reusedConns *metrics.Counter
-	sameID      *metrics.Counter // requests on a connection that had carried their id
+	passedOver  *metrics.Counter // idle connections that had carried the id of a request
 	traffic     Traffic          // nil without one
 
 	mu        sync.Mutex         // guards all below
@@ -69,7 +70,7 @@
 	p := &Pool{settings: s, clock: c, idle: make(map[string][]*conn),
 		newConns:    set.NewCounter(`daisyslip_upstream_connections_total{how="made"}`),
 		reusedConns: set.NewCounter(`daisyslip_upstream_connections_total{how="reused"}`),
-		sameID:      set.NewCounter("daisyslip_upstream_same_id_total"),
+		passedOver:  set.NewCounter("daisyslip_upstream_connections_passed_over_total"),
 	}
 	set.NewGauge("daisyslip_upstream_connections_open", func() float64 {
 		p.mu.Lock()
@@ -89,10 +90,11 @@
 // SetTraffic sets what counts the traffic. It is called before the first request.
 func (p *Pool) SetTraffic(t Traffic) { p.traffic = t }
 
-// acquire returns an idle connection that is not stale, or else a new one.
-func (p *Pool) acquire(ctx context.Context, addr string, atMostOnce bool) (*conn, error) {
+// acquire returns an idle connection that is not stale and has not carried the id of the
+// request, or else a new one.
+func (p *Pool) acquire(ctx context.Context, addr string, r *Request) (*conn, error) {
 	for {
-		c := p.popIdle(addr, atMostOnce)
+		c := p.takeIdle(addr, r)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -105,29 +107,38 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection to an address,
-// or returns nil if there is none that may be used. It closes connections that have
+// takeIdle removes and returns the most recently used idle connection to an address that
+// may carry the request, or returns nil if there is none. It closes connections that have
 // been idle for longer than their maxIdle.
-func (p *Pool) popIdle(addr string, atMostOnce bool) *conn {
+func (p *Pool) takeIdle(addr string, r *Request) *conn {
+	now := p.clock.Now()
+	var taken *conn
+	var expired []*conn
 	p.mu.Lock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		p.mu.Unlock()
-		return nil
-	}
-	c := list[len(list)-1]
-	idleTime := clock.Elapsed(c.idleSince, p.clock.Now())
-	if atMostOnce && idleTime > p.settings.AtMostOnceMaxIdle {
-		p.mu.Unlock()
-		return nil
+	for i := len(list) - 1; i >= 0 && taken == nil; i-- {
+		c := list[i]
+		idleTime := clock.Elapsed(c.idleSince, now)
+		if r.AtMostOnce && idleTime > p.settings.AtMostOnceMaxIdle {
+			break // the others have been idle for longer
+		}
+		switch {
+		case idleTime > c.maxIdle:
+			expired = append(expired, c)
+		case c.carried.contains(r.ID):
+			p.passedOver.Inc()
+			continue
+		default:
+			taken = c
+		}
+		list = slices.Delete(list, i, i+1)
 	}
-	p.idle[addr] = list[:len(list)-1]
+	p.idle[addr] = list
 	p.mu.Unlock()
-	if idleTime > c.maxIdle {
+	for _, c := range expired {
 		c.close()
-		return p.popIdle(addr, atMostOnce)
 	}
-	return c
+	return taken
 }
 
 // dial opens a connection.
@@ -155,7 +166,7 @@
 }
 
 // release makes a connection available for the next exchange, or closes it if the
-// pool is closed or full. keepAlive is the endpoint's idle timeout, or
+// pool is closed or full, or the connection has carried as many requests as it may. keepAlive is the endpoint's idle timeout, or
 // keepAliveUnspecified.
 func (p *Pool) release(c *conn, keepAlive time.Duration) {
 	c.maxIdle = p.settings.DefaultIdleTimeout
@@ -168,7 +179,7 @@
 	}
 	c.idleSince = p.clock.Now()
 	p.mu.Lock()
-	full := p.closed || len(p.idle[c.addr]) >= p.settings.MaxIdle
+	full := p.closed || len(p.idle[c.addr]) >= p.settings.MaxIdle || c.carried.full()
 	if !full {
 		p.idle[c.addr] = append(p.idle[c.addr], c)
 	}
--- a/internal/upstream/same_id_test.go
+++ b/internal/upstream/same_id_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/internal/upstream"
 )
 
 // answerWithCopies refuses or fails the first request with each id, and writes what copies
@@ -83,3 +85,51 @@
 		}
 	}
 }
+
+// TestConnectionCarriesAnIDOnce guards against an id that comes again on a connection, whatever
+// happened to it before, and against connections that are made without need.
+func TestConnectionCarriesAnIDOnce(t *testing.T) {
+	var mu sync.Mutex
+	carried := make(map[net.Conn]map[string]bool)
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("Id")
+		mu.Lock()
+		if carried[c] == nil {
+			carried[c] = make(map[string]bool)
+		}
+		again := carried[c][id]
+		carried[c][id] = true
+		mu.Unlock()
+		assert.Check(t, !again, "%s came again on its connection", id)
+		_, err := io.WriteString(c, responseFor(r, []string{refusal, completeResponse}[len(id)%2]))
+		return err == nil
+	})
+	pool := newPool(t)
+	const callers, sends = 8, 300
+	var done sync.WaitGroup
+	for caller := range callers {
+		done.Go(func() {
+			for i := range sends {
+				id := fmt.Sprint(caller, "-", i/3, strings.Repeat("x", i/3%2)) // each is sent three times
+				_, err := exchange(pool, e.Addr().String(), getRequest(id), time.Minute)
+				assert.Check(t, err)
+			}
+		})
+	}
+	done.Wait()
+	assert.Assert(t, e.conns.Load() <= 3*callers, "%d connections", e.conns.Load())
+}
+
+// TestConnectionCarriesBoundedIDs guards against the memory for the ids of a connection that is never closed.
+func TestConnectionCarriesBoundedIDs(t *testing.T) {
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, responseFor(r, completeResponse))
+		return err == nil
+	})
+	pool := newPool(t)
+	for i := range 2*upstream.MaxCarried + 1 {
+		_, err := exchange(pool, e.Addr().String(), getRequest(fmt.Sprint(i)), time.Minute)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, e.conns.Load(), int64(3))
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,7 +29,8 @@
 	// added.
 	Header http.Header
 	Body   []byte
-	// ID is the id that the response must carry.
+	// ID is the id that the response must carry. It tells the response only if no other
+	// request with it was sent on the connection, so each connection carries an id once.
 	ID string
 	// AtMostOnce is set for a request that can't be retried if its connection
 	// turns out to be stale. It is only sent on connections that were in use
@@ -71,9 +72,6 @@
 	First bool
 	// Exchange is the number of requests that its connection has carried, this one included.
 	Exchange int
-	// SameID is set if its connection has carried a request with the same id before. The id
-	// of the response does not tell which of them it answers.
-	SameID bool
 
 	conn         *conn
 	httpResponse *http.Response
@@ -104,7 +102,7 @@
 	if !r.singleLines() {
 		return nil, fmt.Errorf("request to %s: %w: %w", addr, ErrNotSent, errLineBreak)
 	}
-	c, err := p.acquire(ctx, addr, r.AtMostOnce)
+	c, err := p.acquire(ctx, addr, r)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrNotSent, err)
 	}
@@ -115,12 +113,8 @@
 		}
 	}
 	detachContext := context.AfterFunc(ctx, c.interrupt)
-	sameID := c.carried.contains(r.ID)
-	if sameID {
-		p.sameID.Inc()
-	}
 	c.carried.add(r.ID)
-	resp := &Response{conn: c, detachContext: detachContext, Exchange: c.carried.len(), SameID: sameID}
+	resp := &Response{conn: c, detachContext: detachContext, Exchange: c.carried.len()}
 	write := c.writeRequest(r)
 	if err := resp.readHead(r, headDeadline, idOf); err != nil {
 		resp.Abort()
