--- a/internal/upstream/carried.go
+++ b/internal/upstream/carried.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxCarried bounds the requests on one connection. Their hashes take 8 KiB at most, and a
-// new connection is made for one request in so many.
+// maxCarried bounds the requests on one connection. Their hashes take 10 KiB at most, and one
+// request in 1,024 needs a new connection.
 const maxCarried = 1024
 
 // carriedIDs holds the ids of the requests that a connection has carried, as hashes. Ids
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -165,9 +165,9 @@
 	return nil
 }
 
-// release makes a connection available for the next exchange, or closes it if the
-// pool is closed or full, or the connection has carried as many requests as it may. keepAlive is the endpoint's idle timeout, or
-// keepAliveUnspecified.
+// release makes a connection available for the next exchange, or closes it if the pool is
+// closed or full, or the connection has carried maxCarried requests. keepAlive is the
+// endpoint's idle timeout, or keepAliveUnspecified.
 func (p *Pool) release(c *conn, keepAlive time.Duration) {
 	c.maxIdle = p.settings.DefaultIdleTimeout
 	if keepAlive != keepAliveUnspecified {
--- a/internal/upstream/same_id_test.go
+++ b/internal/upstream/same_id_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
 
@@ -117,7 +120,7 @@
 		})
 	}
 	done.Wait()
-	assert.Assert(t, e.conns.Load() <= 3*callers, "%d connections", e.conns.Load())
+	assert.Assert(t, e.conns.Load() <= callers+2, "%d connections", e.conns.Load())
 }
 
 // TestConnectionCarriesBoundedIDs guards against the memory for the ids of a connection that is never closed.
@@ -133,3 +136,65 @@
 	}
 	assert.Equal(t, e.conns.Load(), int64(3))
 }
+
+// TestConnectionRemembersAllIDs guards against ids that are forgotten on a connection in long use.
+func TestConnectionRemembersAllIDs(t *testing.T) {
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, responseFor(r, completeResponse))
+		return err == nil
+	})
+	pool := newPool(t)
+	send := func(id string) {
+		t.Helper()
+		_, err := exchange(pool, e.Addr().String(), getRequest(id), time.Minute)
+		assert.NilError(t, err)
+	}
+	for i := range 1000 {
+		send(fmt.Sprint(i))
+	}
+	assert.Equal(t, e.conns.Load(), int64(1))
+	send("0")
+	assert.Equal(t, e.conns.Load(), int64(2))
+}
+
+// TestAtMostOnceUsesMostRecentConnection guards against a new connection for a request that an idle one may carry.
+func TestAtMostOnceUsesMostRecentConnection(t *testing.T) {
+	var carried sync.Map // the connection of each id
+	e := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		carried.Store(r.Header.Get("Id"), c)
+		_, err := io.WriteString(c, responseFor(r, completeResponse))
+		return err == nil
+	})
+	addr := e.Addr().String()
+	settings, fake := upstream.DefaultSettings(), clock.NewFake(time.Unix(1e9, 0))
+	settings.DefaultIdleTimeout, settings.AtMostOnceMaxIdle = 10*time.Second, time.Second
+	pool := upstream.NewPool(settings, fake, metrics.NewSet())
+	defer pool.Close()
+	do := func(id string, once bool) *upstream.Response {
+		r := getRequest(id)
+		r.AtMostOnce = once
+		resp, err := pool.Do(context.Background(), addr, r, time.Now().Add(time.Minute), idOf)
+		assert.NilError(t, err)
+		return resp
+	}
+	finish := func(resp *upstream.Response) {
+		_, err := io.ReadAll(resp)
+		assert.NilError(t, err)
+		resp.Finish()
+	}
+	first, second := do("a", false), do("b", false) // on two connections
+	finish(first)
+	fake.Advance(900 * time.Millisecond)
+	finish(second)
+	fake.Advance(200 * time.Millisecond) // idle for 1,100 and 200 ms
+	finish(do("c", true))
+	assert.Equal(t, e.conns.Load(), int64(2))
+	b, _ := carried.Load("b")
+	c, _ := carried.Load("c")
+	assert.Equal(t, b, c, "the most recent one is used")
+	// The newest has carried it and the other is too old: a new one.
+	finish(do("b", true))
+	assert.Equal(t, e.conns.Load(), int64(3))
+	finish(do("b", false)) // may use the old one: it carried only a
+	assert.Equal(t, e.conns.Load(), int64(3))
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,8 +29,8 @@
 	// added.
 	Header http.Header
 	Body   []byte
-	// ID is the id that the response must carry. It tells the response only if no other
-	// request with it was sent on the connection, so each connection carries an id once.
+	// ID is the id that the response must carry. A connection carries each id at most once,
+	// so that the id tells which send a response answers.
 	ID string
 	// AtMostOnce is set for a request that can't be retried if its connection
 	// turns out to be stale. It is only sent on connections that were in use
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -367,8 +367,8 @@
 		return err == nil
 	})
 	pool := newPool(t)
-	for range 3 {
-		r := getRequest("a")
+	for i := range 3 {
+		r := getRequest(strconv.Itoa(i))
 		r.Method, r.Body = "POST", make([]byte, 64<<20)
 		body, err := exchange(pool, e.Addr().String(), r, 5*time.Second)
 		if err != nil { // the reset may arrive before the response was read
