--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -170,6 +170,21 @@
 	}
 }
 
+// TestOrderIsNotRedirected guards against an order that an endpoint without a lease carries out.
+func TestOrderIsNotRedirected(t *testing.T) {
+	other := standin.NewService("fans", true)
+	otherServer := httptest.NewServer(other)
+	defer otherServer.Close()
+	server := httptest.NewServer(http.RedirectHandler(otherServer.URL+engine.PathOrders, http.StatusTemporaryRedirect))
+	defer server.Close()
+	config := new(staticConfig)
+	config.set(t, server.URL, true, false)
+	sender := newSender(memory.NewStore(clock.Real{}), config, "router", testSettings())
+	_, err := sender.Send(t.Context(), endpointName, Order{Kind: engine.OrderDrain})
+	assert.Check(t, err != nil, "the order counts as carried out")
+	assert.Equal(t, len(other.Orders()), 0)
+}
+
 // TestLeavingEndpointReceivesDrainOrder guards against a leaving endpoint that gets
 // no drain order, or one from each router, and against a drain that is not canceled
 // when the endpoint is no longer leaving.
