Send probes over new connections

What callers could see (by reading; the test shows the connection only): a sound endpoint that stays ejected while the others carry its load, since a dead kept connection fails the probe and so does a response written once more, which counts as that of the probe.

Cause: req.Close only closes the connection after the request. net/http still takes an idle one for it, here that of the load report just read; the comment said otherwise.

Probes use a client that keeps no connections.

Cost: a dial for each probe of an ejected endpoint, with the default settings at most one every two seconds.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -60,7 +60,10 @@
 	settings Settings
 	deps     Dependencies
 	metrics  *balancerMetrics
-	client   *http.Client
+	// pooledClient reuses idle connections; newConnClient opens a new one for each
+	// request.
+	pooledClient  *http.Client
+	newConnClient *http.Client
 
 	mu     sync.Mutex                // guards all fields below; held by callers of ...Locked methods
 	states map[string]*endpointState // by endpoint name
@@ -75,20 +78,28 @@
 	if d.Chooser == nil {
 		d.Chooser = prefixChooser{loadBound: s.LoadBound}
 	}
+	return &Balancer{
+		settings:      s,
+		deps:          d,
+		metrics:       newBalancerMetrics(d.Metrics),
+		pooledClient:  newClient(s, false),
+		newConnClient: newClient(s, true),
+		states:        make(map[string]*endpointState),
+		pools:         make(map[string]*pool),
+	}
+}
+
+// newClient returns a client for endpoints; with newConn it opens a new connection for
+// each request.
+func newClient(s Settings, newConn bool) *http.Client {
 	transport := &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: s.PollTimeout}).DialContext,
 		MaxIdleConnsPerHost:    1,
 		IdleConnTimeout:        s.ActiveTime,
 		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+		DisableKeepAlives:      newConn,
 	}
-	return &Balancer{
-		settings: s,
-		deps:     d,
-		metrics:  newBalancerMetrics(d.Metrics),
-		client:   &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
-		states:   make(map[string]*endpointState),
-		pools:    make(map[string]*pool),
-	}
+	return &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
 }
 
 // refuseRedirect returns a redirect response as it is, because following it would
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -38,7 +38,7 @@
 }
 
 // Close closes the idle connections to endpoints.
-func (b *Balancer) Close() { b.client.CloseIdleConnections() }
+func (b *Balancer) Close() { b.pooledClient.CloseIdleConnections() }
 
 // dueTasks returns a function for each poll and probe that is due now.
 func (b *Balancer) dueTasks() []func(context.Context) {
@@ -184,7 +184,7 @@
 	if err != nil {
 		return fmt.Errorf("create poll request: %w", err)
 	}
-	resp, err := b.client.Do(req)
+	resp, err := b.pooledClient.Do(req)
 	if err != nil {
 		return fmt.Errorf("send poll request: %w", err)
 	}
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -60,8 +60,8 @@
 		return 0, fmt.Errorf("create probe request: %w", err)
 	}
 	req.Header.Set(engine.RequestIDHeader, "probe-"+uuid.NewString())
-	req.Close = true // request a new connection: an idle one may no longer respond
-	resp, err := b.client.Do(req)
+	// An idle connection may no longer respond, or give the response to an earlier request.
+	resp, err := b.newConnClient.Do(req)
 	if err != nil {
 		return 0, fmt.Errorf("send probe request: %w", err)
 	}
