Read polls again that may be responses to earlier ones

What callers could see: requests placed on an endpoint that is full or leaving, which looked idle with unknown slots until the next report. The test shows the view, not its consequence for callers. A repeated load report taken for cache events cleared the estimate of cached blocks, and an older load counted as the current one.

Cause: load reports and cache events share a kept connection, net/http takes the next bytes for the response to the request just sent, and either JSON object decodes as the other.

A response on a reused connection must now show that it is not an earlier one: a report by an "at" after the last one's, a list of events by a last sequence number not below that already seen. Otherwise, and after an error, the request is sent again over a new connection within the same PollTimeout. A report whose predecessor has no "at" is read over a new connection at once, so an endpoint that sends none is served as before. Refusing such reports would have taken it out; a connection for each poll would have cost all endpoints a dial several times a second.

Cost: one more connection after the first report of an endpoint; a dial for each report of an endpoint without "at". Eight polls use two connections.

--- a/internal/balancer/copies_test.go
+++ b/internal/balancer/copies_test.go
@@ -8,7 +8,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,3 +135,81 @@
 	s := b.stateLocked(m.Name)
 	assert.Check(t, s.report.Waiting == 9 && s.leaving, "an endpoint that is full and leaving looks like %+v", s.report)
 }
+
+// TestRepeatedLoadReportIsNotTheCurrentOne guards against an old load that counts as the current one.
+func TestRepeatedLoadReportIsNotTheCurrentOne(t *testing.T) {
+	var started atomic.Int64
+	start := time.Now()
+	e := newConnEndpoint(t, func(path string, earlier []string) string {
+		if path != engine.PathLoad {
+			return encode(t, engine.CacheEvents{})
+		}
+		if len(earlier) == 0 {
+			started.Add(1)
+		} // else the report comes after a copy of the one before
+		n := started.Load()
+		return encode(t, engine.Load{Running: int(n), ReportedAt: start.Add(time.Duration(n) * time.Second)})
+	})
+	b, m := balancerOf(t, e)
+	for want := 1; want <= 3; want++ {
+		b.poll(t.Context(), m)
+		assert.Equal(t, runningAt(b, m), want)
+	}
+}
+
+// TestRepeatedLoadReportIsNoListOfCacheEvents guards against the loss of the estimate of cached blocks.
+func TestRepeatedLoadReportIsNoListOfCacheEvents(t *testing.T) {
+	const block = 42
+	e := newConnEndpoint(t, func(path string, earlier []string) string {
+		if path == engine.PathLoad || slices.Contains(earlier, path) { // a second list of events comes after a copy
+			return encode(t, engine.Load{ReportedAt: time.Now()})
+		}
+		return encode(t, engine.CacheEvents{Events: []engine.CacheEvent{{Seq: 7, Block: block, Stored: true}}, LastSeq: 7})
+	})
+	b, m := balancerOf(t, e)
+	for range 2 {
+		b.poll(t.Context(), m)
+		assert.Equal(t, b.CachedBlocks(m.Name, []uint64{block}), 1)
+	}
+}
+
+// TestLoadReportsWithoutTimeAreRead guards against an endpoint without times in its reports that gets no requests.
+func TestLoadReportsWithoutTimeAreRead(t *testing.T) {
+	var running atomic.Int64
+	e := newConnEndpoint(t, func(path string, _ []string) string {
+		if path == engine.PathLoad {
+			return encode(t, map[string]int64{"running": running.Load(), "slots": 8})
+		}
+		return encode(t, engine.CacheEvents{})
+	})
+	b, m := balancerOf(t, e)
+	for want := 1; want <= 3; want++ {
+		running.Store(int64(want))
+		assert.Assert(t, b.refreshReport(t.Context(), m))
+		assert.Equal(t, runningAt(b, m), want)
+	}
+}
+
+// TestPollsReuseConnection guards against polls that open a new connection each time.
+func TestPollsReuseConnection(t *testing.T) {
+	e := newConnEndpoint(t, func(path string, _ []string) string {
+		if path == engine.PathLoad {
+			return encode(t, engine.Load{ReportedAt: time.Now()})
+		}
+		return encode(t, engine.CacheEvents{LastSeq: 7})
+	})
+	b, m := balancerOf(t, e)
+	for range 8 {
+		b.poll(t.Context(), m)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Check(t, len(e.paths) <= 2, "%d connections", len(e.paths)) // the first report has its own
+}
+
+// runningAt returns the running requests of the endpoint's latest report.
+func runningAt(b *Balancer, m *catalog.Member) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stateLocked(m.Name).report.Running
+}
--- a/internal/balancer/poll.go
+++ b/internal/balancer/poll.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -74,8 +71,9 @@
 	b.mu.Lock()
 	since := b.stateLocked(m.Name).cached.lastEvent
 	b.mu.Unlock()
-	var events engine.CacheEvents
-	if err := b.getJSON(ctx, fmt.Sprintf("%s%s?since=%d", m.URL, engine.PathCacheEvents, since), &events); err != nil {
+	current := func(e engine.CacheEvents) bool { return e.LastSeq >= since }
+	events, err := getCurrent(ctx, b, fmt.Sprintf("%s%s?since=%d", m.URL, engine.PathCacheEvents, since), current)
+	if err != nil {
 		b.deps.Log.Debug("could not read the endpoint's cache events", "endpoint", m.Name, "err", err)
 		return
 	}
@@ -135,13 +133,12 @@
 	}
 	done := make(chan struct{})
 	s.refreshDone = done
-	inFlight, requestedAt := s.inFlight, b.deps.Clock.Now()
+	inFlight, requestedAt, latest := s.inFlight, b.deps.Clock.Now(), s.report.ReportedAt
 	b.mu.Unlock()
 
 	// Other requests wait for this response, so the cancellation of the request
 	// that happened to be first must not abort it.
-	var report engine.Load
-	err := b.getJSON(context.WithoutCancel(ctx), m.URL+engine.PathLoad, &report)
+	report, err := getCurrent(context.WithoutCancel(ctx), b, m.URL+engine.PathLoad, newerThan(latest))
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -157,6 +154,15 @@
 	return true
 }
 
+// newerThan returns a function that reports whether a load report is newer than one of
+// the time latest. It returns nil if that is unknown.
+func newerThan(latest time.Time) func(engine.Load) bool {
+	if latest.IsZero() {
+		return nil
+	}
+	return func(l engine.Load) bool { return l.ReportedAt.After(latest) }
+}
+
 // handleRefreshFailureLocked counts a missing load report as a failure of the
 // endpoint and ejects it after EjectFailures consecutive failures.
 func (b *Balancer) handleRefreshFailureLocked(m *catalog.Member, s *endpointState) {
@@ -175,33 +181,5 @@
 	s.leaving = leaving
 }
 
-// getJSON sends a GET request and decodes the JSON response into v, all within
-// PollTimeout. Any status other than 200 is an error.
-func (b *Balancer) getJSON(ctx context.Context, url string, v any) error {
-	ctx, cancel := context.WithTimeout(ctx, b.settings.PollTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return fmt.Errorf("create poll request: %w", err)
-	}
-	resp, err := b.pooledClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("send poll request: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("poll: unexpected status %d", resp.StatusCode)
-	}
-	body := io.LimitReader(resp.Body, maxReportBytes)
-	if err := json.NewDecoder(body).Decode(v); err != nil {
-		return fmt.Errorf("decode poll response: %w", err)
-	}
-	// The HTTP client reuses the connection only if the body was read to its end.
-	if _, err := io.Copy(io.Discard, body); err != nil {
-		return fmt.Errorf("read end of poll response: %w", err)
-	}
-	return nil
-}
-
 // elapsedSince returns the time since t by the balancer's clock.
 func (b *Balancer) elapsedSince(t time.Time) time.Duration { return b.deps.Clock.Now().Sub(t) }
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -133,7 +133,9 @@
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
 	// Leaving is true if the endpoint asks for no new requests.
-	Leaving    bool      `json:"leaving"`
+	Leaving bool `json:"leaving"`
+	// ReportedAt increases from report to report. Routers read reports without it over
+	// a new connection each time.
 	ReportedAt time.Time `json:"at"`
 }
 
