Do not follow redirects of orders

Callers saw: an order reported as carried out by its endpoint that another one had carried out, without a lease on that one and with the fencing number of another lease.

Cause: the client followed a 307 or 308.

A redirect is now returned as it is and its outcome is unknown, whatever its body: a service may respond with one after the execution. Without that, a redirect with a readable result would count as a refusal, since its status is below 500.

It passes in 20 of 20 with -race. orders and daemon pass with -race.

--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -172,17 +173,23 @@
 
 // TestOrderIsNotRedirected guards against an order that an endpoint without a lease carries out.
 func TestOrderIsNotRedirected(t *testing.T) {
-	other := standin.NewService("fans", true)
-	otherServer := httptest.NewServer(other)
-	defer otherServer.Close()
-	server := httptest.NewServer(http.RedirectHandler(otherServer.URL+engine.PathOrders, http.StatusTemporaryRedirect))
-	defer server.Close()
-	config := new(staticConfig)
-	config.set(t, server.URL, true, false)
-	sender := newSender(memory.NewStore(clock.Real{}), config, "router", testSettings())
-	_, err := sender.Send(t.Context(), endpointName, Order{Kind: engine.OrderDrain})
-	assert.Check(t, err != nil, "the order counts as carried out")
-	assert.Equal(t, len(other.Orders()), 0)
+	for _, body := range []string{"", `{"accepted": true}`, `{"accepted": false}`} {
+		other := standin.NewService("fans", true)
+		otherServer := httptest.NewServer(other)
+		defer otherServer.Close()
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", otherServer.URL+engine.PathOrders)
+			w.WriteHeader(http.StatusTemporaryRedirect)
+			io.WriteString(w, body)
+		}))
+		defer server.Close()
+		config := new(staticConfig)
+		config.set(t, server.URL, true, false)
+		sender := newSender(memory.NewStore(clock.Real{}), config, "router", testSettings())
+		_, err := sender.Send(t.Context(), endpointName, Order{Kind: engine.OrderDrain})
+		assert.Equal(t, failure.CodeOf(err), failure.OutcomeUnknown, "body %q: %v", body, err)
+		assert.Equal(t, len(other.Orders()), 0)
+	}
 }
 
 // TestLeavingEndpointReceivesDrainOrder guards against a leaving endpoint that gets
--- a/internal/orders/sender.go
+++ b/internal/orders/sender.go
@@ -80,9 +80,13 @@
 // result of an earlier order once more. A proxy could reuse connections as well, so
 // none is used.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: refuseRedirect}
 }
 
+// refuseRedirect returns a redirect response as it is, because another endpoint could
+// carry out the order, which has its own lease.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Send sends one order to an endpoint. It waits for the lease on the endpoint and,
 // for loads, for the rate limit of the weight store. After a failure whose Ran is
 // unknown, the endpoint may have executed the order; it is safe to retry it with the
@@ -154,8 +158,8 @@
 }
 
 // post sends the order and classifies its outcome. The outcome is unknown if the
-// endpoint may have executed the order, but its response was lost, not readable or a
-// server error.
+// endpoint may have executed the order, but its response was lost, not readable, a
+// redirect or a server error.
 func (s *Sender) post(ctx context.Context, member *catalog.Member, o engine.Order) (engine.OrderResult, error) {
 	var result engine.OrderResult
 	body, err := json.Marshal(o)
@@ -178,12 +182,18 @@
 	switch {
 	case resp.StatusCode == http.StatusOK && result.Accepted:
 		return result, nil
-	case resp.StatusCode < http.StatusInternalServerError:
+	case isRefusal(resp.StatusCode):
 		return result, failure.New(failure.Conflict, stepOrder, member.Name, "the endpoint refused the order: "+result.Message)
 	}
 	return result, failure.New(failure.OutcomeUnknown, stepOrder, member.Name, resp.Status).WithRan(failure.RanUnknown)
 }
 
+// isRefusal reports whether an endpoint that responds with the status, but does not
+// accept the order, has refused it.
+func isRefusal(status int) bool {
+	return status < http.StatusMultipleChoices || status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
 // transportFailure returns the failure of an order that got no response. Only if
 // dialing failed is it certain that the order did not reach the endpoint.
 func transportFailure(endpoint string, err error) error {
