--- a/internal/delivery/testbed_test.go
+++ b/internal/delivery/testbed_test.go
@@ -216,8 +216,6 @@
 		cancel()
 		<-done
 		endpointBalancer.Close()
-		started.dispatcher.Close()
-		started.calls.Close()
 	})
 	return started
 }
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -170,6 +171,27 @@
 	}
 }
 
+// TestOrderIsNotRedirected guards against an order that an endpoint without a lease carries out.
+func TestOrderIsNotRedirected(t *testing.T) {
+	for _, body := range []string{"", `{"accepted": true}`, `{"accepted": false}`} {
+		other := standin.NewService("fans", true)
+		otherServer := httptest.NewServer(other)
+		defer otherServer.Close()
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", otherServer.URL+engine.PathOrders)
+			w.WriteHeader(http.StatusTemporaryRedirect)
+			io.WriteString(w, body)
+		}))
+		defer server.Close()
+		config := new(staticConfig)
+		config.set(t, server.URL, true, false)
+		sender := newSender(memory.NewStore(clock.Real{}), config, "router", testSettings())
+		_, err := sender.Send(t.Context(), endpointName, Order{Kind: engine.OrderDrain})
+		assert.Equal(t, failure.CodeOf(err), failure.OutcomeUnknown, "body %q: %v", body, err)
+		assert.Equal(t, len(other.Orders()), 0)
+	}
+}
+
 // TestLeavingEndpointReceivesDrainOrder guards against a leaving endpoint that gets
 // no drain order, or one from each router, and against a drain that is not canceled
 // when the endpoint is no longer leaving.
