--- a/internal/ingress/ended.go
+++ b/internal/ingress/ended.go
@@ -62,6 +62,7 @@
 	e := a.endpoint
 	shared := q.params.Generation.SharedSegments()
 	if len(shared) == 0 {
+		c.deps.Log.Info("lost response is no evidence, request has no shared segments", "request", q.params.ID, "endpoint", e.ID)
 		return
 	}
 	now := c.deps.Clock.Now()
@@ -89,6 +90,8 @@
 	lost := c.pending[start]
 	delete(c.pending, start)
 	c.mu.Unlock()
+	c.deps.Log.Info("endpoint of lost responses checked", "endpoint", e.ID, "started_ms", e.StartedMs, "ended", ended, "responses", len(lost),
+		"ms", c.deps.Clock.Now().Sub(lost[0].at).Milliseconds())
 	if !ended {
 		return
 	}
