Refuse requests that crash endpoints, also without a prompt

Change: a request has a fingerprint (host, method, path and query, workspace, body), and the reports of lost responses carry it. Ends count against a fingerprint unless a response to it was complete later. Segments keep their rules; of equal counts the request explains the ends, since that is narrower. A request that is in flight at several endpoints that end at the same moment counts in turn only, so that a popular one is not taken for the cause of a lost rack; if no response to it was ever complete, ends at two moments all count, so that one that comes in bursts is found at its second. Ends at the same moment without the fingerprint do not excuse it, as several crashing requests end endpoints at the same moment. Ends that something else explains do not keep a sound request from being repeated. After two tries that ended an endpoint no more is let through: that leaves one arrival of the three that the rule allows for one that was under way.

The check of an endpoint also sees a restart at the same address or under the same id within the check, which it took for an endpoint that goes on.

--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -20,7 +20,7 @@
 // The topics of observations.
 const (
 	topicCrash gossip.Topic = "crash"
-	// topicServed has the clearances of segments.
+	// topicServed has the clearances of segments and requests.
 	topicServed gossip.Topic = "served"
 	// topicLimit has the rate limits that endpoints state.
 	topicLimit gossip.Topic = "limit"
@@ -48,7 +48,7 @@
 		Settings: g.settings.Quarantine, Clock: g.clock, Log: log, Metrics: g.metrics, MayTry: g.isChosenFor, Jitter: rand.N[time.Duration],
 		PublishReport: func(subject string, r quarantine.Report) { g.gossip.Publish(topicCrash, subject, gossip.Encode(r)) },
 		PublishClearance: func(c quarantine.Clearance) {
-			g.gossip.Publish(topicServed, c.Pool+"/"+c.Segment, gossip.Encode(c))
+			g.gossip.Publish(topicServed, c.Subject(), gossip.Encode(c))
 		},
 		Quarantined: g.gossip.Persist,
 	})
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -12,6 +12,7 @@
 	"daisyslip.dev/daisyslip/internal/endpoints"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
 
@@ -105,6 +106,7 @@
 		switch outcome {
 		case completed:
 			h.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
+			h.deps.Quarantine.RecordComplete(q.fingerprint)
 			return nil
 		case callerDisconnected:
 			q.disconnected = true
@@ -201,15 +203,30 @@
 	}
 	if a.failure != nil {
 		q.lastFailure = a.failure
+		if a.failure.signed && !impliesNotExecuted(a.failure.status) {
+			q.handler.deps.Quarantine.RecordComplete(q.fingerprint)
+		}
 	}
-	if outcome == connectionBroken && a.progress != eventsForwarded {
+	if outcome == connectionBroken {
 		q.handler.ends.responseLost(q, a)
 	}
 }
 
-// checkQuarantine refuses the request if segments of its prompt are quarantined.
+// considered returns what the quarantine considers of the request when the response of
+// the attempt has broken: segments only before the first event.
+func (q *request) considered(a *attempt) quarantine.Request {
+	r := quarantine.Request{Pool: q.pool, Segments: q.params.Generation.SharedSegments(), Fingerprint: q.fingerprint}
+	if a.progress == eventsForwarded {
+		r.Segments = nil
+	}
+	return r
+}
+
+// checkQuarantine refuses the request if it or segments of its prompt are quarantined.
 func (q *request) checkQuarantine() *refusal {
-	refusal, refused := q.handler.deps.Quarantine.Check(q.pool, q.params.Generation.SharedSegments())
+	refusal, refused := q.handler.deps.Quarantine.Check(quarantine.Request{
+		Pool: q.pool, Segments: q.params.Generation.SharedSegments(), Fingerprint: q.fingerprint,
+	})
 	if !refused {
 		return nil
 	}
@@ -249,16 +266,15 @@
 	return deniedBy == ""
 }
 
-// suspected reports whether an attempt broke off before its first event, and a segment of
-// the prompt is suspected of crashing endpoints.
+// suspected reports whether an attempt broke off, and the request is suspected of crashing
+// endpoints, or a segment of the prompt before the first event.
 func (q *request) suspected(a *attempt, outcome attemptOutcome) bool {
-	return outcome == connectionBroken && a.progress != eventsForwarded &&
-		q.handler.deps.Quarantine.Suspected(q.pool, q.params.Generation.SharedSegments(), a.endpoint.ID)
+	return outcome == connectionBroken && q.handler.deps.Quarantine.Suspected(q.considered(a), a.endpoint.ID)
 }
 
 // Reasons in log lines for which a request is not sent to another endpoint.
 const (
-	deniedBySuspicion   = "a segment of the prompt is suspected of crashing endpoints"
+	deniedBySuspicion   = "the request or a segment of its prompt is suspected of crashing endpoints"
 	deniedByRoute       = "kind of route, attempts or time"
 	deniedByRetryBudget = "retry budget"
 )
--- a/internal/ingress/ended.go
+++ b/internal/ingress/ended.go
@@ -12,11 +12,25 @@
 	"daisyslip.dev/daisyslip/internal/quarantine"
 )
 
-// endCheckDelays are the delays before each check whether an endpoint has ended. More
-// than one is needed only if connections to it time out: then it may as well be cut off
-// from this router, and the list of endpoints decides.
+// endCheckDelays are the delays before each check whether an endpoint has ended. An
+// endpoint to which connections time out may as well be cut off from this router, and one
+// that accepts them may have restarted meanwhile. Then the list of endpoints decides, which
+// lags behind.
 var endCheckDelays = []time.Duration{0, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond}
 
+// endObservation is what one check of an endpoint shows.
+type endObservation struct {
+	refused   bool // it refused a connection
+	connected bool // it accepted one
+	listed    bool
+	restarted bool // the list names a later start of it, or of another at its address
+}
+
+// showsEnd reports whether the endpoint has ended.
+func (o endObservation) showsEnd() bool {
+	return o.refused || o.restarted || !o.connected && !o.listed
+}
+
 // endChecker tells apart the end of an endpoint from other reasons for which its
 // connections break, and reports the requests whose responses were lost by an end. All
 // requests that broke at an endpoint share one check.
@@ -36,7 +50,7 @@
 	startedMs int64
 }
 
-// lostResponse is a response that broke before its first event.
+// lostResponse is a response that broke.
 type lostResponse struct {
 	request string
 	at      time.Time
@@ -56,20 +70,16 @@
 	c.checks.Wait()
 }
 
-// responseLost records that the response to q broke before its first event, and checks
-// whether the endpoint of the attempt has ended.
+// responseLost records that the response to q broke, and checks whether the endpoint of
+// the attempt has ended.
 func (c *endChecker) responseLost(q *request, a *attempt) {
-	e := a.endpoint
-	shared := q.params.Generation.SharedSegments()
-	if len(shared) == 0 {
-		c.deps.Log.Info("lost response is no evidence, request has no shared segments", "request", q.params.ID, "endpoint", e.ID)
-		return
-	}
+	e, considered := a.endpoint, q.considered(a)
 	now := c.deps.Clock.Now()
 	lost := lostResponse{request: q.params.ID, at: now, report: quarantine.Report{
 		Pool: q.pool, Endpoint: e.ID, StartedMs: e.StartedMs, Started: a.progress == responseStarted, SentBeforeMS: now.Sub(a.startedAt).Milliseconds(),
+		Fingerprint: considered.Fingerprint,
 	}}
-	for _, s := range shared {
+	for _, s := range considered.Segments {
 		lost.report.Segments = append(lost.report.Segments, s.ID)
 	}
 	start := endpointStart{e.ID, e.StartedMs}
@@ -83,37 +93,61 @@
 }
 
 // check finds out whether an endpoint has ended and reports the responses that were
-// lost if so.
+// lost if so. Responses that were lost during the last check need another one.
 func (c *endChecker) check(start endpointStart, e endpoints.Endpoint) {
-	ended := c.hasEnded(e)
+	for more := true; more; {
+		ended, checkedAt := c.hasEnded(e)
+		var lost []lostResponse
+		lost, more = c.takeDecided(start, ended, checkedAt)
+		if len(lost) > 0 {
+			c.deps.Log.Info("endpoint of lost responses checked", "endpoint", e.ID, "started_ms", e.StartedMs, "ended", ended, "responses", len(lost),
+				"ms", c.deps.Clock.Now().Sub(lost[0].at).Milliseconds())
+		}
+		if !ended {
+			continue
+		}
+		for _, l := range lost {
+			c.deps.Quarantine.RecordCrash(l.request, l.report, l.at)
+		}
+	}
+}
+
+// takeDecided removes the responses on which a check decides whose last connection was
+// tried at the given time, and returns them. It reports whether there are others.
+func (c *endChecker) takeDecided(start endpointStart, ended bool, checkedAt time.Time) (lost []lostResponse, more bool) {
 	c.mu.Lock()
-	lost := c.pending[start]
-	delete(c.pending, start)
-	c.mu.Unlock()
-	c.deps.Log.Info("endpoint of lost responses checked", "endpoint", e.ID, "started_ms", e.StartedMs, "ended", ended, "responses", len(lost),
-		"ms", c.deps.Clock.Now().Sub(lost[0].at).Milliseconds())
-	if !ended {
-		return
+	defer c.mu.Unlock()
+	var others []lostResponse
+	for _, l := range c.pending[start] {
+		if ended || l.at.Before(checkedAt) || c.ctx.Err() != nil {
+			lost = append(lost, l)
+		} else {
+			others = append(others, l)
+		}
 	}
-	for _, l := range lost {
-		c.deps.Quarantine.RecordCrash(l.request, l.report, l.at)
+	if len(others) == 0 {
+		delete(c.pending, start)
+		return lost, false
 	}
+	c.pending[start] = others
+	return lost, true
 }
 
-// hasEnded reports whether an endpoint has ended: it refuses connections, or connections
-// time out until the list of endpoints does not name it any more.
-func (c *endChecker) hasEnded(e endpoints.Endpoint) bool {
+// hasEnded reports whether an endpoint has ended, and when the last check of it began.
+func (c *endChecker) hasEnded(e endpoints.Endpoint) (ended bool, checkedAt time.Time) {
 	for _, delay := range endCheckDelays {
 		if clock.Sleep(c.ctx, c.deps.Clock, delay) != nil {
-			return false
+			return false, checkedAt
 		}
+		checkedAt = c.deps.Clock.Now()
 		err := c.deps.Upstream.Connect(c.ctx, e.Addr)
-		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-			return err != nil
+		seen := endObservation{
+			refused: errors.Is(err, syscall.ECONNREFUSED), connected: err == nil,
+			listed: c.deps.Endpoints.Listed(e.ID), restarted: c.deps.Endpoints.Restarted(e),
 		}
-		if !c.deps.Endpoints.Listed(e.ID) {
-			return c.ctx.Err() == nil
+		if c.ctx.Err() == nil && seen.showsEnd() {
+			return true, checkedAt
 		}
 	}
-	return false
+	return false, checkedAt
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -28,8 +28,12 @@
 // metrics. DeniedBy is the reason for which no other attempt follows; "" if one does.
 func (q *request) logFailedAttempt(a *attempt, outcome attemptOutcome, cause error, deniedBy string) {
 	q.handler.stats.countFailedAttempt(outcome, a.progress)
+	fingerprint := ""
+	if outcome == connectionBroken {
+		fingerprint = q.fingerprint.String()
+	}
 	q.handler.deps.Log.Info("attempt failed", "request", q.params.ID, "endpoint", a.endpoint.ID, "end", outcome.String(), "err", errorText(cause),
-		"progress", a.progress.String(), "segments", q.loggedSegments(), "retryable", q.route.Retryable(), "evidence", a.evidence(),
+		"progress", a.progress.String(), "segments", q.loggedSegments(), "fingerprint", fingerprint, "retryable", q.route.Retryable(), "evidence", a.evidence(),
 		"again", deniedBy == "", "denied_by", deniedBy, "runs", q.executions, "sends", q.attempts, "left_ms", q.remaining().Milliseconds(), "last_event", q.stream.lastEventID)
 }
 
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -126,7 +126,7 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.NoEndpoint), reason: "endpoints of pool " + pool + " are at their rate limits, refuse requests, or are cold", retryAfter: max(opensIn, minRetryDelay)}
 }
 
-// refuseQuarantined refuses a request whose prompt is suspected of crashing endpoints. A
+// refuseQuarantined refuses a request that crashes endpoints, or whose prompt does. A
 // retry is of no use before the quarantine ends.
 func refuseQuarantined(r quarantine.Refusal) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, code: string(failure.Quarantined), reason: r.Reason, retryAfter: r.RetryAfter}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -17,6 +17,7 @@
 	"daisyslip.dev/daisyslip/internal/connlimit"
 	"daisyslip.dev/daisyslip/internal/exchange"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 	"daisyslip.dev/daisyslip/internal/routetable"
 )
 
@@ -40,7 +41,8 @@
 	// is earlier.
 	deadline time.Time
 	// placed is what the balancer needs to know of the request.
-	placed placement.Request
+	placed      placement.Request
+	fingerprint quarantine.Fingerprint // valid once the body was read
 
 	reservation *prepaid.Reservation
 
@@ -105,12 +107,21 @@
 			return refused
 		}
 	}
+	q.fingerprint = quarantine.FingerprintOf(q.httpRequest.Host, q.httpRequest.Method, q.httpRequest.RequestURI, q.workspaceName(), q.body)
 	q.stream.lastEventID = params.ResumeAfter
 	q.placed = placement.RequestOf(params.Generation)
 	q.placed.Streaming = q.route.Kind == routetable.Streaming
 	return nil
 }
 
+// workspaceName returns the name of the workspace, or "" without one.
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return ""
+	}
+	return q.workspace.Name
+}
+
 // matchRoute sets the route, the workspace, the pool and the deadline.
 func (q *request) matchRoute() *refusal {
 	path, _, _ := strings.Cut(q.httpRequest.RequestURI, "?")
@@ -339,7 +350,7 @@
 	if refused != nil {
 		attrs = append(attrs, slog.String("reason", refused.reason), slog.Int64("retry_after_ms", refused.retryAfter.Milliseconds()))
 		if refused.code == string(failure.Quarantined) {
-			attrs = append(attrs, slog.String("segments", q.loggedSegments()))
+			attrs = append(attrs, slog.String("segments", q.loggedSegments()), slog.String("fingerprint", q.fingerprint.String()))
 		}
 	}
 	h.stats.set.GetOrCreateCounter(fmt.Sprintf("daisyslip_requests_total{outcome=%q,status=\"%d\"}", outcome, q.status)).Inc()
--- a/internal/ingress/takeover.go
+++ b/internal/ingress/takeover.go
@@ -7,6 +7,7 @@
 
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/placement"
+	"daisyslip.dev/daisyslip/internal/quarantine"
 	"daisyslip.dev/daisyslip/internal/routetable"
 	"daisyslip.dev/daisyslip/internal/upstream"
 )
@@ -32,7 +33,7 @@
 	done    chan struct{} // closed at the end of run
 	// settled is closed when it ends, unless another endpoint still decides.
 	settled chan struct{}
-	// tried is the last attempt at another endpoint, and suspected is set if the prompt
+	// tried is the last attempt at another endpoint, and suspected is set if the request
 	// may have crashed one. Both are used by run only.
 	tried     *attempt
 	suspected bool
@@ -187,7 +188,7 @@
 	if !mayRetry(q.route, stalled, q.executions+1, q.attempts, q.remaining()) || q.attempts >= maxAttemptsPerRequest {
 		return nil, deniedByRoute
 	}
-	if t.suspected {
+	if t.suspected || h.deps.Quarantine.Suspected(quarantine.Request{Fingerprint: q.fingerprint}, t.silent.endpoint.ID) {
 		return nil, deniedBySuspicion
 	}
 	open, _ := q.openEndpoints(max(q.coldUse(), coldAvoided))
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -8,44 +8,66 @@
 	"time"
 )
 
-// change is a set of segments that was quarantined, or is not any more.
+// change is a set of segments or a request that was quarantined, or is not any more.
 type change struct {
-	subject  string
-	evidence string
-	hold     time.Duration // from now
-	ended    bool
-	own      bool // this router made a report of one of its ends
+	subject     string
+	fingerprint Fingerprint // zero for segments
+	evidence    string
+	hold        time.Duration // from now
+	ended       bool
+	own         bool // this router made a report of one of its ends
 }
 
-// evaluateLocked computes the quarantined segments from the evidence and returns what
-// has changed.
-func (q *Quarantine) evaluateLocked(now time.Time) []change {
-	q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool { return now.Sub(c.at) > Retention })
-	present := q.presentLocked()
-	q.suspects = present
+// evaluateLocked computes the quarantined segments and requests from the evidence and
+// returns what has changed. What has the most ends explains them first; of equal ones a
+// request, as that is narrower than segments. SegmentsChanged is set if there is other
+// evidence on segments than at the last evaluation.
+func (q *Quarantine) evaluateLocked(now time.Time, segmentsChanged bool) []change {
+	if q.dropOldLocked(now) || segmentsChanged {
+		q.suspects = q.presentLocked()
+	}
+	present := q.suspects
 	before := q.quarantined
-	q.quarantined = nil
-	explained := make(map[*crash]bool)
+	q.quarantined, q.explained = nil, make(map[*crash]bool)
+	often, candidates := q.oftenPresent(present), q.candidatesLocked()
 	for len(q.quarantined) < maxQuarantined {
-		s, open := q.mostPresentLocked(present, explained)
-		if int64(q.countLocked(s, open)) < q.options.Settings.MinCrashes {
+		s, open := q.mostPresentLocked(often, q.explained)
+		c, lost := mostLost(candidates, q.explained)
+		count := q.countLocked(s, open)
+		if int64(max(count, lost)) < q.options.Settings.MinCrashes {
 			break
 		}
-		q.quarantined = append(q.quarantined, q.newQuarantined(s, open, present, explained))
+		if lost >= count {
+			q.quarantined = append(q.quarantined, q.newQuarantinedRequest(c))
+			open = c.ends
+		} else {
+			q.quarantined = append(q.quarantined, q.newQuarantined(s, open, present, q.explained))
+		}
 		for _, p := range open {
-			explained[p.crash] = true
+			q.explained[p.crash] = true
 		}
 	}
 	return q.changesLocked(before, now)
 }
 
+// oftenPresent returns the segments with enough ends to be quarantined.
+func (q *Quarantine) oftenPresent(present map[segment][]presence) map[segment][]presence {
+	often := make(map[segment][]presence)
+	for s, ends := range present {
+		if int64(len(ends)) >= q.options.Settings.MinCrashes {
+			often[s] = ends
+		}
+	}
+	return often
+}
+
 // presentLocked returns, for each segment, the ends that count against it in the order
 // of their times: those at which it was present and after which it was not served. If
 // responses had started at an end, only their segments count, and otherwise only segments
 // that were never served.
 func (q *Quarantine) presentLocked() map[segment][]presence {
 	present := make(map[segment][]presence)
-	byTime := sortedByTime(slices.Clone(q.crashes))
+	byTime := sortedByTime(withReports(q.crashes))
 	for _, c := range byTime {
 		anyStarted := slices.ContainsFunc(c.reports, func(r report) bool { return r.started })
 		for _, r := range c.reports {
@@ -69,6 +91,17 @@
 	return present
 }
 
+// withReports returns the ends that have reports of segments.
+func withReports(crashes []*crash) []*crash {
+	var found []*crash
+	for _, c := range crashes {
+		if len(c.reports) > 0 {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
 // dropCommonCauses drops the ends that do not count against a segment because several
 // other endpoints ended at the same time without it, so that they have another cause in
 // common. The ends are in the order of their times.
@@ -190,7 +223,7 @@
 	}
 	sameEnd := func(a, b presence) bool { return a.crash == b.crash }
 	for other, its := range present {
-		together := other == s || slices.EqualFunc(unexplained(its, explained), ends, sameEnd) &&
+		together := other == s || len(its) >= len(ends) && slices.EqualFunc(unexplained(its, explained), ends, sameEnd) &&
 			!slices.ContainsFunc(ends, func(p presence) bool { return !p.hasTogether(s, other) })
 		if together {
 			x.segments = append(x.segments, other)
@@ -202,13 +235,18 @@
 		ids[i] = member.id
 	}
 	x.subject = s.pool + "/" + strings.Join(ids, "+")
+	q.setTimes(x)
+	return x
+}
+
+// setTimes sets the times of a quarantine from its ends.
+func (q *Quarantine) setTimes(x *quarantined) {
 	x.from = x.crashes[min(int(q.options.Settings.MinCrashes), len(x.crashes))-1].at.Add(objectionTime)
 	x.until = x.crashes[len(x.crashes)-1].at.Add(q.hold(x.crashes))
-	return x
 }
 
 // objectionTime is the time after the end that makes the evidence sufficient in which
-// other routers can tell that they have served a segment.
+// other routers can tell that they have served a segment or the request.
 const objectionTime = 500 * time.Millisecond
 
 // hasTogether reports whether one request had both segments.
@@ -231,7 +269,7 @@
 	return hold
 }
 
-// changesLocked compares the quarantined segments with those before.
+// changesLocked compares what is quarantined with what was before.
 func (q *Quarantine) changesLocked(before []*quarantined, now time.Time) []change {
 	sameSubject := func(x *quarantined) func(*quarantined) bool {
 		return func(other *quarantined) bool { return other.subject == x.subject }
@@ -240,12 +278,12 @@
 	for _, x := range q.quarantined {
 		if !slices.ContainsFunc(before, sameSubject(x)) {
 			own := slices.ContainsFunc(x.crashes, func(c *crash) bool { return c.own })
-			changes = append(changes, change{subject: x.subject, evidence: x.describe(now), hold: x.until.Sub(now), own: own})
+			changes = append(changes, change{subject: x.subject, fingerprint: x.fingerprint, evidence: x.describe(now), hold: x.until.Sub(now), own: own})
 		}
 	}
 	for _, x := range before {
 		if !slices.ContainsFunc(q.quarantined, sameSubject(x)) {
-			changes = append(changes, change{subject: x.subject, ended: true})
+			changes = append(changes, change{subject: x.subject, fingerprint: x.fingerprint, ended: true})
 			delete(q.tried, x.subject)
 		}
 	}
@@ -257,12 +295,16 @@
 func (q *Quarantine) logChanges(changes []change, cause string) {
 	store := false
 	for _, c := range changes {
+		what, key, subject := "segments", "segments", c.subject
+		if c.fingerprint != (Fingerprint{}) {
+			what, key, subject = "request", "fingerprint", c.fingerprint.String()
+		}
 		if c.ended {
-			q.options.Log.Info("segments not quarantined any more", "segments", c.subject, "cause", cause)
+			q.options.Log.Info(what+" not quarantined any more", key, subject, "cause", cause)
 			continue
 		}
 		store = store || c.own
-		q.options.Log.Warn("segments quarantined", "segments", c.subject, "cause", cause, "evidence", c.evidence, "hold_ms", c.hold.Milliseconds())
+		q.options.Log.Warn(what+" quarantined", key, subject, "cause", cause, "evidence", c.evidence, "hold_ms", c.hold.Milliseconds())
 	}
 	if store {
 		q.options.Quarantined()
@@ -316,9 +358,16 @@
 			}
 		case d.request != "":
 			d.report.Segments = q.neverServedLocked(d.report)
-			if len(d.report.Segments) > 0 && !slices.ContainsFunc(d.crash.reports, func(r report) bool { return r.started }) {
+			if slices.ContainsFunc(d.crash.reports, func(r report) bool { return r.started }) {
+				d.report.Segments = nil
+			}
+			if len(d.report.Segments) > 0 || d.report.Fingerprint != (Fingerprint{}) {
 				reports = append(reports, d)
 			}
+		case d.completed != (Fingerprint{}):
+			if l := q.lost[d.completed]; l.clearanceOfUse() {
+				clearances = append(clearances, l.announce(l.completedAt, now))
+			}
 		case q.clearanceOfUseLocked(d.cleared):
 			clearances = append(clearances, q.clearanceLocked(d.cleared, now))
 		}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -42,7 +42,7 @@
 		q.suspects[s] = slices.DeleteFunc(q.suspects[s], func(p presence) bool { return q.servedAtLocked(s).After(p.at) })
 		return nil
 	}
-	return q.evaluateLocked(now)
+	return q.evaluateLocked(now, true)
 }
 
 // announceFrom is the number of ends against a segment from which routers tell each
@@ -91,15 +91,19 @@
 // RecordCrash records that this router lost the response to a request at an endpoint
 // that has ended. The response was lost at the given time.
 func (q *Quarantine) RecordCrash(request string, r Report, at time.Time) {
+	if len(r.Segments) == 0 && r.Fingerprint == (Fingerprint{}) {
+		return // it would not tell of anything
+	}
 	r.Segments = slices.Clone(r.Segments[:min(len(r.Segments), maxSegments)])
 	for i, id := range r.Segments {
 		r.Segments[i] = boundedID(id)
 	}
 	now := q.options.Clock.Now()
 	q.mu.Lock()
-	c, changes := q.addReportLocked(r, at, now, true)
-	publish := c != nil && r.Started
-	if c != nil && !r.Started && len(q.due) < maxDue {
+	c, changes := q.addReportLocked(&r, at, now, true)
+	delayed := c != nil && !r.Started && len(r.Segments) > 0
+	publish := c != nil && !delayed
+	if delayed && len(q.due) < maxDue {
 		q.due = append(q.due, duePublication{at: now.Add(weakReportDelay), request: request, report: r, lostAt: at, crash: c})
 	}
 	q.mu.Unlock()
@@ -116,20 +120,20 @@
 	r.AgeMS = q.options.Clock.Now().Sub(lostAt).Milliseconds()
 	q.stats.reports.Inc()
 	q.options.Log.Info("endpoint ended at the start of a response", "request", request, "endpoint", r.Endpoint, "pool", r.Pool,
-		"started", r.Started, "segments", strings.Join(r.Segments, ","))
+		"started", r.Started, "segments", strings.Join(r.Segments, ","), "fingerprint", r.Fingerprint.String())
 	q.options.PublishReport(fmt.Sprintf("%s at %s/%d", boundedID(request), r.Endpoint, r.StartedMs), r)
 }
 
 // ReceiveReport takes in a report of another router that was made at the given time of
 // this router's clock. Malformed reports are ignored.
 func (q *Quarantine) ReceiveReport(r Report, at time.Time) {
-	if r.Pool == "" || r.Endpoint == "" || len(r.Segments) == 0 || len(r.Segments) > maxSegments ||
+	if r.Pool == "" || r.Endpoint == "" || len(r.Segments) == 0 && r.Fingerprint == (Fingerprint{}) || len(r.Segments) > maxSegments ||
 		slices.ContainsFunc(r.Segments, func(id string) bool { return id == "" || len(id) > maxSegmentBytes }) {
 		q.options.Log.Warn("report of another router ignored, it is malformed", "endpoint", r.Endpoint, "pool", r.Pool, "segments", len(r.Segments))
 		return
 	}
 	q.mu.Lock()
-	_, changes := q.addReportLocked(r, at.Add(-durationOfMS(r.AgeMS)), q.options.Clock.Now(), false)
+	_, changes := q.addReportLocked(&r, at.Add(-durationOfMS(r.AgeMS)), q.options.Clock.Now(), false)
 	q.mu.Unlock()
 	q.logChanges(changes, "report")
 	q.signal()
@@ -138,11 +142,15 @@
 // ReceiveClearance takes in a clearance of another router that was made at the given
 // time of this router's clock.
 func (q *Quarantine) ReceiveClearance(c Clearance, at time.Time) {
+	at = at.Add(-durationOfMS(c.AgeMS))
+	if c.Fingerprint != (Fingerprint{}) {
+		q.receiveRequestClearance(c.Fingerprint, at)
+		return
+	}
 	s := segment{c.Pool, c.Segment}
 	if len(c.Segment) > maxSegmentBytes {
 		return
 	}
-	at = at.Add(-durationOfMS(c.AgeMS))
 	q.mu.Lock()
 	q.setServedLocked(s, at)
 	if at.After(q.announced[s]) {
@@ -158,37 +166,61 @@
 	return time.Duration(min(max(ms, 0), Retention.Milliseconds())) * time.Millisecond
 }
 
-// addReportLocked adds a report to the end that it tells of, which is returned. It
-// returns nil if the report is not kept.
-func (q *Quarantine) addReportLocked(r Report, at, now time.Time, own bool) (*crash, []change) {
-	i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.endpoint == r.Endpoint && c.startedMs == r.StartedMs })
-	if i < 0 {
-		q.crashes = append(q.crashes, &crash{endpoint: r.Endpoint, startedMs: r.StartedMs, at: at})
-		if len(q.crashes) > maxCrashes {
-			q.crashes = slices.Delete(q.crashes, 0, 1)
-		}
-		i = len(q.crashes) - 1
+// addReportLocked adds a report to the end that it tells of, which is returned, and
+// removes from the report what is not kept. It returns nil if nothing is.
+func (q *Quarantine) addReportLocked(r *Report, at, now time.Time, own bool) (*crash, []change) {
+	c, sentAt := q.crashOfLocked(r, at), at.Add(-durationOfMS(r.SentBeforeMS))
+	if !q.addLostLocked(c, r.Fingerprint, sentAt) {
+		r.Fingerprint = Fingerprint{}
+	}
+	added, kept := c.addSegments(r, sentAt)
+	if !kept {
+		r.Segments = nil
+	}
+	if !kept && r.Fingerprint == (Fingerprint{}) {
+		return nil, nil
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	c.own = c.own || own
+	changes := q.evaluateLocked(now, kept)
+	q.planClearancesLocked(added, now)
+	if q.lost[r.Fingerprint].clearanceOfUse() && len(q.due) < maxDue {
+		q.due = append(q.due, duePublication{at: now.Add(q.options.Jitter(maxClearanceDelay)), completed: r.Fingerprint})
+	}
+	return c, changes
+}
+
+// crashOfLocked returns the end that a report tells of, which is added if it is new.
+func (q *Quarantine) crashOfLocked(r *Report, at time.Time) *crash {
+	if i := slices.IndexFunc(q.crashes, func(c *crash) bool { return c.endpoint == r.Endpoint && c.startedMs == r.StartedMs }); i >= 0 {
+		return q.crashes[i]
+	}
+	c := &crash{endpoint: r.Endpoint, startedMs: r.StartedMs, at: at}
+	q.crashes = append(q.crashes, c)
+	return c
+}
+
+// addSegments adds the segments of a report, if it has any. It returns false if they are
+// not kept.
+func (c *crash) addSegments(r *Report, sentAt time.Time) (report, bool) {
+	if len(r.Segments) == 0 {
+		return report{}, false
 	}
-	c := q.crashes[i]
 	if len(c.reports) >= maxReports {
 		weak := slices.IndexFunc(c.reports, func(x report) bool { return !x.started })
 		if weak < 0 || !r.Started {
-			return nil, nil
+			return report{}, false
 		}
 		c.reports = slices.Delete(c.reports, weak, weak+1)
 	}
-	if at.Before(c.at) {
-		c.at = at
-	}
-	c.own = c.own || own
-	added := report{started: r.Started, sentAt: at.Add(-durationOfMS(r.SentBeforeMS))}
+	added := report{started: r.Started, sentAt: sentAt}
 	for _, id := range r.Segments {
 		added.segments = append(added.segments, segment{r.Pool, id})
 	}
 	c.reports = append(c.reports, added)
-	changes := q.evaluateLocked(now)
-	q.planClearancesLocked(added, now)
-	return c, changes
+	return added, true
 }
 
 // maxClearanceDelay bounds the random wait before a router tells that a segment was
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -57,11 +57,19 @@
 const (
 	// Retention is how long the end of an endpoint is kept.
 	Retention = 6 * time.Hour
-	// maxCrashes bounds the ends that are kept, and maxReports the reports of one.
-	maxCrashes = 128
-	maxReports = 16
-	// maxQuarantined bounds the sets of segments that are quarantined at the same time.
-	maxQuarantined = 16
+	// maxCrashes bounds the ends that are kept, and maxLost the requests that were lost at
+	// one.
+	maxCrashes = 256
+	maxLost    = 64
+	// maxSegmentCrashes bounds the ends of which reports of segments are kept, and
+	// maxReports the reports of one.
+	maxSegmentCrashes = 128
+	maxReports        = 16
+	// maxQuarantined bounds the sets of segments and the requests that are quarantined at
+	// the same time.
+	maxQuarantined = 64
+	// maxCompleted bounds the requests whose last complete response is remembered.
+	maxCompleted = 32 << 10
 	// maxSegments bounds the segments of a request that are considered, and
 	// maxSegmentBytes the length of an id; a longer one is replaced by its hash.
 	maxSegments     = 128
@@ -72,8 +80,7 @@
 	maxServed = 32 << 10
 )
 
-// Report tells of one attempt whose response broke before its first event, at an
-// endpoint that has ended.
+// Report tells of one attempt whose response broke at an endpoint that has ended.
 type Report struct {
 	Pool string `cbor:"1,keyasint"`
 	// Endpoint and StartedMs identify one start of an endpoint.
@@ -89,16 +96,39 @@
 	// milliseconds.
 	AgeMS int64 `cbor:"6,keyasint"`
 	// Segments are the ids of the segments that other prompts can have in common with
-	// the one of the request.
+	// the one of the request. There are none if the response broke after its first event.
 	Segments []string `cbor:"7,keyasint"`
+	// Fingerprint is that of the request; zero in reports of older routers.
+	Fingerprint Fingerprint `cbor:"8,keyasint"`
 }
 
-// Clearance tells that a response to a prompt with the segment got past its beginning.
+// Clearance tells that a response to a prompt with the segment got past its beginning, or
+// that a response to a request with the fingerprint was complete.
 type Clearance struct {
 	Pool    string `cbor:"1,keyasint"`
 	Segment string `cbor:"2,keyasint"`
 	// AgeMS is the time since that response, in milliseconds.
 	AgeMS int64 `cbor:"3,keyasint"`
+	// Fingerprint is zero if the clearance is that of a segment; otherwise the segment
+	// is empty.
+	Fingerprint Fingerprint `cbor:"4,keyasint"`
+}
+
+// Subject returns the name of what is cleared.
+func (c Clearance) Subject() string {
+	if c.Fingerprint != (Fingerprint{}) {
+		return c.Fingerprint.subject()
+	}
+	return c.Pool + "/" + c.Segment
+}
+
+// Request is what is considered of a request.
+type Request struct {
+	Pool string
+	// Segments are those that other prompts can have in common with its own.
+	Segments []exchange.Segment
+	// Fingerprint is zero if it is not known.
+	Fingerprint Fingerprint
 }
 
 // Options are what a Quarantine uses. The functions must not block.
@@ -130,7 +160,8 @@
 	startedMs int64
 	at        time.Time
 	reports   []report
-	own       bool // this router made one of the reports
+	own       bool          // this router made one of the reports
+	lost      []Fingerprint // of requests that were lost, each once
 	// simultaneous is the number of other ends at the same time.
 	simultaneous int
 }
@@ -149,15 +180,25 @@
 	sentAt  time.Time // when the newest request with it was sent
 }
 
-// quarantined is a set of segments with which no request is sent.
+// quarantined is a set of segments with which no request is sent, or a request.
 type quarantined struct {
-	subject  string // pool and ids, for logs and as a key
-	segments []segment
-	crashes  []*crash // in order of their times
+	subject     string // for logs and as a key
+	segments    []segment
+	fingerprint Fingerprint // zero for segments
+	crashes     []*crash    // in order of their times
 	// Requests are refused from the time from. After until, one may be let through.
 	from, until time.Time
 }
 
+// tried is what this router let through of what is quarantined.
+type tried struct {
+	last  time.Time
+	times int
+}
+
+// isRequest reports whether it is a request and no set of segments.
+func (x *quarantined) isRequest() bool { return x.fingerprint != (Fingerprint{}) }
+
 // duePublication is an observation that is published at a time if it is still of use.
 type duePublication struct {
 	at      time.Time
@@ -166,6 +207,8 @@
 	lostAt  time.Time // of a report
 	crash   *crash    // of a report
 	cleared segment   // of a clearance
+	// completed is that of a clearance of a request.
+	completed Fingerprint
 }
 
 // Quarantine holds the evidence and the quarantined segments. It is safe for concurrent
@@ -182,9 +225,14 @@
 	served, servedBefore map[segment]time.Time
 	announced            map[segment]time.Time  // time of the response of the last clearance, own or received
 	suspects             map[segment][]presence // ends that count against a segment
-	quarantined          []*quarantined
-	tried                map[string]time.Time // last request that was let through, by subject
-	due                  []duePublication
+	// completed holds complete responses of this router, and lost the evidence on
+	// requests that were lost at one of the crashes.
+	completed   completions
+	lost        map[Fingerprint]*lostRequest
+	quarantined []*quarantined
+	explained   map[*crash]bool  // by what is quarantined
+	tried       map[string]tried // by subject
+	due         []duePublication
 }
 
 // stats are the counters of a Quarantine.
@@ -194,23 +242,37 @@
 func New(o Options) *Quarantine {
 	q := &Quarantine{
 		options: o, wake: make(chan struct{}, 1), served: make(map[segment]time.Time), announced: make(map[segment]time.Time),
-		tried: make(map[string]time.Time),
+		tried: make(map[string]tried), lost: make(map[Fingerprint]*lostRequest),
 		stats: stats{
 			reports: o.Metrics.NewCounter("daisyslip_quarantine_reports_total"), clearances: o.Metrics.NewCounter("daisyslip_quarantine_clearances_total"),
 			refusals: o.Metrics.NewCounter("daisyslip_quarantine_refusals_total"), tries: o.Metrics.NewCounter("daisyslip_quarantine_tries_total"),
 		},
 	}
-	o.Metrics.NewGauge("daisyslip_quarantined_segments", func() float64 { return float64(q.count()) })
+	o.Metrics.NewGauge("daisyslip_quarantined_segments", func() float64 { return float64(q.count() - q.countRequests()) })
+	o.Metrics.NewGauge("daisyslip_quarantined_requests", func() float64 { return float64(q.countRequests()) })
 	return q
 }
 
-// count returns the number of quarantined sets of segments.
+// count returns the number of quarantined sets of segments and requests.
 func (q *Quarantine) count() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return len(q.quarantined)
 }
 
+// countRequests returns the number of quarantined requests.
+func (q *Quarantine) countRequests() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, x := range q.quarantined {
+		if x.isRequest() {
+			n++
+		}
+	}
+	return n
+}
+
 // segmentsOf returns the segments of a prompt that count.
 func segmentsOf(pool string, shared []exchange.Segment) []segment {
 	segments := make([]segment, 0, min(len(shared), maxSegments))
@@ -236,22 +298,16 @@
 	RetryAfter time.Duration
 }
 
-// Check reports whether a request with these segments is refused.
-func (q *Quarantine) Check(pool string, shared []exchange.Segment) (Refusal, bool) {
-	if len(shared) == 0 {
-		return Refusal{}, false
-	}
+// Check reports whether a request is refused.
+func (q *Quarantine) Check(r Request) (Refusal, bool) {
 	q.mu.Lock()
 	now := q.options.Clock.Now()
-	found := q.findLocked(pool, shared, now)
+	found := q.findLocked(r, now)
 	if found == nil {
 		q.mu.Unlock()
 		return Refusal{}, false
 	}
-	hold := found.until
-	if tried, ok := q.tried[found.subject]; ok && tried.Add(q.options.Settings.Hold).After(hold) {
-		hold = tried.Add(q.options.Settings.Hold) // the result of the last try is not known yet
-	}
+	hold := q.heldUntilLocked(found)
 	refusal := Refusal{Reason: found.describe(now), RetryAfter: max(hold.Sub(now), minRetryAfter)}
 	subject, held := found.subject, now.Before(hold)
 	q.mu.Unlock()
@@ -263,57 +319,82 @@
 		return refusal, true
 	}
 	q.mu.Lock()
-	if last, ok := q.tried[subject]; ok && last.Add(q.options.Settings.Hold).After(now) {
+	t := q.tried[subject]
+	if t.times > 0 && t.last.Add(q.options.Settings.Hold).After(now) {
 		q.mu.Unlock()
 		q.stats.refusals.Inc()
 		return refusal, true // another request was let through at the same moment
 	}
-	q.tried[subject] = now
+	q.tried[subject] = tried{last: now, times: t.times + 1}
 	q.mu.Unlock()
 	q.stats.tries.Inc()
-	q.options.Log.Info("request let through quarantine", "segments", subject, "evidence", refusal.Reason)
+	q.options.Log.Info("request let through quarantine", "subject", subject, "evidence", refusal.Reason)
 	return Refusal{}, false
 }
 
+// heldUntilLocked returns until when no request is let through.
+func (q *Quarantine) heldUntilLocked(x *quarantined) time.Time {
+	t := q.tried[x.subject]
+	switch {
+	case t.times == 0:
+		return x.until
+	case t.times >= maxTries && x.isRequest():
+		return latest(x.until, t.last.Add(Retention))
+	}
+	return latest(x.until, t.last.Add(q.options.Settings.Hold)) // the result of the last try is not known yet
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // minRetryAfter is the least time that a refusal tells.
 const minRetryAfter = time.Second
 
-// findLocked returns quarantined segments that are all in the prompt, or nil.
-func (q *Quarantine) findLocked(pool string, shared []exchange.Segment, now time.Time) *quarantined {
+// findLocked returns quarantined segments that are all in the prompt, or the quarantined
+// request; nil if there are none.
+func (q *Quarantine) findLocked(r Request, now time.Time) *quarantined {
 	if len(q.quarantined) == 0 {
 		return nil
 	}
-	segments := segmentsOf(pool, shared)
+	segments := segmentsOf(r.Pool, r.Segments)
 	for _, x := range q.quarantined {
-		if !now.Before(x.from) && !slices.ContainsFunc(x.segments, func(s segment) bool { return !slices.Contains(segments, s) }) {
+		found := x.isRequest() && x.fingerprint == r.Fingerprint ||
+			!x.isRequest() && !slices.ContainsFunc(x.segments, func(s segment) bool { return !slices.Contains(segments, s) })
+		if found && !now.Before(x.from) {
 			return x
 		}
 	}
 	return nil
 }
 
-// describe tells the evidence against quarantined segments.
+// describe tells the evidence against what is quarantined.
 func (x *quarantined) describe(now time.Time) string {
 	var ends []string
 	for _, c := range x.crashes[max(len(x.crashes)-maxDescribed, 0):] {
 		ends = append(ends, fmt.Sprintf("%s %s ago", c.endpoint, now.Sub(c.at).Round(time.Millisecond)))
 	}
-	return fmt.Sprintf("%s: %d endpoints ended at the start of their responses, among them %s", x.subject, len(x.crashes), strings.Join(ends, ", "))
+	when := "at the start of their responses"
+	if x.isRequest() {
+		when = "before their responses were complete"
+	}
+	return fmt.Sprintf("%s: %d endpoints ended %s, among them %s", x.subject, len(x.crashes), when, strings.Join(ends, ", "))
 }
 
 // maxDescribed bounds the ends in a reason.
 const maxDescribed = 5
 
 // Suspected reports whether the end of another endpoint than the given one counts
-// against one of the segments. A request with such a segment is not repeated after its
-// response broke off before its first event.
-func (q *Quarantine) Suspected(pool string, shared []exchange.Segment, endpoint string) bool {
-	if len(shared) == 0 {
-		return false
-	}
+// against the request or one of its segments. Such a request is not repeated after its
+// response broke off.
+func (q *Quarantine) Suspected(r Request, endpoint string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.suspects) > 0 && slices.ContainsFunc(segmentsOf(pool, shared), func(s segment) bool {
+	return q.suspectedLocked(r.Fingerprint, endpoint) || len(q.suspects) > 0 && slices.ContainsFunc(segmentsOf(r.Pool, r.Segments), func(s segment) bool {
 		return slices.ContainsFunc(q.suspects[s], func(p presence) bool { return p.endpoint != endpoint })
 	})
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -60,7 +60,7 @@
 
 // refuses reports whether a request with these segments is refused.
 func (r *router) refuses(ids ...string) bool {
-	_, refused := r.Check("pool", shared(ids...))
+	_, refused := r.Check(Request{Pool: "pool", Segments: shared(ids...)})
 	return refused
 }
 
@@ -77,7 +77,7 @@
 	r.RecordServed("pool", shared("theirs", "other"))
 	assert.Assert(t, r.refuses("bad"))
 	assert.Assert(t, !r.refuses("theirs"))
-	_, refusedElsewhere := r.Check("other pool", shared("bad"))
+	_, refusedElsewhere := r.Check(Request{Pool: "other pool", Segments: shared("bad")})
 	assert.Assert(t, !refusedElsewhere)
 }
 
@@ -88,7 +88,7 @@
 	for i := range 3 {
 		r.crash(fmt.Sprint("i-", i), "bad")
 	}
-	refusal, refused := r.Check("pool", shared("first", "bad"))
+	refusal, refused := r.Check(Request{Pool: "pool", Segments: shared("first", "bad")})
 	assert.Assert(t, refused)
 	assert.Equal(t, refusal.RetryAfter, DefaultSettings().Hold-objectionTime)
 	assert.Equal(t, refusal.Reason, "pool/bad: 3 endpoints ended at the start of their responses, among them i-0 3.5s ago, i-1 2s ago, i-2 500ms ago")
@@ -130,10 +130,10 @@
 func TestRequestWithSuspectedSegmentIsNotRepeated(t *testing.T) {
 	r := newRouter()
 	r.crash("i-1", "first", "bad")
-	assert.Assert(t, !r.Suspected("pool", shared("bad"), "i-1"), "other requests at the same endpoint may be repeated")
-	assert.Assert(t, r.Suspected("pool", shared("first", "bad"), "i-2"))
+	assert.Assert(t, !r.Suspected(Request{Pool: "pool", Segments: shared("bad")}, "i-1"), "other requests at the same endpoint may be repeated")
+	assert.Assert(t, r.Suspected(Request{Pool: "pool", Segments: shared("first", "bad")}, "i-2"))
 	r.RecordServed("pool", shared("first"))
-	assert.Assert(t, !r.Suspected("pool", shared("first"), "i-2"))
+	assert.Assert(t, !r.Suspected(Request{Pool: "pool", Segments: shared("first")}, "i-2"))
 }
 
 // TestEvidenceIsBounded guards against memory that grows with the number of segments or
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -245,7 +245,7 @@
 func (s *simulation) send(r *simRequest) bool {
 	s.seq++
 	r.id = fmt.Sprint("r-", s.seq)
-	if _, refused := s.routers[r.router].Check("pool", r.segments[:len(r.segments)-1]); refused {
+	if _, refused := s.routers[r.router].Check(Request{Pool: "pool", Segments: r.segments[:len(r.segments)-1]}); refused {
 		return false
 	}
 	i := s.random.IntN(len(s.pool))
