Need one more end against a request while endpoints end without it

If at least two endpoints ended without the request since 10 s before its first end and for no known reason, a fourth end is needed. An end that comes 3 s after the one that makes the evidence sufficient takes the place of a request that is let through, so that no more than three arrive late in all.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -32,7 +32,7 @@
 	often, candidates := q.oftenPresent(present), q.candidatesLocked()
 	for len(q.quarantined) < maxQuarantined {
 		s, open := q.mostPresentLocked(often, q.explained)
-		c, lost := mostLost(candidates, q.explained)
+		c, lost := q.mostLostLocked(candidates)
 		count := q.countLocked(s, open)
 		if int64(max(count, lost)) < q.options.Settings.MinCrashes {
 			break
--- a/internal/quarantine/lost.go
+++ b/internal/quarantine/lost.go
@@ -191,19 +191,19 @@
 
 // candidate is a request with enough evidence to be quarantined.
 type candidate struct {
-	fingerprint Fingerprint
-	ends        []presence
-	completed   bool // a response was complete once
+	*lostRequest
+	ends      []presence // that count, in the order of their times
+	completed bool       // a response was complete once
 }
 
 // candidatesLocked returns the requests with enough evidence.
 func (q *Quarantine) candidatesLocked() []candidate {
 	var found []candidate
-	for f, l := range q.lost {
+	for _, l := range q.lost {
 		if int64(len(l.ends)) < q.options.Settings.MinCrashes {
 			continue
 		}
-		c := candidate{f, l.open(), !l.completedAt.IsZero()}
+		c := candidate{l, l.open(), !l.completedAt.IsZero()}
 		if int64(countLost(c.ends, c.completed)) >= q.options.Settings.MinCrashes {
 			found = append(found, c)
 		}
@@ -211,24 +211,59 @@
 	return found
 }
 
-// mostLost returns the candidate with the most evidence from ends that are not explained
-// yet, with these ends, and its count. Of equal ones it prefers one that was never
-// complete, and then the one with more ends.
-func mostLost(candidates []candidate, explained map[*crash]bool) (candidate, int) {
+// mostLostLocked returns the candidate with the most evidence from ends that are not
+// explained yet, with these ends, and its count. Of equal ones it prefers one that was
+// never complete, and then the one with more ends.
+func (q *Quarantine) mostLostLocked(candidates []candidate) (candidate, int) {
 	var best candidate
 	bestCount := 0
 	for _, c := range candidates {
-		c.ends = unexplained(c.ends, explained)
+		c.ends = unexplained(c.ends, q.explained)
 		count := countLost(c.ends, c.completed)
 		order := cmp.Or(cmp.Compare(count, bestCount), compareBool(!c.completed, !best.completed), cmp.Compare(len(c.ends), len(best.ends)),
-			bytes.Compare(best.fingerprint[:], c.fingerprint[:]))
-		if count > 0 && order > 0 {
+			c.compareFingerprint(best))
+		if order > 0 && int64(count) >= q.options.Settings.MinCrashes+q.extraLocked(c) {
 			best, bestCount = c, count
 		}
 	}
 	return best, bestCount
 }
 
+// compareFingerprint orders candidates by their fingerprints, a missing one last.
+func (c candidate) compareFingerprint(other candidate) int {
+	if other.lostRequest == nil {
+		return 1
+	}
+	return bytes.Compare(other.fingerprint[:], c.fingerprint[:])
+}
+
+// extraLocked returns how many more ends than MinCrashes are needed against a request: one
+// if several endpoints ended without it since otherTime before, and for no known reason.
+// Then a sound request can be lost several times in a row.
+func (q *Quarantine) extraLocked(c candidate) int64 {
+	if len(c.ends) == 0 || int64(len(c.ends)) > q.options.Settings.MinCrashes {
+		return 0
+	}
+	others := 0
+	from, to := c.ends[0].at.Add(-otherTime), c.ends[len(c.ends)-1].at
+	for _, end := range q.crashes {
+		if !q.explained[end] && end.at.After(from) && !end.at.After(to) && !slices.ContainsFunc(c.lostRequest.ends, func(p presence) bool { return p.crash == end }) {
+			others++
+		}
+	}
+	if others >= otherEnds {
+		return 1
+	}
+	return 0
+}
+
+// From otherEnds other ends since otherTime before the first, more evidence against a
+// request is needed.
+const (
+	otherEnds = 2
+	otherTime = 10 * time.Second
+)
+
 // newQuarantinedRequest returns the quarantined request of a candidate.
 func (q *Quarantine) newQuarantinedRequest(c candidate) *quarantined {
 	x := &quarantined{subject: c.fingerprint.subject(), fingerprint: c.fingerprint}
@@ -236,25 +271,29 @@
 		x.crashes = append(x.crashes, p.crash)
 	}
 	q.setTimes(x)
-	if q.triesEnded(x.crashes) >= maxTries {
+	if q.lateEnds(x.crashes) >= maxTries {
 		x.until = x.crashes[len(x.crashes)-1].at.Add(Retention)
 	}
 	return x
 }
 
-// maxTries is the number of requests with one fingerprint that are let through and end an
-// endpoint before no more are.
-const maxTries = 2
+const (
+	// maxTries is the number of requests with one fingerprint that are let through after
+	// the hold time. Each end that came late takes the place of one.
+	maxTries = 2
+	// spreadTime is the time after which routers that reach each other act on an end.
+	spreadTime = 3 * time.Second
+)
 
-// triesEnded returns how many of the ends were caused by a request that was let through.
-func (q *Quarantine) triesEnded(crashes []*crash) int {
-	tries := 0
-	for i := int(q.options.Settings.MinCrashes); i < len(crashes); i++ {
-		if crashes[i].at.Sub(crashes[i-1].at) >= q.options.Settings.Hold {
-			tries++
+// lateEnds returns how many of the ends came when all routers could have known enough.
+func (q *Quarantine) lateEnds(crashes []*crash) int {
+	n := 0
+	for i, enough := int(q.options.Settings.MinCrashes), int(q.options.Settings.MinCrashes)-1; i < len(crashes); i++ {
+		if crashes[i].at.Sub(crashes[enough].at) >= spreadTime {
+			n++
 		}
 	}
-	return tries
+	return n
 }
 
 // suspectedLocked reports whether the end of another endpoint than the given one counts
