--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -285,6 +285,7 @@
 		if !slices.ContainsFunc(q.quarantined, sameSubject(x)) {
 			changes = append(changes, change{subject: x.subject, fingerprint: x.fingerprint, ended: true})
 			delete(q.tried, x.subject)
+			delete(q.refused, x.subject)
 		}
 	}
 	return changes
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -232,6 +232,7 @@
 	quarantined []*quarantined
 	explained   map[*crash]bool  // by what is quarantined
 	tried       map[string]tried // by subject
+	refused     map[string]int64 // requests that were refused, by subject
 	due         []duePublication
 }
 
@@ -242,7 +243,7 @@
 func New(o Options) *Quarantine {
 	q := &Quarantine{
 		options: o, wake: make(chan struct{}, 1), served: make(map[segment]time.Time), announced: make(map[segment]time.Time),
-		tried: make(map[string]tried), lost: make(map[Fingerprint]*lostRequest),
+		tried: make(map[string]tried), refused: make(map[string]int64), lost: make(map[Fingerprint]*lostRequest),
 		stats: stats{
 			reports: o.Metrics.NewCounter("daisyslip_quarantine_reports_total"), clearances: o.Metrics.NewCounter("daisyslip_quarantine_clearances_total"),
 			refusals: o.Metrics.NewCounter("daisyslip_quarantine_refusals_total"), tries: o.Metrics.NewCounter("daisyslip_quarantine_tries_total"),
@@ -315,14 +316,14 @@
 		held, refusal.RetryAfter = true, q.options.Settings.Hold // another router may let one through
 	}
 	if held {
-		q.stats.refusals.Inc()
+		q.countRefusal(subject)
 		return refusal, true
 	}
 	q.mu.Lock()
 	t := q.tried[subject]
 	if t.times > 0 && t.last.Add(q.options.Settings.Hold).After(now) {
 		q.mu.Unlock()
-		q.stats.refusals.Inc()
+		q.countRefusal(subject)
 		return refusal, true // another request was let through at the same moment
 	}
 	q.tried[subject] = tried{last: now, times: t.times + 1}
@@ -332,6 +333,16 @@
 	return Refusal{}, false
 }
 
+// countRefusal counts a refused request.
+func (q *Quarantine) countRefusal(subject string) {
+	q.stats.refusals.Inc()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if slices.ContainsFunc(q.quarantined, func(x *quarantined) bool { return x.subject == subject }) {
+		q.refused[subject]++
+	}
+}
+
 // heldUntilLocked returns until when no request is let through.
 func (q *Quarantine) heldUntilLocked(x *quarantined) time.Time {
 	t := q.tried[x.subject]
