--- a/internal/quarantine/lost_test.go
+++ b/internal/quarantine/lost_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"daisyslip.dev/daisyslip/internal/gossip"
 )
 
 // fingerprintOf returns the fingerprint of a body.
@@ -248,3 +250,33 @@
 		})
 	}
 }
+
+// TestReportsOfOlderRoutersAreRead guards against evidence that is lost between routers of
+// different versions.
+func TestReportsOfOlderRoutersAreRead(t *testing.T) {
+	type olderReport struct {
+		Pool     string   `cbor:"1,keyasint"`
+		Endpoint string   `cbor:"2,keyasint"`
+		Started  bool     `cbor:"4,keyasint"`
+		Segments []string `cbor:"7,keyasint"`
+	}
+	older := olderReport{Pool: "pool", Endpoint: "i-1", Started: true, Segments: []string{"bad"}}
+	var read Report
+	assert.NilError(t, gossip.Decode(gossip.Encode(older), &read))
+	assert.DeepEqual(t, read, Report{Pool: "pool", Endpoint: "i-1", Started: true, Segments: []string{"bad"}})
+	read.Fingerprint = fingerprintOf("bad")
+	var again Report
+	assert.NilError(t, gossip.Decode(gossip.Encode(read), &again))
+	assert.DeepEqual(t, again, read)
+	var readByOlder olderReport
+	assert.NilError(t, gossip.Decode(gossip.Encode(read), &readByOlder))
+	assert.DeepEqual(t, readByOlder, older)
+}
+
+// BenchmarkFingerprint measures the fingerprint of a request with a long prompt.
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 18000)
+	for b.Loop() {
+		FingerprintOf("app.example", "POST", "/a", "coop", body)
+	}
+}
