Find a crashing request whose first ends all come at one moment

Ends count all if no response to the request was ever complete. As simultaneous ends can have another cause, the hold is 2 s then, after which one router lets one request through.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -334,6 +334,8 @@
 		{name: "in bursts of two", routers: 9, endpoints: 12, crashing: []crashing{{body: "bad", every: 4 * time.Second, burst: 2, from: 3 * time.Second}}},
 		{name: "in bursts of three", routers: 9, endpoints: 12, crashing: []crashing{{body: "bad", every: 5 * time.Second, burst: 3, from: 3 * time.Second}}},
 		{name: "in bursts of eight", routers: 70, endpoints: 30, crashing: []crashing{{body: "bad", every: 5 * time.Second, burst: 8, from: 3 * time.Second}}},
+		{name: "in bursts of eight, late observations", routers: 70, endpoints: 30, crashing: []crashing{{body: "bad", every: 7 * time.Second, burst: 8, from: 3 * time.Second}}, delay: 2900 * time.Millisecond},
+		{name: "in bursts of eight beside lost racks", routers: 9, endpoints: 40, crashing: []crashing{{body: "bad", every: 5 * time.Second, burst: 8, from: 3 * time.Second}}, killEvery: 3 * time.Second, killed: 6},
 		{name: "served before", routers: 9, endpoints: 9, crashing: []crashing{{body: "bad", every: often, burst: 1, turns: 10 * time.Second}}},
 		{name: "beside kills", routers: 9, endpoints: 12, crashing: one, killEvery: 2 * time.Second, killed: 1},
 		{name: "beside lost racks", routers: 9, endpoints: 12, crashing: one, killEvery: 6 * time.Second, killed: 5},
--- a/internal/quarantine/lost.go
+++ b/internal/quarantine/lost.go
@@ -143,10 +143,11 @@
 }
 
 // clearanceOfUse reports whether other routers should be told when a response to the
-// request was complete here: they know of several ends, and some of them do not count.
+// request was complete here: they know of several ends, and of no complete response, or of
+// none that is later than one of these ends while this router does.
 func (l *lostRequest) clearanceOfUse() bool {
 	return l != nil && len(l.ends) >= announceFrom && l.completedAt.After(l.announced) &&
-		slices.ContainsFunc(l.ends, func(p presence) bool { return p.at.After(l.announced) && p.at.Before(l.completedAt) })
+		(l.announced.IsZero() || slices.ContainsFunc(l.ends, func(p presence) bool { return p.at.After(l.announced) && p.at.Before(l.completedAt) }))
 }
 
 // open returns the ends that count against the request, in the order of their times:
@@ -167,24 +168,19 @@
 // countLost returns how many of the ends, which are in the order of their times, count as
 // independent evidence against a request. Endpoints that end together for another reason
 // can have a request in flight that many callers make, so an end counts only if the
-// request was sent after the end that counted before. That is not asked of ends at
-// different moments if no response to the request was ever complete: it was sent to
-// several endpoints at the same time, and each ended by itself.
+// request was sent after the end that counted before. That is not asked if no response to
+// the request was ever complete: it was sent to several endpoints at the same time.
 func countLost(ends []presence, completed bool) int {
-	inTurn, moments := 0, 0
-	var last, moment time.Time
-	for i, p := range ends {
+	if !completed {
+		return len(ends)
+	}
+	inTurn := 0
+	var last time.Time
+	for _, p := range ends {
 		if inTurn == 0 || p.sentAt.After(last) {
 			inTurn++
 			last = p.at
 		}
-		if i == 0 || p.at.Sub(moment) >= simultaneousTime {
-			moments++
-			moment = p.at
-		}
-	}
-	if !completed && moments >= 2 {
-		return len(ends)
 	}
 	return inTurn
 }
@@ -271,13 +267,20 @@
 		x.crashes = append(x.crashes, p.crash)
 	}
 	q.setTimes(x)
-	if q.lateEnds(x.crashes) >= maxTries {
-		x.until = x.crashes[len(x.crashes)-1].at.Add(Retention)
+	last := x.crashes[len(x.crashes)-1].at
+	switch {
+	case q.lateEnds(x.crashes) >= maxTries:
+		x.until = last.Add(Retention)
+	case last.Sub(x.crashes[0].at) < simultaneousTime:
+		x.until = last.Add(togetherHold)
 	}
 	return x
 }
 
 const (
+	// togetherHold replaces Hold for simultaneous ends, which can have another cause in
+	// common.
+	togetherHold = 2 * time.Second
 	// maxTries is the number of requests with one fingerprint that are let through after
 	// the hold time. Each end that came late takes the place of one.
 	maxTries = 2
