--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine finds segments of prompts that crash endpoints, and decides which
-// requests are refused because of them.
+// Package quarantine finds requests and segments of prompts that crash endpoints, and
+// decides which requests are refused because of them.
 //
 // When an endpoint ends, each router reports the requests whose responses it lost there
 // before the first event. The reports of all routers together tell which segments were
@@ -9,6 +9,11 @@
 // other segment. Segments that always occurred together in these requests are
 // quarantined together: only requests with all of them are refused.
 //
+// A request is recognized by its fingerprint, with and without a prompt. The ends at which
+// it was lost since a response to it was last complete count against it. Of equal evidence
+// it explains ends rather than its segments, so that one request has no part refused that
+// others share.
+//
 // A quarantine ends when a request with the segments is served. After a hold time, which
 // grows with each further end, one router of the fleet lets one request through.
 package quarantine
