Keep evidence on requests that were lost seldom out of the store

Each end of an endpoint brings a report for every request that was in flight there, and clearances of those that were lost at two. While a neighbour can't be reached, each router writes all that it knows to its row, and all routers read all rows.

Reports and clearances of a request are written to the store from MinCrashes ends on. Routers that reach each other learn all of them as before; one that reaches only the store learns of a request once the others know enough. A row is not written again for observations that it would not have.

--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -54,6 +54,8 @@
 	})
 	subscribe(g.gossip, topicCrash, log, func(o gossip.Observation, r quarantine.Report) { g.quarantine.ReceiveReport(r, o.At) })
 	subscribe(g.gossip, topicServed, log, func(o gossip.Observation, c quarantine.Clearance) { g.quarantine.ReceiveClearance(c, o.At) })
+	g.gossip.StoreOnly(topicCrash, g.quarantine.Stores)
+	g.gossip.StoreOnly(topicServed, g.quarantine.Stores)
 }
 
 // newLimits creates the rate limits of endpoints and subscribes to what they need.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -110,10 +110,12 @@
 	retryAt  time.Time
 }
 
-// topicState is the handler of a topic and how long its observations are kept.
+// topicState is the handler of a topic, how long its observations are kept, and which of
+// them are written to the store.
 type topicState struct {
 	handler   Handler
 	retention time.Duration
+	stored    func(subject string) bool // nil for all
 }
 
 // Options are what a Spreader uses.
@@ -176,6 +178,18 @@
 	s.topics[topic] = topicState{handler: handler, retention: retention}
 }
 
+// StoreOnly has only those observations of a topic be written to the store for which stored
+// returns true of their subject. All routers read what each of them writes, so that much of
+// little use delays what they need. Stored must not call the Spreader. The topic must have
+// been subscribed.
+func (s *Spreader) StoreOnly(topic Topic, stored func(subject string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.topics[topic]
+	state.stored = stored
+	s.topics[topic] = state
+}
+
 // Publish spreads an observation of this router that is made now. The handler of the
 // topic is not called. An observation that exceeds the bounds is logged and dropped.
 func (s *Spreader) Publish(topic Topic, subject string, body []byte) {
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -65,18 +65,30 @@
 	if s.options.Store == nil || w.writing || w.written == s.arrivals || now.Before(w.notBefore) {
 		return
 	}
-	value, upTo := s.encodeRowLocked(now)
+	newest := s.storedLocked()
+	if len(newest) == 0 || newest[0].arrival <= w.written {
+		w.written = s.arrivals // the row has all that is written to the store
+		return
+	}
+	value, upTo := s.encodeRow(newest, now), s.arrivals
 	w.writing, w.notBefore = true, now.Add(writeInterval)
 	s.sending.Go(func() { w.write(ctx, value, upTo) })
 }
 
-// encodeRowLocked returns a row with the newest entries and the arrival of the newest.
-func (s *Spreader) encodeRowLocked(now time.Time) (value []byte, upTo uint64) {
+// storedLocked returns the entries that are written to the store, with the newest first.
+func (s *Spreader) storedLocked() []*entry {
 	newest := make([]*entry, 0, len(s.entries))
 	for _, e := range s.entries {
-		newest = append(newest, e)
+		if stored := s.topics[e.Topic].stored; stored == nil || stored(e.Subject) {
+			newest = append(newest, e)
+		}
 	}
 	slices.SortFunc(newest, func(a, b *entry) int { return cmp.Compare(b.arrival, a.arrival) })
+	return newest
+}
+
+// encodeRow returns a row with as many of the entries as there is room for.
+func (s *Spreader) encodeRow(newest []*entry, now time.Time) []byte {
 	r := row{WrittenMS: now.UnixMilli()}
 	size := 0
 	for _, e := range newest {
@@ -85,7 +97,7 @@
 		}
 		r.Observations = append(r.Observations, e.encode(now))
 	}
-	return Encode(r), s.arrivals
+	return Encode(r)
 }
 
 // write writes the row and records the result.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/hex"
 	"fmt"
 	"slices"
 	"strings"
@@ -121,7 +122,30 @@
 	q.stats.reports.Inc()
 	q.options.Log.Info("endpoint ended at the start of a response", "request", request, "endpoint", r.Endpoint, "pool", r.Pool,
 		"started", r.Started, "segments", strings.Join(r.Segments, ","), "fingerprint", r.Fingerprint.String())
-	q.options.PublishReport(fmt.Sprintf("%s at %s/%d", boundedID(request), r.Endpoint, r.StartedMs), r)
+	about := boundedID(request)
+	if len(r.Segments) == 0 {
+		about = r.Fingerprint.subject()
+	}
+	q.options.PublishReport(fmt.Sprintf("%s at %s/%d", about, r.Endpoint, r.StartedMs), r)
+}
+
+// Stores reports whether the report or clearance with a subject is to be stored for routers
+// that the others can't reach. Each end of an endpoint brings a report for each request that
+// was lost there, and few of these are lost at enough ends to be quarantined.
+func (q *Quarantine) Stores(subject string) bool {
+	about, _, _ := strings.Cut(subject, " at ")
+	digits, isRequest := strings.CutPrefix(about, requestPrefix)
+	var f Fingerprint
+	if !isRequest || len(digits) != hex.EncodedLen(len(f)) {
+		return true
+	}
+	if _, err := hex.Decode(f[:], []byte(digits)); err != nil {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.lost[f]
+	return l != nil && int64(len(l.ends)) >= q.options.Settings.MinCrashes
 }
 
 // ReceiveReport takes in a report of another router that was made at the given time of
