Explain refusals of requests by their fingerprints

daisyslip explain printed what all routers know against the segments of a prompt because of which a request was refused. A request that was refused because of its fingerprint has no segments, so it showed the refusal only. It now also prints the lines about its fingerprint: the ends, the quarantine, tries, and its end.

TestExplainTellsWhyRepeatedRequestIsRefused; it fails without the change (one line instead of five).

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -53,9 +53,9 @@
 		Long: `explain reads structured logs, from files or standard input, and prints in
 order what the routers decided about one request, and what they learned shortly
 before of the endpoints that it met and of the store. Of a request that was refused
-because of segments of its prompt it also prints what all routers know against these
-segments. Times are those of the
-routers' clocks. Lines may have a prefix before their JSON.`,
+because it, or a prompt with its segments, crashes endpoints it also prints what
+all routers know against its fingerprint and these segments. Times are those of
+the routers' clocks. Lines may have a prefix before their JSON.`,
 		Example: "  daisyslip explain 9c41d07be2a35f68 router-*.log",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -179,8 +179,9 @@
 // the lines that may explain them. These are lines without a request id that were
 // written within contextWindow by a router that handled the request, and that are
 // about an endpoint or the workspace of the request or about the store. A line is
-// about the store if its message contains "store ". If segments of the request's prompt
-// are quarantined, the lines of all routers that tell about that are included, too.
+// about the store if its message contains "store ". If the request was refused by a
+// quarantine, the lines of all routers about its fingerprint and about the quarantined
+// segments of its prompt are included, too.
 func linesOfRequest(id string, lines []logLine) []logLine {
 	endpoints, sources := make(map[string]bool), make(map[string]bool)
 	workspaces := make(map[string]bool)
@@ -201,12 +202,12 @@
 	}
 	delete(endpoints, "")
 	delete(workspaces, "")
-	quarantined := quarantinedSegments(id, lines)
+	evidence := refusedBy(id, lines)
 	var trace []logLine
 	for _, l := range lines {
 		inWindow := !first.IsZero() && sources[l.Source] && l.Timestamp.After(first.Add(-contextWindow)) && l.Timestamp.Before(last.Add(contextWindow))
 		related := l.field("request") == "" && (endpoints[l.field("endpoint")] || workspaces[l.field("workspace")] || strings.Contains(l.Message, "store "))
-		if l.field("request") == id || inWindow && related || l.isEvidence(quarantined) {
+		if l.field("request") == id || inWindow && related || evidence.has(l) {
 			trace = append(trace, l)
 		}
 	}
@@ -214,44 +215,63 @@
 	return trace
 }
 
-// quarantinePrefix begins the messages of the component that quarantines segments.
-const quarantinePrefix = "quarantine: "
+// quarantinePrefix begins the messages of the component that quarantines requests, and
+// requestSubject what such a message names if that is a fingerprint.
+const (
+	quarantinePrefix = "quarantine: "
+	requestSubject   = "request:"
+)
+
+// quarantineEvidence selects the lines that tell why a quarantine refused a request.
+type quarantineEvidence struct {
+	fingerprint string // "" if the request was not refused for that reason, or if the log has none
+	segments    map[string]bool
+}
 
-// quarantinedSegments returns the segments because of which a request was refused: those
-// of its prompt that a line about a quarantine names. It returns none if the request was
-// not refused for that reason.
-func quarantinedSegments(id string, lines []logLine) map[string]bool {
+// refusedBy returns what selects the lines about the refusal of a request. The segments are
+// those of its prompt that a line about a quarantine names.
+func refusedBy(id string, lines []logLine) quarantineEvidence {
+	found := quarantineEvidence{segments: make(map[string]bool)}
 	prompt := make(map[string]bool)
 	for _, l := range lines {
 		if l.field("request") == id && l.field("outcome") == string(failure.Quarantined) {
+			found.fingerprint = l.field("fingerprint")
 			for segment := range strings.SplitSeq(l.field("segments"), ",") {
 				prompt[segment] = true
 			}
 		}
 	}
-	quarantined := make(map[string]bool)
 	for _, l := range lines {
 		if l.Message != quarantinePrefix+"segments quarantined" {
 			continue
 		}
-		_, names, _ := strings.Cut(l.field("segments"), "/")
-		for segment := range strings.SplitSeq(names, "+") {
+		for _, segment := range segmentsNamed(l.field("segments")) {
 			if prompt[segment] {
-				quarantined[segment] = true
+				found.segments[segment] = true
 			}
 		}
 	}
-	return quarantined
+	return found
 }
 
-// isEvidence reports whether the line tells about one of the quarantined segments.
-func (l logLine) isEvidence(quarantined map[string]bool) bool {
-	if len(quarantined) == 0 || !strings.HasPrefix(l.Message, quarantinePrefix) {
+// has reports whether the line is part of the evidence.
+func (e quarantineEvidence) has(l logLine) bool {
+	if !strings.HasPrefix(l.Message, quarantinePrefix) {
 		return false
 	}
-	segments := l.field("segments")
-	if _, names, found := strings.Cut(segments, "/"); found {
-		segments = names
+	subject := l.field("subject")
+	if e.fingerprint != "" && (l.field("fingerprint") == e.fingerprint || subject == requestSubject+e.fingerprint) {
+		return true
+	}
+	named := slices.Concat(segmentsNamed(l.field("segments")), segmentsNamed(subject))
+	return slices.ContainsFunc(named, func(segment string) bool { return e.segments[segment] })
+}
+
+// segmentsNamed returns the segments in a list, or in the name of a quarantined set, which
+// has its pool before a slash.
+func segmentsNamed(text string) []string {
+	if _, names, found := strings.Cut(text, "/"); found {
+		text = names
 	}
-	return slices.ContainsFunc(strings.FieldsFunc(segments, func(r rune) bool { return r == ',' || r == '+' }), func(segment string) bool { return quarantined[segment] })
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == '+' })
 }
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -83,3 +83,30 @@
 	assert.Assert(t, strings.Contains(out.String(), "request=r-1"), out.String())
 	assert.Assert(t, !strings.Contains(out.String(), "other"), out.String())
 }
+
+const fingerprintLog = `{"time":"2026-12-04T10:00:01.000Z","level":"INFO","msg":"quarantine: endpoint ended at the start of a response","request":"r-1","endpoint":"i-1","pool":"app","started":false,"segments":"","fingerprint":"f00d"}
+{"time":"2026-12-04T10:00:01.100Z","level":"INFO","msg":"quarantine: endpoint ended at the start of a response","request":"r-2","endpoint":"i-1","pool":"app","started":false,"segments":"","fingerprint":"beef"}
+{"time":"2026-12-04T10:00:02.000Z","level":"INFO","msg":"quarantine: endpoint ended at the start of a response","request":"r-3","endpoint":"i-2","pool":"app","started":false,"segments":"c0","fingerprint":""}
+{"time":"2026-12-04T10:00:03.000Z","level":"WARN","msg":"quarantine: request quarantined","fingerprint":"f00d","cause":"report","evidence":"request:f00d: 3 endpoints ended","hold_ms":120000}
+{"time":"2026-12-04T10:02:03.000Z","level":"INFO","msg":"quarantine: request let through quarantine","subject":"request:f00d","evidence":"request:f00d: 3 endpoints ended"}
+{"time":"2026-12-04T10:02:04.000Z","level":"INFO","msg":"quarantine: request let through quarantine","subject":"app/c0","evidence":"app/c0: 3 endpoints ended"}
+{"time":"2026-12-04T10:02:09.000Z","level":"INFO","msg":"ingress: request ended","request":"r-9","outcome":"quarantined","status":503,"reason":"request:f00d: 3 endpoints ended","segments":"","fingerprint":"f00d"}
+{"time":"2026-12-04T10:02:10.000Z","level":"INFO","msg":"quarantine: request not quarantined any more","fingerprint":"f00d","cause":"complete response"}
+`
+
+// TestExplainTellsWhyRepeatedRequestIsRefused guards against an explanation without the
+// evidence against the fingerprint of a request.
+func TestExplainTellsWhyRepeatedRequestIsRefused(t *testing.T) {
+	cmd := newExplain()
+	var out bytes.Buffer
+	cmd.SetIn(strings.NewReader(fingerprintLog))
+	cmd.SetOut(&out)
+	cmd.SetErr(&bytes.Buffer{})
+	cmd.SetArgs([]string{"r-9"})
+	assert.NilError(t, cmd.Execute())
+	var times []string
+	for line := range strings.Lines(out.String()) {
+		times = append(times, strings.Fields(line)[0])
+	}
+	assert.DeepEqual(t, times, []string{"10:00:01.000", "10:00:03.000", "10:02:03.000", "10:02:09.000", "10:02:10.000"})
+}
