--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -32,7 +32,7 @@
 	often, candidates := q.oftenPresent(present), q.candidatesLocked()
 	for len(q.quarantined) < maxQuarantined {
 		s, open := q.mostPresentLocked(often, q.explained)
-		c, lost := mostLost(candidates, q.explained)
+		c, lost := q.mostLostLocked(candidates)
 		count := q.countLocked(s, open)
 		if int64(max(count, lost)) < q.options.Settings.MinCrashes {
 			break
@@ -285,6 +285,7 @@
 		if !slices.ContainsFunc(q.quarantined, sameSubject(x)) {
 			changes = append(changes, change{subject: x.subject, fingerprint: x.fingerprint, ended: true})
 			delete(q.tried, x.subject)
+			delete(q.refused, x.subject)
 		}
 	}
 	return changes
