Prefer requests without events among those with equal evidence

A request that crashes endpoints as they begin to run it has no events, so reports tell whether there were some.

--- a/internal/ingress/ended.go
+++ b/internal/ingress/ended.go
@@ -77,7 +77,7 @@
 	now := c.deps.Clock.Now()
 	lost := lostResponse{request: q.params.ID, at: now, report: quarantine.Report{
 		Pool: q.pool, Endpoint: e.ID, StartedMs: e.StartedMs, Started: a.progress == responseStarted, SentBeforeMS: now.Sub(a.startedAt).Milliseconds(),
-		Fingerprint: considered.Fingerprint,
+		Fingerprint: considered.Fingerprint, Advanced: a.progress == eventsForwarded,
 	}}
 	for _, s := range considered.Segments {
 		lost.report.Segments = append(lost.report.Segments, s.ID)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -170,7 +170,7 @@
 // removes from the report what is not kept. It returns nil if nothing is.
 func (q *Quarantine) addReportLocked(r *Report, at, now time.Time, own bool) (*crash, []change) {
 	c, sentAt := q.crashOfLocked(r, at), at.Add(-durationOfMS(r.SentBeforeMS))
-	if !q.addLostLocked(c, r.Fingerprint, sentAt) {
+	if !q.addLostLocked(c, r, sentAt) {
 		r.Fingerprint = Fingerprint{}
 	}
 	added, kept := c.addSegments(r, sentAt)
--- a/internal/quarantine/lost.go
+++ b/internal/quarantine/lost.go
@@ -18,7 +18,8 @@
 
 // addLostLocked records that a request was lost at an end. It reports whether that is
 // kept.
-func (q *Quarantine) addLostLocked(c *crash, f Fingerprint, sentAt time.Time) bool {
+func (q *Quarantine) addLostLocked(c *crash, r *Report, sentAt time.Time) bool {
+	f := r.Fingerprint
 	if f == (Fingerprint{}) {
 		return false
 	}
@@ -28,6 +29,7 @@
 			if sentAt.After(l.ends[i].sentAt) {
 				l.ends[i].sentAt = sentAt
 			}
+			l.ends[i].advanced = l.ends[i].advanced && r.Advanced
 			return true
 		}
 	}
@@ -39,7 +41,7 @@
 		q.lost[f] = l
 	}
 	c.lost = append(c.lost, f)
-	l.ends = append(l.ends, presence{crash: c, sentAt: sentAt})
+	l.ends = append(l.ends, presence{crash: c, sentAt: sentAt, advanced: r.Advanced})
 	return true
 }
 
@@ -208,15 +210,16 @@
 }
 
 // mostLostLocked returns the candidate with the most evidence from ends that are not
-// explained yet, with these ends, and its count. Of equal ones it prefers one that was
-// never complete, and then the one with more ends.
+// explained yet, with these ends, and its count. Of equal ones it prefers the one of which
+// fewer responses had got past their beginning, then one that was never complete, and then
+// the one with more ends.
 func (q *Quarantine) mostLostLocked(candidates []candidate) (candidate, int) {
 	var best candidate
 	bestCount := 0
 	for _, c := range candidates {
 		c.ends = unexplained(c.ends, q.explained)
 		count := countLost(c.ends, c.completed)
-		order := cmp.Or(cmp.Compare(count, bestCount), compareBool(!c.completed, !best.completed), cmp.Compare(len(c.ends), len(best.ends)),
+		order := cmp.Or(cmp.Compare(count, bestCount), cmp.Compare(countAdvanced(best.ends), countAdvanced(c.ends)), compareBool(!c.completed, !best.completed), cmp.Compare(len(c.ends), len(best.ends)),
 			c.compareFingerprint(best))
 		if order > 0 && int64(count) >= q.options.Settings.MinCrashes+q.extraLocked(c) {
 			best, bestCount = c, count
@@ -225,6 +228,17 @@
 	return best, bestCount
 }
 
+// countAdvanced returns how many of the ends came after events of a response.
+func countAdvanced(ends []presence) int {
+	n := 0
+	for _, p := range ends {
+		if p.advanced {
+			n++
+		}
+	}
+	return n
+}
+
 // compareFingerprint orders candidates by their fingerprints, a missing one last.
 func (c candidate) compareFingerprint(other candidate) int {
 	if other.lostRequest == nil {
--- a/internal/quarantine/lost_test.go
+++ b/internal/quarantine/lost_test.go
@@ -113,6 +113,23 @@
 	assert.Assert(t, !r.refusesBody("popular"))
 }
 
+// TestStreamThatAdvancedIsNotRefused guards against the refusal of a stream that was
+// resumed at each endpoint that another request ended.
+func TestStreamThatAdvancedIsNotRefused(t *testing.T) {
+	for i := range 20 { // the order of the fingerprints must not matter
+		r := newRouter()
+		sound, bad := fmt.Sprint("sound ", i), fmt.Sprint("bad ", i)
+		for j := range 3 {
+			r.clock.Advance(time.Second)
+			r.RecordCrash("stream", Report{Pool: "pool", Endpoint: fmt.Sprint("i-", j), Fingerprint: fingerprintOf(sound), Advanced: true}, r.clock.Now())
+			r.RecordCrash("request", Report{Pool: "pool", Endpoint: fmt.Sprint("i-", j), Fingerprint: fingerprintOf(bad)}, r.clock.Now())
+		}
+		r.clock.Advance(objectionTime)
+		assert.Assert(t, r.refusesBody(bad))
+		assert.Assert(t, !r.refusesBody(sound))
+	}
+}
+
 // TestOtherRoutersLearnOfCompleteResponse guards against the refusal of a popular request
 // that was in flight at all endpoints of a failure domain, at routers that never served it.
 func TestOtherRoutersLearnOfCompleteResponse(t *testing.T) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -100,6 +100,9 @@
 	Segments []string `cbor:"7,keyasint"`
 	// Fingerprint is that of the request; zero in reports of older routers.
 	Fingerprint Fingerprint `cbor:"8,keyasint"`
+	// Advanced is set if events of the response were received, so that the request is
+	// less likely to have ended the endpoint.
+	Advanced bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Clearance tells that a response to a prompt with the segment got past its beginning, or
@@ -178,6 +181,8 @@
 	*crash
 	started bool      // a response to a request with it had started
 	sentAt  time.Time // when the newest request with it was sent
+	// advanced is set for a request if events of all its responses were received.
+	advanced bool
 }
 
 // quarantined is a set of segments with which no request is sent, or a request.
