Ends of another pool do not ask for more evidence against a request

Ends of other pools have no part in a request of this one, so they are not counted any more. TestEndsOfAnotherPoolDoNotHideRequest failed before.

--- a/internal/quarantine/lost.go
+++ b/internal/quarantine/lost.go
@@ -248,7 +248,7 @@
 }
 
 // extraLocked returns how many more ends than MinCrashes are needed against a request: one
-// if several endpoints ended without it since otherTime before, and for no known reason.
+// if several endpoints of the pool ended without it since otherTime before, and for no known reason.
 // Then a sound request can be lost several times in a row.
 func (q *Quarantine) extraLocked(c candidate) int64 {
 	if len(c.ends) == 0 || int64(len(c.ends)) > q.options.Settings.MinCrashes {
@@ -257,7 +257,7 @@
 	others := 0
 	from, to := c.ends[0].at.Add(-otherTime), c.ends[len(c.ends)-1].at
 	for _, end := range q.crashes {
-		if !q.explained[end] && end.at.After(from) && !end.at.After(to) && !slices.ContainsFunc(c.lostRequest.ends, func(p presence) bool { return p.crash == end }) {
+		if end.pool == c.ends[0].pool && !q.explained[end] && end.at.After(from) && !end.at.After(to) && !slices.ContainsFunc(c.lostRequest.ends, func(p presence) bool { return p.crash == end }) {
 			others++
 		}
 	}
--- a/internal/quarantine/lost_test.go
+++ b/internal/quarantine/lost_test.go
@@ -322,3 +322,25 @@
 		FingerprintOf("app.example", "POST", "/a", "coop", body)
 	}
 }
+
+// TestEndsOfAnotherPoolDoNotHideRequest guards against the refusal of all requests with a segment
+// because of one of them, while endpoints of another pool end, too.
+func TestEndsOfAnotherPoolDoNotHideRequest(t *testing.T) {
+	for _, c := range []struct {
+		pool    string
+		refused bool // after three ends
+	}{{"other pool", true}, {"pool", false}} {
+		r := newRouter()
+		for i := range 3 {
+			r.RecordCrash("other", Report{Pool: c.pool, Endpoint: fmt.Sprint("o-", i), Fingerprint: fingerprintOf(fmt.Sprint("other-", i))}, r.clock.Now())
+			r.clock.Advance(500 * time.Millisecond)
+			r.RecordCrash("bad", Report{Pool: "pool", Endpoint: fmt.Sprint("i-", i), Started: true, Segments: []string{"theirs"}, Fingerprint: fingerprintOf("bad")}, r.clock.Now())
+			r.clock.Advance(500 * time.Millisecond)
+		}
+		r.clock.Advance(objectionTime)
+		assert.Equal(t, r.refusesBody("bad"), c.refused, c.pool)
+		if c.refused {
+			assert.Assert(t, !r.refuses("theirs"))
+		}
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -164,6 +164,7 @@
 
 // crash is one end of an endpoint.
 type crash struct {
+	pool      string
 	endpoint  string
 	startedMs int64
 	at        time.Time
