Write a router's own reports to the store in any case

A router that reaches only the store could keep its evidence for itself: with reports of requests stored from three ends on only, each such router needed three ends of its own before it wrote any (review, a unit model: 4 late arrivals at three routers, 17 at nine; 1 and 2 with all reports stored).

TestRowHasOnlyWhatIsToBeStored asks for it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -178,10 +178,10 @@
 	s.topics[topic] = topicState{handler: handler, retention: retention}
 }
 
-// StoreOnly has only those observations of a topic be written to the store for which stored
-// returns true of their subject. All routers read what each of them writes, so that much of
-// little use delays what they need. Stored must not call the Spreader. The topic must have
-// been subscribed.
+// StoreOnly has those observations of other routers on a topic be written to the store for
+// which stored returns true of their subject, beside all own ones. All routers read what each
+// of them writes, so that much of little use delays what they need. Stored must not call the
+// Spreader. The topic must have been subscribed.
 func (s *Spreader) StoreOnly(topic Topic, stored func(subject string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -79,7 +79,7 @@
 func (s *Spreader) storedLocked() []*entry {
 	newest := make([]*entry, 0, len(s.entries))
 	for _, e := range s.entries {
-		if stored := s.topics[e.Topic].stored; stored == nil || stored(e.Subject) {
+		if stored := s.topics[e.Topic].stored; stored == nil || e.Origin == s.self || stored(e.Subject) {
 			newest = append(newest, e)
 		}
 	}
