--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -140,7 +140,7 @@
 	store   *storeWriter
 	stats   stats
 
-	mu         sync.Mutex // guards all below; never held over a call
+	mu         sync.Mutex // guards all below; held over no call but those of topicState.stored
 	topics     map[Topic]topicState
 	entries    map[key]*entry
 	numbers    uint64 // of the newest own observation
