--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -213,7 +213,7 @@
 }
 
 // considered returns what the quarantine considers of the request when the response of
-// the attempt has broken: segments only before the first event.
+// the attempt has broken. Segments are considered only if it broke before its first event.
 func (q *request) considered(a *attempt) quarantine.Request {
 	r := quarantine.Request{Pool: q.pool, Segments: q.params.Generation.SharedSegments(), Fingerprint: q.fingerprint}
 	if a.progress == eventsForwarded {
--- a/internal/quarantine/operator.go
+++ b/internal/quarantine/operator.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Kinds of what is quarantined.
+// Values of Entry.Kind.
 const (
 	KindSegments = "segments"
 	KindRequest  = "request"
