--- a/review/driver2/budget.go
+++ b/review/driver2/budget.go
@@ -21,25 +21,38 @@
 	budgetRequests             = 200
 )
 
-// budgetConfig has a route to model engines, whose responses are streams or whole bodies.
-func budgetConfig(version int64, kind string) standin.Config {
+// stickyRoute is a route that carries requests to model engines.
+type stickyRoute struct {
+	standin.Route
+	Sticky bool `json:"sticky"`
+}
+
+// budgetDocument is a configuration with sticky routes.
+type budgetDocument struct {
+	standin.Config
+	Routes []stickyRoute `json:"routes"`
+}
+
+// budgetConfig has routes to model engines: one with streams, and the added ones.
+func budgetConfig(version int64, added ...standin.Route) budgetDocument {
 	prepaid := int64(prepaidTokens)
-	return standin.Config{
-		Version: version,
-		Routes: []standin.Route{
-			{Name: "chat", Host: host, Prefix: "/stream/", Kind: "streaming", TimeoutMS: 15000, LatencyObjectiveMS: 400, GapObjectiveMS: 300, Service: "engines", MaxAttempts: 2, Resumable: true},
-			{Name: "ask", Host: host, Prefix: "/ask/", Kind: kind, TimeoutMS: 5000, LatencyObjectiveMS: 400, GapObjectiveMS: 300, Service: "engines", MaxAttempts: 2},
-		},
+	d := budgetDocument{Config: standin.Config{
+		Version:  version,
 		Services: []standin.Service{{Name: "engines", MaxConns: 360, Engine: &standin.Engine{Stride: 4}}},
 		Limits:   standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
 		Tenants:  []standin.Tenant{{Name: tenant, APIKeys: []string{apiKey}, Prepaid: &prepaid}},
+	}}
+	chat := standin.Route{Name: "chat", Host: host, Prefix: "/stream/chat/", Kind: "streaming", TimeoutMS: 15000, LatencyObjectiveMS: 400, GapObjectiveMS: 300, Service: "engines", MaxAttempts: 2, Resumable: true}
+	for _, route := range append([]standin.Route{chat}, added...) {
+		d.Routes = append(d.Routes, stickyRoute{Route: route, Sticky: true})
 	}
+	return d
 }
 
-// budgetCase sends requests to model engines until the tenant's total must be exhausted: on a route
-// whose responses are whole bodies, or in calm on one with streams.
+// budgetCase adds a route to model engines and sends requests on it until the tenant's total must be
+// exhausted. The route is one whose responses are whole bodies, or in calm one with streams.
 func budgetCase(dir string) (int, error) {
-	w, err := newWorld(dir, budgetConfig(1, "idempotent"))
+	w, err := newWorld(dir, budgetConfig(1))
 	defer w.close()
 	if err != nil {
 		return cannot, err
@@ -57,10 +70,15 @@
 	if err != nil {
 		return cannot, err
 	}
-	path := "/ask/1"
+	path, kind := "/ask/", "idempotent"
 	if !w.trouble {
-		path = "/stream/1"
+		path, kind = "/stream/ask/", "streaming"
+	}
+	added := standin.Route{Name: "ask", Host: host, Prefix: path, Kind: kind, TimeoutMS: 5000, LatencyObjectiveMS: 400, GapObjectiveMS: 300, Service: "engines", MaxAttempts: 2}
+	if err := w.putConfig(budgetConfig(2, added)); err != nil {
+		return cannot, err
 	}
+	time.Sleep(settled)
 	var clients sync.WaitGroup
 	var mu sync.Mutex // guards the counts
 	served, refused, output := 0, 0, 0
@@ -70,7 +88,7 @@
 			defer c.close()
 			for n := range budgetRequests / 4 {
 				id := fmt.Sprintf("ask-%d-%d", i, n)
-				a := c.send(http.MethodPost, head(http.MethodPost, path, id, apiKey, 5*time.Second)+
+				a := c.send(http.MethodPost, head(http.MethodPost, path+"1", id, apiKey, 5*time.Second)+
 					fmt.Sprintf("X-Daisyslip-Model: m\r\nX-Daisyslip-Token-Usage: %d,%d\r\nX-Daisyslip-Prefix-Hash: %08x:20,%08x:80\r\nContent-Length: 2\r\n\r\nhi", promptTokens, outputTokens, 7, i*1000+n), 5*time.Second)
 				got := strings.Count(a.body, "token ") + 4*strings.Count(a.body, "data: ")
 				mu.Lock()
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -10,9 +10,9 @@
 // cases are the script cases by name. Each gets its folder and returns an exit code.
 var cases = map[string]func(dir string) (int, error){
 	"budget":  budgetCase,
+	"gone":    goneCase,
 	"memory":  memoryCase,
 	"tenants": tenantsCase,
-	"options": optionsCase,
 }
 
 func main() {
--- a/review/driver2/small.go
+++ b/review/driver2/small.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -92,35 +91,3 @@
 	}
 	return held, nil
 }
-
-// optionsCase sends a request for the server as a whole, or in calm one for a path without a route.
-func optionsCase(dir string) (int, error) {
-	w, r, err := startSmall(dir, smallConfig(1, []standin.Tenant{{Name: tenant, APIKeys: []string{apiKey}}}))
-	defer w.close()
-	if err != nil {
-		return cannot, err
-	}
-	c := &client{addr: r.callers}
-	defer c.close()
-	target := "*"
-	if !w.trouble {
-		target = "/no/route"
-	}
-	if a := c.send(http.MethodPost, head(http.MethodPost, "/switch/7", "command-1", apiKey, 1500*time.Millisecond)+"Content-Length: 2\r\n\r\non", 3*time.Second); a.status != http.StatusOK {
-		return cannot, errors.New("an ordinary request was not served")
-	}
-	unsigned := 0
-	for i := range 5 {
-		id := fmt.Sprintf("options-%d", i)
-		a := c.send(http.MethodOptions, head(http.MethodOptions, target, id, apiKey, 1500*time.Millisecond)+"Content-Length: 0\r\n\r\n", 3*time.Second)
-		w.logf("client: OPTIONS %s as request %s: %s", target, id, a)
-		if a.status >= 200 && a.status < 300 && a.stamp == "" {
-			unsigned++
-		}
-	}
-	w.logf("end: %d of 5 requests got a success without a worker's stamp", unsigned)
-	if unsigned > 0 {
-		return broken, nil
-	}
-	return held, nil
-}
--- a/review/driver2/worker.go
+++ b/review/driver2/worker.go
@@ -25,8 +25,12 @@
 	gap               time.Duration // after each event
 	text              string        // of responses that are no streams; empty for the id of the request
 	server            *http.Server
-	// ran is called for each request that the worker runs. It must not block.
-	ran func(r *http.Request)
+	// work is how long the worker works on a request; it stops when the connection closes.
+	work time.Duration
+	// ran is called for each request that the worker runs, and ended at the end of its work. They
+	// must not block.
+	ran   func(r *http.Request)
+	ended func(id string, whole bool)
 
 	mu    sync.Mutex // guards the fields below
 	state string
@@ -104,6 +108,20 @@
 	header.Set("X-Daisyslip-Server-Stamp", "stamp."+x.id)
 	header.Set("X-Daisyslip-Instance-Load", "1,0,64")
 	time.Sleep(x.delay)
+	if x.work > 0 {
+		whole := true
+		select {
+		case <-time.After(x.work):
+		case <-r.Context().Done():
+			whole = false
+		}
+		if x.ended != nil {
+			x.ended(id, whole)
+		}
+		if !whole {
+			return
+		}
+	}
 	if !strings.Contains(r.URL.Path, "/stream/") {
 		text := cmp.Or(x.text, "run "+id+" at "+x.id)
 		header.Set("Content-Length", strconv.Itoa(len(text)))
