--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/daisyslipd ] && [ -x target/review2-driver ] || { echo "build first: deploy/system.toml, review/build-2.sh" >&2; exit 2; }
-exec target/review2-driver budget review/8
+exec target/review2-driver lost review/8
--- a/review/driver2/main.go
+++ b/review/driver2/driver.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(dir string) (int, error){
 	"budget":  budgetCase,
 	"gone":    goneCase,
+	"lost":    lostCase,
 	"memory":  memoryCase,
 	"tenants": tenantsCase,
 }
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -39,19 +39,21 @@
 
 // world has the stand-ins and the routers of one case.
 type world struct {
-	dir      string // temporary
-	store    *standin.Store
-	server   *http.Server
-	addr     string // of the store
-	trouble  bool
-	ctx      context.Context
-	stop     context.CancelFunc
-	running  sync.WaitGroup
-	workers  []*worker
-	routers  []*router
-	started  time.Time
-	recordMu sync.Mutex
-	record   *os.File
+	dir     string // temporary
+	store   *standin.Store
+	server  *http.Server
+	addr    string // of the store
+	trouble bool
+	// bootstrapped is set once the first machines have started.
+	bootstrapped bool
+	ctx          context.Context
+	stop         context.CancelFunc
+	running      sync.WaitGroup
+	workers      []*worker
+	routers      []*router
+	started      time.Time
+	recordMu     sync.Mutex
+	record       *os.File
 }
 
 // newWorld starts the store, writes the configuration, and opens the record in caseDir.
@@ -185,7 +187,7 @@
 zone = %q
 region = "kr-central"
 internal_ports = [%d, %d]
-bootstrap = true
+bootstrap = %t
 discovery = "platform"
 entry = "vip"
 heartbeat_ms = %d
@@ -211,7 +213,7 @@
 [platform]
 address = %q
 form = "table"
-`, name, ip, zone, port+2, port+5, heartbeat.Milliseconds(), r.callers, r.ready, memoryMB, w.addr)
+`, name, ip, zone, port+2, port+5, !w.bootstrapped, heartbeat.Milliseconds(), r.callers, r.ready, memoryMB, w.addr)
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
