Reclaim the grants of a fleet that was lost as a whole

Cause: what a holder has used beyond its activated tokens is known only to the replicas of its grant, in memory. If these are lost with it, the grant stays spent for good ('0 of 2 replicas fenced it'): a group of routers that is cut off from the store looks the same as a dead one, and could use its whole grant without anybody's knowledge.

Change: a holder uses inactive tokens only while most of the routers that it knows find the store silent, in polls without a gap since the last heartbeat that the store has accepted. Routers that start read the same partition. If no router that responds is older than the last heartbeat of a lost holder, and the store has responded to them for 2 s, the holder's use is bounded by the outage that is possible between that heartbeat and their first response. After a gap of 3 s in its heartbeats a holder writes its grants again before it uses inactive tokens, so that a reclaim that is under way, or was applied, conflicts.

Why it works: a reclaim shows that the store responded for 2 s after the heartbeat; a poll that finds it silent for most routers can't span that time. Related paths: rows without replicas (a fleet of one router), which were never reclaimed, follow the same rule. A successor on the old VM knows no more than before. New routers that come 10 s later find a possible outage of 10 s and leave what it unlocked.

While this was built they found two overspends, both after a freeze into an outage: a heartbeat that was sent again unchanged counted as contact, and a holder that was back used a row that others had reduced.

--- a/coord/prepaid/account.go
+++ b/coord/prepaid/account.go
@@ -44,8 +44,10 @@
 	// renewReplicas requests a write of the row with other replicas.
 	// acknowledged has the newest extension that each replica has recorded. extending is
 	// set while one is requested, and extendFailedAt is when that failed last.
+	// writtenAt is when the newest write of the row was sent that was applied.
 	rowSeq         int64
 	rowReplicas    []bus.ID
+	writtenAt      time.Time
 	renewReplicas  bool
 	acknowledged   map[bus.ID]acknowledgement
 	extending      bool
--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -96,6 +96,9 @@
 		a.holder.heartbeat.observeStoreClock(result.Now)
 		a.holder.heartbeat.observeResponseTime(a.now().Sub(started))
 		apply(result.Version)
+		a.mu.Lock()
+		a.writtenAt = started
+		a.mu.Unlock()
 		a.storeReached()
 		return nil
 	case errors.As(err, &conflict):
@@ -202,6 +205,9 @@
 
 // storeReached records that the store has responded.
 func (a *account) storeReached() {
+	if p := a.holder.lends.Load(); p != nil {
+		p.contact.reached()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.unreachable {
--- /dev/null
+++ b/coord/prepaid/contact.go
@@ -0,0 +1,309 @@
+package prepaid
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+)
+
+// contact follows whether the store responds to this router, and to the others if it does not.
+// It makes attempts only while someone needs them: a holder without heartbeats, a router that
+// polls, or a router that has just started and may have to show that the store responds.
+type contact struct {
+	pool      *Pool
+	startedAt time.Time
+	wake      chan struct{} // ends the wait of run
+
+	mu       sync.Mutex // guards all fields below
+	attempts attempts
+	outage   outage
+	// Attempts are made until attemptUntil, and routers are polled until pollUntil.
+	attemptUntil, pollUntil time.Time
+	// startedMs is a lower bound of the store's clock at the start of this process, or 0 before
+	// the first response.
+	startedMs int64
+	// nextProbe counts the voters that were probed.
+	nextProbe int
+}
+
+// kindContact asks another router whether the store responds to it.
+const kindContact bus.Kind = "prepaid.contact"
+
+type contactRequest struct{}
+
+// contactResponse says whether the store is silent or responds; neither is set while that is
+// unknown.
+type contactResponse struct {
+	Silent     bool `cbor:"1,keyasint,omitempty"`
+	Responding bool `cbor:"2,keyasint,omitempty"`
+	// SinceMs, UntilMs and Era describe the series of responses, and StartedMs is a lower bound of the store's clock
+	// at the start of the process, or 0.
+	SinceMs   int64 `cbor:"3,keyasint,omitempty"`
+	UntilMs   int64 `cbor:"4,keyasint,omitempty"`
+	Era       int64 `cbor:"5,keyasint,omitempty"`
+	StartedMs int64 `cbor:"6,keyasint,omitempty"`
+}
+
+const (
+	// contactNeededFor is how long attempts are made after a request for them, and newcomerFor after the
+	// start of a process, until which it knows the holders that do not respond.
+	contactNeededFor = 2 * time.Second
+	newcomerFor      = 4 * time.Second
+	// maxVoters bounds the routers that are polled. They are spread over the failure domains.
+	maxVoters = 15
+	// voterFor is how long a router that does not respond is polled. One that is silent for longer is
+	// taken to be lost, not cut off.
+	voterFor = 30 * time.Second
+)
+
+func (c *contact) init(p *Pool) {
+	c.pool, c.startedAt, c.wake = p, p.options.Clock.Now(), make(chan struct{}, 1)
+	bus.Handle(p.options.Bus, kindContact, c.answer)
+}
+
+// run makes attempts and polls while they are needed, until ctx ends.
+func (c *contact) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		attempt, poll := c.due()
+		if !attempt {
+			select {
+			case <-ctx.Done():
+			case <-c.wake:
+			}
+			continue
+		}
+		c.pool.holder.tasks.Go(c.attempt)
+		if poll {
+			c.pool.holder.tasks.Go(c.poll)
+		}
+		_ = clock.Sleep(ctx, c.pool.options.Clock, jitter(attemptInterval)) // the loop condition checks ctx
+	}
+}
+
+// due reports whether an attempt and a poll are due.
+func (c *contact) due() (attempt, poll bool) {
+	now := c.pool.options.Clock.Now()
+	newcomer := !c.pool.options.FirstStart && (now.Sub(c.startedAt) < newcomerFor || c.pool.lost.needsEvidence(now))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return newcomer || now.Before(c.attemptUntil), now.Before(c.pollUntil)
+}
+
+// attempt reads from the partition that all routers read to learn whether the store responds.
+// It holds no rows.
+func (c *contact) attempt() {
+	ctx, cancel := context.WithTimeout(c.pool.holder.ctx, responseLimit)
+	defer cancel()
+	began := c.pool.options.Clock.Now()
+	c.mu.Lock()
+	c.attempts.started(began)
+	c.mu.Unlock()
+	snap, err := c.pool.holder.options.Store.Read(ctx, holdersTable, "")
+	now := c.pool.options.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.attempts.failed()
+		return
+	}
+	c.outage.ended()
+	if c.startedMs == 0 {
+		c.startedMs = (snap.Now - now.Sub(c.startedAt)).Milliseconds()
+	}
+	c.attempts.responded(began, now, snap.Now, snap.Era)
+}
+
+// reached notes a response of the store to any call.
+func (c *contact) reached() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts.reached()
+	c.outage.ended()
+}
+
+// followOutage makes attempts and polls for a while, since heartbeats fail.
+func (c *contact) followOutage() {
+	until := c.pool.options.Clock.Now().Add(contactNeededFor)
+	c.mu.Lock()
+	c.attemptUntil, c.pollUntil = until, until
+	c.mu.Unlock()
+	c.wakeUp()
+}
+
+// wakeUp ends the wait of run.
+func (c *contact) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// answer handles the question of another router, and makes attempts for a while.
+func (c *contact) answer(context.Context, bus.ID, contactRequest) (contactResponse, error) {
+	defer c.wakeUp()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attemptUntil = c.pool.options.Clock.Now().Add(contactNeededFor)
+	return c.responseLocked(), nil
+}
+
+// responseLocked says whether the store responds to this router.
+func (c *contact) responseLocked() contactResponse {
+	now := c.pool.options.Clock.Now()
+	r := contactResponse{Silent: c.attempts.silent(now), StartedMs: c.startedMs}
+	if series, ok := c.attempts.responding(now); ok {
+		r.Responding, r.SinceMs, r.UntilMs, r.Era = true, series.since.Milliseconds()+1, series.until.Milliseconds(), series.era
+	}
+	return r
+}
+
+// poll asks the voters whether the store responds to them.
+func (c *contact) poll() {
+	began := c.pool.options.Clock.Now()
+	voters := c.voters()
+	c.mu.Lock()
+	votes := []contactResponse{c.responseLocked()}
+	c.observeLocked(began, voters, votes)
+	c.mu.Unlock()
+	c.ask(voters, func(r contactResponse) {
+		c.mu.Lock()
+		votes = append(votes, r)
+		c.observeLocked(began, voters, votes)
+		c.mu.Unlock()
+	})
+	c.pool.holder.extendAll()
+}
+
+// observeLocked notes the votes of a poll so far.
+func (c *contact) observeLocked(began time.Time, voters []bus.ID, votes []contactResponse) {
+	silent, responding := 0, 0
+	for _, vote := range votes {
+		switch {
+		case vote.Silent:
+			silent++
+		case vote.Responding:
+			responding++
+		}
+	}
+	c.outage.observe(began, len(voters)+1, silent, responding)
+}
+
+// ask asks routers whether the store responds to them, and waits for the responses. It calls receive with each
+// of them, from several goroutines.
+func (c *contact) ask(ids []bus.ID, receive func(contactResponse)) {
+	ctx, cancel := context.WithTimeout(c.pool.holder.ctx, extendTimeout)
+	defer cancel()
+	var running sync.WaitGroup
+	for _, id := range ids {
+		running.Go(func() {
+			response, err := bus.Call[contactRequest, contactResponse](ctx, c.pool.options.Bus, id, kindContact, contactRequest{})
+			if err != nil {
+				c.pool.lost.suspect(id)
+				return
+			}
+			receive(response)
+		})
+	}
+	running.Wait()
+}
+
+// unlockTime returns the time since the last heartbeat for which tokens of a grant may be unlocked, and false if
+// they may not. writtenAt is when the newest write of the grant's row was sent that was applied.
+func (c *contact) unlockTime(writtenAt time.Time) (time.Duration, bool) {
+	last, confirmed, gapEnded := c.pool.holder.heartbeat.times()
+	if writtenAt.Before(gapEnded) {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outage.unlockTime(last, confirmed, c.pool.options.Clock.Now(), c.pool.holder.options.Settings.UnlockAfter)
+}
+
+// refuted reports whether the store is known to respond to other routers.
+func (c *contact) refuted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outage.refuted(c.pool.options.Clock.Now())
+}
+
+// voters returns the routers that are polled.
+func (c *contact) voters() []bus.ID {
+	byDomain := make(map[string][]Member)
+	for _, m := range c.pool.records.recentMembers() {
+		if !c.pool.lost.silentFor(m.ID, voterFor) {
+			byDomain[m.Domain] = append(byDomain[m.Domain], m)
+		}
+	}
+	for _, list := range byDomain {
+		sortByScore(list, "voter")
+	}
+	var ids []bus.ID
+	for i := 0; ; i++ {
+		n := len(ids)
+		for _, list := range byDomain {
+			if i < len(list) {
+				ids = append(ids, list[i].ID)
+			}
+		}
+		if len(ids) == n || n >= maxVoters {
+			return ids[:min(len(ids), maxVoters)]
+		}
+	}
+}
+
+// probeVoter tests whether the next of the voters responds, so that lost ones are known before an
+// outage.
+func (c *contact) probeVoter() {
+	voters := c.voters()
+	if len(voters) == 0 {
+		return
+	}
+	slices.SortFunc(voters, func(a, b bus.ID) int { return cmp.Compare(a.VM, b.VM) })
+	c.mu.Lock()
+	c.nextProbe++
+	id := voters[c.nextProbe%len(voters)]
+	c.mu.Unlock()
+	c.pool.holder.tasks.Go(func() { c.pool.lost.probe(id) })
+}
+
+// errSurvivors is returned while a router of the lost fleet responds: it may know more.
+var errSurvivors = errors.New("routers of the same fleet respond")
+
+// responsesSince returns the longest series of responses that one of the routers has got in an era, if all
+// that respond have started after a time of the store's clock, in milliseconds.
+func (c *contact) responsesSince(startedAfterMs, era int64) (responses, error) {
+	c.mu.Lock()
+	answers := []contactResponse{c.responseLocked()}
+	c.mu.Unlock()
+	var mu sync.Mutex // guards answers
+	var ids []bus.ID
+	for _, m := range c.pool.records.recentMembers() {
+		ids = append(ids, m.ID)
+	}
+	c.ask(ids, func(r contactResponse) {
+		mu.Lock()
+		defer mu.Unlock()
+		answers = append(answers, r)
+	})
+	longest, found := responses{}, false
+	for _, r := range answers {
+		if r.StartedMs <= startedAfterMs {
+			return responses{}, errSurvivors
+		}
+		series := responses{time.Duration(r.SinceMs) * time.Millisecond, time.Duration(r.UntilMs) * time.Millisecond, r.Era}
+		if r.Responding && r.Era == era && (!found || series.since < longest.since) {
+			longest, found = series, true
+		}
+	}
+	if !found {
+		return responses{}, fmt.Errorf("the store did not respond to any of %d routers all the time", len(answers))
+	}
+	return longest, nil
+}
--- a/coord/prepaid/extension.go
+++ b/coord/prepaid/extension.go
@@ -15,7 +15,9 @@
 // A holder that does not reach the store may use inactive tokens as they are unlocked, but
 // only as far as a majority of the replicas that its grant row names has recorded how
 // much of the grant it may use: an extension. So another router can bound the use of a
-// holder that is lost; see lost.go. A row without replicas needs no extension.
+// holder that is lost; see lost.go. A row without replicas needs no extension. A holder
+// of a pool uses inactive tokens only while most routers find the store silent, see silence.go, which
+// bounds its use also if its replicas are lost, too.
 //
 // Invariant: for each row that may be stored, the holder uses no more than the
 // row's activated tokens, or than a majority of the row's replicas has recorded in
@@ -182,7 +184,7 @@
 // usableOfLocked returns how much of the grant may be used if the given row is stored.
 func (a *account) usableOfLocked(g guarantee) int64 {
 	if len(g.replicas) == 0 {
-		return g.granted
+		return a.usableWithoutReplicasLocked(g)
 	}
 	var recorded []int64
 	for _, id := range g.replicas {
@@ -198,6 +200,20 @@
 	return max(g.activated, min(recorded[n-1], g.granted))
 }
 
+// usableWithoutReplicasLocked returns how much of the grant may be used if the given row, which names no
+// replicas, is stored.
+func (a *account) usableWithoutReplicasLocked(g guarantee) int64 {
+	p := a.holder.lends.Load()
+	if p == nil {
+		return g.granted
+	}
+	unlockTime, ok := p.contact.unlockTime(a.writtenAt)
+	if !ok {
+		return g.activated
+	}
+	return g.activated + a.holder.options.Settings.Unlocked(unlockTime, g.granted-g.activated, g.unlockRate)
+}
+
 const (
 	// extendAhead is the time for which an extension should last at the current rate
 	// of use.
@@ -222,11 +238,27 @@
 		needed += w.tokens
 	}
 	ahead := int64(a.usage.perSecond(a.now())*extendAhead.Seconds() + a.meanRequest)
-	usable := a.usableLocked()
-	if usable >= min(g.granted, needed+ahead/2) || a.holder.heartbeat.silentFor() < a.holder.options.Settings.UnlockAfter/2 {
+	usable, silentFor := a.usableLocked(), a.holder.heartbeat.silentFor()
+	if usable >= min(g.granted, needed+ahead/2) || silentFor < a.holder.options.Settings.UnlockAfter/2 {
+		return
+	}
+	p := a.holder.lends.Load()
+	if p == nil {
+		return
+	}
+	p.contact.followOutage()
+	unlockTime, ok := p.contact.unlockTime(a.writtenAt)
+	if !ok {
+		if silentFor > outageNoticedWithin || p.contact.refuted() {
+			a.extendFailedAt = a.now()
+		}
+		return
+	}
+	tokens := min(needed+ahead, g.activated+a.holder.options.Settings.Unlocked(unlockTime, g.granted-g.activated, g.unlockRate))
+	if tokens <= usable {
 		return
 	}
-	request := extendRequest{Workspace: a.workspace, OldestSeq: a.rowSeq, NewestSeq: a.seq, Tokens: min(needed+ahead, g.granted)}
+	request := extendRequest{Workspace: a.workspace, OldestSeq: a.rowSeq, NewestSeq: a.seq, Tokens: tokens}
 	replicas := slices.Clone(a.rowReplicas)
 	for _, p := range a.pendingWrites {
 		request.OldestSeq = min(request.OldestSeq, p.seq)
--- a/coord/prepaid/heartbeat.go
+++ b/coord/prepaid/heartbeat.go
@@ -43,8 +43,12 @@
 	// meanResponseTime is the running mean of the store's response time to grant
 	// writes.
 	meanResponseTime time.Duration
-	// lastHeartbeat is when the newest row that may be in the store was created.
-	lastHeartbeat time.Time
+	// lastHeartbeat is when the newest row that may be in the store was created, and confirmed when the
+	// newest one was that the store has accepted.
+	lastHeartbeat, confirmed time.Time
+	// gapEnded is when the store has accepted a heartbeat after a longer time than maxHeartbeatGap
+	// without one.
+	gapEnded time.Time
 	// predecessors are the earlier processes on this VM for which a bound of their
 	// spending is known.
 	predecessors []predecessor
@@ -111,6 +115,15 @@
 	return hb.holder.options.Clock.Now().Sub(hb.lastHeartbeat)
 }
 
+// times returns when the newest heartbeat that may be in the store and the newest that the store has
+// accepted were created, or the zero time before the first, and when the last gap between heartbeats
+// ended.
+func (hb *heartbeat) times() (last, confirmed, gapEnded time.Time) {
+	hb.mu.Lock()
+	defer hb.mu.Unlock()
+	return hb.lastHeartbeat, hb.confirmed, hb.gapEnded
+}
+
 // unlocked returns how many of the inactive tokens of a grant may be spent now.
 func (hb *heartbeat) unlocked(inactive int64, unlockRate float64) int64 {
 	hb.mu.Lock()
@@ -153,6 +166,9 @@
 
 // notifyStoreReached wakes the accounts that wait for the store to respond.
 func (hb *heartbeat) notifyStoreReached() {
+	if p := hb.holder.lends.Load(); p != nil {
+		p.contact.reached()
+	}
 	hb.mu.Lock()
 	defer hb.mu.Unlock()
 	close(hb.storeReached)
@@ -234,6 +250,9 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			hb.holder.options.Log.Debug("heartbeat failed", "err", err.Error())
+			if p := hb.holder.lends.Load(); p != nil && !errors.Is(err, errHeartbeatPostponed) {
+				p.contact.followOutage()
+			}
 			hb.holder.extendAll()
 			interval = hb.holder.options.Settings.RetryInterval + rand.N(hb.holder.options.Settings.RetryInterval)
 		}
@@ -245,7 +264,7 @@
 func (hb *heartbeat) pause() {
 	hb.mu.Lock()
 	defer hb.mu.Unlock()
-	hb.lastHeartbeat = time.Time{}
+	hb.lastHeartbeat, hb.confirmed = time.Time{}, time.Time{}
 }
 
 // write sends one heartbeat if the process has a grant or draws one. It reads the row
@@ -288,11 +307,34 @@
 		return fmt.Errorf("write heartbeat: %w", err)
 	}
 	hb.observeStoreClock(result.Now)
+	hb.noteAccepted()
 	hb.notifyStoreReached()
 	hb.row = rowstore.Row{Key: hb.key, Version: result.Version}
 	return nil
 }
 
+// noteAccepted notes that the store has accepted the newest row. After a gap, the grants are written
+// again.
+func (hb *heartbeat) noteAccepted() {
+	now := hb.holder.options.Clock.Now()
+	hb.mu.Lock()
+	gap := !hb.confirmed.IsZero() && clock.Elapsed(hb.confirmed, now) > maxHeartbeatGap
+	if gap {
+		hb.gapEnded = now
+	}
+	hb.confirmed = hb.lastHeartbeat
+	hb.mu.Unlock()
+	if !gap {
+		return
+	}
+	for _, a := range hb.holder.accounts.All() {
+		a.mu.Lock()
+		a.renewReplicas = a.renewReplicas || a.granted > 0
+		a.startWriterLocked()
+		a.mu.Unlock()
+	}
+}
+
 // readRow reads the row of this VM. The first time, it also loads the predecessor from
 // it.
 func (hb *heartbeat) readRow(ctx context.Context) error {
@@ -363,6 +405,7 @@
 		// Rounded down, so that a successor counts no less than was unlocked.
 		UnlockAfterMs:  settings.UnlockAfter.Milliseconds(),
 		UnlockWithinMs: settings.UnlockWithin.Milliseconds(),
+		Polls:          hb.holder.lends.Load() != nil,
 	})
 	if err != nil {
 		panic(err) // the row type always encodes
--- a/coord/prepaid/lost.go
+++ b/coord/prepaid/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,6 +21,12 @@
 // and then reduces the grant to what the holder can have used at most: the activated
 // tokens, or the newest extension. A holder that is cut off, and not dead, goes on with
 // these, and learns of the rest with its next write, which finds another version of its row.
+//
+// If a whole fleet is lost, no replica is left to be fenced. Routers that have started since then
+// reclaim its grants once the store has responded to them for a while: what the holders can have used
+// is what the outage before unlocked, see silence.go. As long as one router of the old fleet responds, they do not.
+// Assumed: while the store responds to routers that have just started, there is no group with most of the
+// routers that it replaces which is cut off from the store and from all new routers, but not in itself.
 
 const (
 	// lostAfter is how long a holder must not have responded before its grants are
@@ -83,6 +90,8 @@
 	reclaiming map[grantID]bool
 	// replicasProbedAt is when replicas were probed last.
 	replicasProbedAt time.Time
+	// survivorsAt is when routers of a lost holder's fleet responded last.
+	survivorsAt time.Time
 }
 
 func (l *lostHolders) init(p *Pool) {
@@ -148,6 +157,30 @@
 	return s != nil && l.pool.options.Clock.Now().Sub(s.since) < reclaimFor
 }
 
+// silentFor reports whether a router has not responded for a time.
+func (l *lostHolders) silentFor(id bus.ID, d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.silent[id]
+	return s != nil && l.pool.options.Clock.Now().Sub(s.since) >= d
+}
+
+// needsEvidence reports whether a grant may have to be reclaimed without replicas, since none of
+// its holder's fleet is known to respond.
+func (l *lostHolders) needsEvidence(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.survivorsAt.IsZero() && now.Sub(l.survivorsAt) < maxProbeInterval {
+		return false
+	}
+	for id := range l.grants {
+		if s := l.silent[id.holder]; s != nil && now.Sub(s.since) < maxProbeInterval {
+			return true
+		}
+	}
+	return false
+}
+
 // responding returns those of the routers that are not known to be silent.
 func (l *lostHolders) responding(ids []bus.ID) []bus.ID {
 	l.mu.Lock()
@@ -197,6 +230,9 @@
 		}
 	}
 	l.mu.Unlock()
+	if l.needsEvidence(now) {
+		l.pool.contact.wakeUp()
+	}
 	for _, id := range reclaimable {
 		if l.pool.isLender(id.workspace) {
 			l.startReclaim(id)
@@ -300,38 +336,75 @@
 	}
 	lost.usable = lost.grant.Activated
 	switch {
-	case lost.grant.Granted <= lost.grant.Activated || len(lost.grant.Replicas) == 0:
+	case lost.grant.Granted <= lost.grant.Activated:
 		return nil, nil
 	case lost.grant.Era != snap.Era || l.pool.holder.eras.unconfirmed(lost.grant.Era):
 		return nil, nil // the row is from a copy
 	}
-	if err := l.checkSilent(ctx, id.holder); err != nil {
+	last, err := l.readHeartbeat(ctx, id.holder)
+	if err != nil {
 		return nil, err
 	}
-	extended, err := l.fence(id, lost.grant)
-	lost.usable = min(max(lost.usable, extended), lost.grant.Granted)
+	usable, fenced, err := l.fence(id, lost.grant)
+	if err != nil && fenced == 0 {
+		usable, err = l.usableWithoutReplicas(id, lost.grant, last, err)
+	}
+	lost.usable = min(max(lost.usable, usable), lost.grant.Granted)
 	return &lost, err
 }
 
-// checkSilent returns an error if the holder has sent a heartbeat lately.
-func (l *lostHolders) checkSilent(ctx context.Context, holder bus.ID) error {
+// usableWithoutReplicas returns how much of a grant its holder can use at most, if the replicas are lost
+// with it and the store has responded to the routers that have started since. fenceErr says why the
+// replicas were not enough.
+func (l *lostHolders) usableWithoutReplicas(id grantID, grant grantRow, last heartbeatRow, fenceErr error) (int64, error) {
+	if last.Incarnation != id.holder.Incarnation || !last.Polls {
+		return 0, fmt.Errorf("%w, and its heartbeats do not bound its use", fenceErr)
+	}
+	series, err := l.pool.contact.responsesSince(last.StoreMs, grant.Era)
+	if errors.Is(err, errSurvivors) {
+		l.mu.Lock()
+		l.survivorsAt = l.pool.options.Clock.Now()
+		l.mu.Unlock()
+	}
+	if err != nil {
+		return 0, fmt.Errorf("%w, and %w", fenceErr, err)
+	}
+	inactive, ok := series.bound(last, grant)
+	l.pool.options.Log.Info("store responds to routers that started after a lost one", "workspace", id.workspace, "holder", id.holder.String(),
+		"heartbeat_ms", last.StoreMs, "since_ms", series.since.Milliseconds(), "until_ms", series.until.Milliseconds(), "usable", grant.Activated+inactive, "enough", ok)
+	if !ok {
+		return 0, fmt.Errorf("%w, and the store has responded for too short a time", fenceErr)
+	}
+	return grant.Activated + inactive, nil
+}
+
+// readHeartbeat reads the last heartbeat of the holder's VM. It returns an error if the holder has
+// sent it lately.
+func (l *lostHolders) readHeartbeat(ctx context.Context, holder bus.ID) (heartbeatRow, error) {
 	snap, err := l.pool.holder.options.Store.Read(ctx, holdersTable, holder.VM)
 	if err != nil {
-		return fmt.Errorf("read heartbeat row of %s: %w", holder.VM, err)
+		return heartbeatRow{}, fmt.Errorf("read heartbeat row of %s: %w", holder.VM, err)
 	}
 	var last heartbeatRow
 	if err := decode(rowOf(snap.Rows, rowstore.Key{Table: holdersTable, Part: holder.VM, Name: heartbeatName}), &last); err != nil {
-		return err
+		return heartbeatRow{}, err
 	}
 	silent := snap.Now - time.Duration(last.StoreMs)*time.Millisecond
 	if last.Incarnation == holder.Incarnation && silent < lostAfter {
-		return fmt.Errorf("it has sent a heartbeat %d ms ago", silent.Milliseconds())
+		return heartbeatRow{}, fmt.Errorf("it has sent a heartbeat %d ms ago", silent.Milliseconds())
 	}
-	return nil
+	return last, nil
 }
 
-// fence fences the row of a grant at its replicas, and returns the newest extension.
-func (l *lostHolders) fence(id grantID, grant grantRow) (int64, error) {
+// errNoReplicas is returned for a grant whose row names no replicas.
+var errNoReplicas = errors.New("its row names no replicas")
+
+// fence fences the row of a grant at its replicas. It returns the newest extension and the number of
+// replicas that responded.
+func (l *lostHolders) fence(id grantID, grant grantRow) (int64, int, error) {
+	if len(grant.Replicas) == 0 {
+		return 0, 0, errNoReplicas
+	}
 	ctx, cancel := context.WithTimeout(l.pool.holder.ctx, extendTimeout)
 	defer cancel()
 	var running sync.WaitGroup
@@ -351,9 +424,9 @@
 	}
 	running.Wait()
 	if quorum := fenceQuorum(len(grant.Replicas)); fenced < quorum {
-		return 0, fmt.Errorf("%d of %d replicas fenced it, %d are needed", fenced, len(grant.Replicas), quorum)
+		return 0, fenced, fmt.Errorf("%d of %d replicas fenced it, %d are needed", fenced, len(grant.Replicas), quorum)
 	}
-	return extended, nil
+	return extended, fenced, nil
 }
 
 // fenceAt fences a grant at one replica, which may be this router.
--- a/coord/prepaid/orphans.go
+++ b/coord/prepaid/orphans.go
@@ -78,7 +78,7 @@
 		if attempt > 0 && clock.Sleep(p.holder.ctx, p.options.Clock, orphanFenceInterval) != nil {
 			break
 		}
-		if extended, err := p.lost.fence(grantID{workspace, holder}, grant); err == nil {
+		if extended, _, err := p.lost.fence(grantID{workspace, holder}, grant); err == nil {
 			return extended
 		}
 	}
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -32,6 +32,9 @@
 	Fleet Fleet
 	Clock clock.Clock
 	Log   *slog.Logger
+	// FirstStart is set if the whole fleet starts for the first time, so that there are no
+	// grants of earlier routers.
+	FirstStart bool
 }
 
 // Pool spends the budgets of workspaces as one fleet. A few routers, the lenders of a
@@ -49,9 +52,11 @@
 	loans   loans
 	records records
 	stats   PoolStats
-	// extensions are those of other routers' grants, and lost follows their holders.
+	// extensions are those of other routers' grants, and lost follows their holders. contact follows
+	// whether the store responds.
 	extensions extensions
 	lost       lostHolders
+	contact    contact
 
 	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
 	// but their lenders prepare nothing.
@@ -113,6 +118,7 @@
 	p.records.init(p)
 	p.extensions.init(p)
 	p.lost.init(p)
+	p.contact.init(p)
 	p.settler.init(p)
 	o.Holder.lends.Store(p)
 	return p
@@ -129,6 +135,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { p.holder.Run(ctx) })
 	running.Go(func() { p.runMaintenance(ctx) })
+	running.Go(func() { p.contact.run(ctx) })
 	running.Wait()
 }
 
@@ -150,6 +157,7 @@
 		p.records.exchange()
 		p.lost.check()
 		p.lost.checkReplicas()
+		p.contact.probeVoter()
 		if p.options.Clock.Now().Sub(startedAt) < settleMembersFor {
 			continue
 		}
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -13,7 +13,9 @@
 // A holder whose VM is lost for good has no such successor. The replicas, up to three other
 // processes, therefore record how much of its grant a holder may use before it
 // uses inactive tokens, and other holders can reclaim the rest; see extension.go and lost.go. If
-// the holder and most of its replicas are lost together, its grant counts as spent.
+// the holder and all of its fleet are lost together, routers that start later reclaim what the store's
+// outages, as far as they are possible, have not unlocked; see silence.go. If the holder and most of its replicas are
+// lost and others of the fleet live, its grant counts as spent.
 //
 // Pool makes the grants of a few processes, the lenders, serve a whole fleet.
 //
@@ -309,6 +311,8 @@
 	// the row, which may differ from those of its successor.
 	UnlockAfterMs  int64 `json:"release_after_ms"`
 	UnlockWithinMs int64 `json:"release_within_ms"`
+	// Polls says that the process uses inactive tokens only by the rule of silence.go.
+	Polls bool `json:"polls,omitempty"`
 	// Predecessors are earlier incarnations on the VM, oldest first.
 	Predecessors []predecessor `json:"before,omitempty"`
 }
--- a/coord/prepaid/records.go
+++ b/coord/prepaid/records.go
@@ -95,7 +95,7 @@
 
 // seenMember is a router that was available at a time.
 type seenMember struct {
-	id bus.ID
+	Member
 	at time.Time
 }
 
@@ -244,10 +244,10 @@
 	r.observeMembers()
 	var running sync.WaitGroup
 	var mu sync.Mutex // guards the results
-	for _, id := range r.recentMembers() {
+	for _, m := range r.recentMembers() {
 		answers.asked++
 		running.Go(func() {
-			response, err := r.gatherFrom(id, era)
+			response, err := r.gatherFrom(m.ID, era)
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
@@ -268,26 +268,26 @@
 	defer r.mu.Unlock()
 	for _, m := range members {
 		if m.ID != r.pool.options.Self.ID {
-			r.members[m.ID.VM] = seenMember{m.ID, now}
+			r.members[m.ID.VM] = seenMember{m, now}
 		}
 	}
 }
 
 // recentMembers returns the other routers that were available lately. One that does not
 // respond now may be cut off, and have a grant.
-func (r *records) recentMembers() []bus.ID {
+func (r *records) recentMembers() []Member {
 	now := r.pool.options.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var ids []bus.ID
+	var members []Member
 	for vm, m := range r.members {
 		if now.Sub(m.at) > maxCopyAge {
 			delete(r.members, vm)
 			continue
 		}
-		ids = append(ids, m.id)
+		members = append(members, m.Member)
 	}
-	return ids
+	return members
 }
 
 // gatherFrom requests the records of one router.
--- a/coord/prepaid/scenarios_test.go
+++ b/coord/prepaid/scenarios_test.go
@@ -42,8 +42,9 @@
 	// minServedShare is the least share of due requests that must be served in
 	// time.
 	minServedShare float64
-	// disturb injects faults; it may be nil.
+	// disturb injects faults; it may be nil. freezes is set if they freeze processes.
 	disturb func(s *simulation)
+	freezes bool
 }
 
 // warmUp is the time from the start of the routers to the first requests.
@@ -59,7 +60,7 @@
 // play runs the scenario in the synctest bubble of t.
 func (sc scenario) play(t *testing.T) result {
 	var res result
-	s := newSimulation(t, sc.routers, sc.seed)
+	s := newSimulation(t, sc.routers, sc.seed, func(s *simulation) { s.freezes = sc.freezes })
 	for _, load := range sc.load {
 		s.setLimit(load.workspace, int64(sc.limitFactor*34*load.requestsPerSecond*meanRequestTokens))
 	}
--- a/coord/prepaid/simulation_test.go
+++ b/coord/prepaid/simulation_test.go
@@ -44,6 +44,7 @@
 	// partitionTurn admits one commit at a time if it is set, like a partition of the
 	// users' store. All links share it.
 	partitionTurn chan struct{}
+	freezer       *freezer
 }
 
 // lockedRand is a seeded source of random numbers for all goroutines of a scenario.
@@ -92,6 +93,7 @@
 const storeDelay = 4 * time.Millisecond
 
 func (l *storeLink) Commit(ctx context.Context, tx rowstore.Tx) (rowstore.Result, error) {
+	defer l.freezer.await()
 	endTurn, err := l.takeTurn(ctx)
 	if err != nil {
 		return rowstore.Result{}, err
@@ -118,6 +120,7 @@
 }
 
 func (l *storeLink) Read(ctx context.Context, table, part string) (rowstore.Snapshot, error) {
+	defer l.freezer.await()
 	if err := l.roundTrip(ctx); err != nil {
 		return rowstore.Snapshot{}, err
 	}
@@ -125,6 +128,7 @@
 }
 
 func (l *storeLink) Changes(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Snapshot, error) {
+	defer l.freezer.await()
 	if err := l.roundTrip(ctx); err != nil {
 		return rowstore.Snapshot{}, err
 	}
@@ -148,6 +152,7 @@
 // roundTrip takes the time of a call. It fails if the process is dead, and after
 // the caller's timeout if it is partitioned.
 func (l *storeLink) roundTrip(ctx context.Context) error {
+	l.freezer.await()
 	time.Sleep(storeDelay)
 	if l.dead.Load() {
 		return fmt.Errorf("process is dead: %w", rowstore.ErrUnavailable)
@@ -186,6 +191,8 @@
 }
 
 func (l *peerLink) Request(ctx context.Context, to bus.ID, kind bus.Kind, body []byte) ([]byte, error) {
+	defer l.self.link.freezer.await()
+	l.self.link.freezer.await()
 	time.Sleep(peerDelay)
 	other := l.s.routerByID(to)
 	if l.dead.Load() || other == nil || other.link.dead.Load() {
@@ -202,6 +209,9 @@
 		return lost()
 	}
 	time.Sleep(time.Duration(other.peers.delay.Load()))
+	if !other.link.freezer.awaitOr(ctx) {
+		return lost()
+	}
 	response, err := l.Bus.Request(context.WithoutCancel(ctx), to, kind, body)
 	time.Sleep(peerDelay)
 	if separated() || other.link.dead.Load() || l.s.random.int64n(1000) < l.loses.Load() {
@@ -282,8 +292,9 @@
 	sparesWitnesses atomic.Bool
 	// lossWeight is how many of the faults of injectRandomFaults lose or isolate a machine.
 	lossWeight int64
-	// settings apply to routers started from now on.
+	// settings apply to routers started from now on, and freezes is set if they may freeze.
 	settings prepaid.Settings
+	freezes  bool
 
 	mu      sync.Mutex       // guards all fields below
 	routers []*router        // nil while down
@@ -308,13 +319,16 @@
 	failed             bool // an invariant was violated; later violations are not reported
 }
 
-func newSimulation(t *testing.T, routers int, seed uint64) *simulation {
+func newSimulation(t *testing.T, routers int, seed uint64, configure ...func(s *simulation)) *simulation {
 	s := &simulation{
 		t: t, store: memory.New(), random: newLockedRand(seed), settings: prepaid.DefaultSettings(),
 		routers: make([]*router, routers), network: bus.NewNetwork(), limits: map[string]int64{},
 		consumed: map[string]int64{}, reserved: map[string]int64{}, replaced: map[int]int{},
 		due: map[string]int{}, served: map[string]int{}, refusals: map[string]int{},
 	}
+	for _, f := range configure {
+		f(s)
+	}
 	for vm := range routers {
 		s.start(vm)
 	}
@@ -325,7 +339,7 @@
 func (s *simulation) start(vm int) {
 	s.mu.Lock()
 	s.starts++
-	l := &storeLink{Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn, away: &s.storeAway, refusesAfter: &s.storeRefusesAfter}
+	l := &storeLink{freezer: &freezer{}, Store: s.store, random: s.random, lateCommits: &s.lateCommits, maxCommitDelay: 3 * time.Second, partitionTurn: s.partitionTurn, away: &s.storeAway, refusesAfter: &s.storeRefusesAfter}
 	lifetime, stop := context.WithCancel(context.Background())
 	name := fmt.Sprint("vm-", vm)
 	if n := s.replaced[vm]; n > 0 {
@@ -336,8 +350,12 @@
 		incarnation: fmt.Sprint("i-", s.starts), used: map[string]int64{},
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	var processClock clock.Clock = clock.Real{}
+	if s.freezes {
+		processClock = freezableClock{freezer: l.freezer}
+	}
 	holder := prepaid.NewHolder(prepaid.Options{
-		Settings: s.settings, Store: l, VM: r.vm, Incarnation: r.incarnation, Clock: clock.Real{}, Log: log, Limit: s.limit,
+		Settings: s.settings, Store: l, VM: r.vm, Incarnation: r.incarnation, Clock: processClock, Log: log, Limit: s.limit,
 	})
 	r.id = bus.ID{VM: r.vm, Incarnation: r.incarnation}
 	if vm == len(s.members) {
@@ -346,7 +364,7 @@
 	s.members[vm].ID = r.id
 	r.peers = &peerLink{Bus: s.network.Join(bus.Peer{ID: r.id}), s: s, self: r, dead: &l.dead, loses: &l.lossPerMille}
 	r.Pool = prepaid.NewPool(prepaid.PoolOptions{
-		Holder: holder, Self: s.members[vm], Bus: r.peers, Fleet: &fleetView{s: s, suspectedUntil: map[bus.ID]time.Time{}}, Clock: clock.Real{}, Log: log,
+		Holder: holder, Self: s.members[vm], Bus: r.peers, Fleet: &fleetView{s: s, suspectedUntil: map[bus.ID]time.Time{}}, Clock: processClock, Log: log,
 	})
 	go func() { defer close(r.done); r.Run(lifetime) }()
 	s.routers[vm] = r
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,6 +189,7 @@
 	})
 	g.prepaid = prepaid.NewPool(prepaid.PoolOptions{
 		Holder: holder, Self: self, Bus: peers, Fleet: g.members, Clock: g.clock, Log: g.componentLog("prepaid"),
+		FirstStart: ps.Retries.FirstStart,
 	})
 	g.newGossip(peers)
 	g.newQuarantine()
