Tell a reader of a reset that a concurrent write was told first

Callers could get part of a response as a complete one: an endpoint answers a long upload early with a 200 without a length, sends a part and resets the connection while the upload is being written.

Cause: the kernel reports the reset to one call only. If that is the write, the read gets the end of file, and a body without a length ends with its connection.

Change: internal/tcpreset wraps connections to endpoints and to plain services.

--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -15,6 +15,7 @@
 	"daisyslip.dev/daisyslip/internal/engine"
 	"daisyslip.dev/daisyslip/internal/httplimit"
 	"daisyslip.dev/daisyslip/internal/requests"
+	"daisyslip.dev/daisyslip/internal/tcpreset"
 )
 
 // executionHeader is the response header with which a service states, by the value
@@ -34,7 +35,7 @@
 // newSender returns a sender.
 func newSender(s Settings) *sender {
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
+		DialContext:            tcpreset.Dial((&net.Dialer{Timeout: s.DialTimeout}).DialContext),
 		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 		DisableKeepAlives:      true,
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"daisyslip.dev/daisyslip/internal/tcpreset"
 )
 
 // conn is a TCP connection to an endpoint. One exchange uses it at a time.
@@ -101,7 +103,7 @@
 // and the endpoint's next write fails. After a regular close its first write would succeed,
 // so that an endpoint that does not read would work on.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // if this fails, the connection is closed regularly
 	}
 	c.close()
@@ -143,7 +145,7 @@
 		if len(head)+len(r.Body) <= maxInlineBytes {
 			buffers = net.Buffers{append(head, r.Body...)}
 		}
-		n, err := buffers.WriteTo(c.Conn)
+		n, err := c.writeBuffers(&buffers)
 		c.bytesWritten.Store(n)
 		if c.pool.traffic != nil && n > 0 {
 			c.pool.traffic.Wrote(int(n))
@@ -158,6 +160,14 @@
 	return w
 }
 
+// writeBuffers writes buffers to the connection.
+func (c *conn) writeBuffers(buffers *net.Buffers) (int64, error) {
+	if tcp, ok := c.Conn.(*tcpreset.Conn); ok {
+		return tcp.WriteBuffers(buffers)
+	}
+	return buffers.WriteTo(c.Conn)
+}
+
 // writeCompleted reports whether the complete request has been written. It does not
 // wait.
 func (c *conn) writeCompleted(w *requestWrite) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/internal/check"
 	"daisyslip.dev/daisyslip/internal/tcpalive"
+	"daisyslip.dev/daisyslip/internal/tcpreset"
 )
 
 // Settings configure a Pool.
@@ -143,7 +144,7 @@
 
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	raw, err := tcpalive.Dialer(p.settings.ConnectTimeout, unackedTimeout).DialContext(ctx, "tcp", addr)
+	raw, err := tcpreset.Dial(tcpalive.Dialer(p.settings.ConnectTimeout, unackedTimeout).DialContext)(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
