Take only 100 to 199 for interim responses, and no status out of range

An endpoint in trouble sends status 000. Callers of model endpoints and of routes on the platform waited until their deadline; callers of plain services (internal/calls) got 0, 42, 101, 600 or 999 as an answer.

Cause: internal/upstream skipped each status below 200 as interim, and internal/calls checked none. Go's parser accepts three characters that are a number, such as 000 and +42.

Change: 101 and all below 100 or above 599 are malformed responses. The request counts as sent, so that one that may run at most once isn't repeated.

--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -46,6 +46,9 @@
 // send the call a second time.
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// maxStatus is the largest valid HTTP status.
+const maxStatus = 599
+
 // send sends the call to one instance and reads its complete response. The failure's
 // Ran is RanNo only if no byte was sent, or if the instance states that it did not
 // execute the call.
@@ -63,6 +66,9 @@
 		return nil, failure.New(failure.EndpointFailed, "call service", instance.Name,
 			fmt.Sprintf("status %d: the instance refused the call and did not run it", resp.StatusCode)).WithRetry(time.Second)
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return nil, failure.New(failure.OutcomeUnknown, "read answer", instance.Name, fmt.Sprintf("status %d is not valid", resp.StatusCode)).WithRan(failure.RanUnknown)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.maxResponseBytes+1))
 	if err == nil && int64(len(body)) > s.maxResponseBytes {
 		err = fmt.Errorf("answer is longer than %d bytes", s.maxResponseBytes)
--- a/internal/calls/send_test.go
+++ b/internal/calls/send_test.go
@@ -94,3 +94,15 @@
 		assert.Equal(t, string(response.Body), "hello")
 	}
 }
+
+// TestStatusOutOfRangeIsNoResponse guards against a caller that gets a status that is none.
+func TestStatusOutOfRangeIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "042", "+42", "101", "600", "999"} {
+		instance := startInstance(t, func(c *net.TCPConn, body io.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, body)
+		})
+		response, err := uploadTo(instance)
+		assert.Check(t, response == nil && err != nil && err.Ran == failure.RanUnknown, "status %s: %v, %v", status, response, err)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -85,6 +85,12 @@
 // maxStatus is the largest valid HTTP status.
 const maxStatus = 599
 
+// isInterim reports whether another response follows that with a status. No request asks for the
+// switch of protocols that 101 announces.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // maxResponseHeads bounds the response heads that are read for one request. Interim
 // responses and responses to other requests are skipped, but count.
 const maxResponseHeads = 4
@@ -147,10 +153,10 @@
 		}
 		remaining -= headLimit - limit.remaining
 		limit.remaining, limit.charge = remaining, nil
-		if httpResponse.StatusCode < http.StatusOK {
-			continue // interim response
-		}
-		if httpResponse.StatusCode > maxStatus {
+		switch {
+		case isInterim(httpResponse.StatusCode):
+			continue
+		case httpResponse.StatusCode < http.StatusOK || httpResponse.StatusCode > maxStatus:
 			return fmt.Errorf("%w: status %d", ErrMalformed, httpResponse.StatusCode)
 		}
 		first := !resp.conn.hadResponse
