Let a router that is cut off from the store call it through another one

Change: for a router to which the store is silent, calls go through one to which it responds, by the newest poll. A router that stops as planned says so and isn't polled any more. A poll without a majority is logged, once a second.

--- a/coord/prepaid/change.go
+++ b/coord/prepaid/change.go
@@ -205,9 +205,6 @@
 
 // storeReached records that the store has responded.
 func (a *account) storeReached() {
-	if p := a.holder.lends.Load(); p != nil {
-		p.contact.reached()
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.unreachable {
--- a/coord/prepaid/contact.go
+++ b/coord/prepaid/contact.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,8 +30,14 @@
 	// startedMs is a lower bound of the store's clock at the start of this process, or 0 before
 	// the first response.
 	startedMs int64
-	// nextProbe counts the voters that were probed.
+	// nextProbe counts the voters that were probed, and loggedAt is when a poll was logged last.
 	nextProbe int
+	loggedAt  time.Time
+	// reaching are the routers to which the store responded in the poll that began at reachingAt.
+	reaching   []bus.ID
+	reachingAt time.Time
+	// leaving are the routers that have said so, and when.
+	leaving map[bus.ID]time.Time
 }
 
 // kindContact asks another router whether the store responds to it.
@@ -49,6 +56,8 @@
 	UntilMs   int64 `cbor:"4,keyasint,omitempty"`
 	Era       int64 `cbor:"5,keyasint,omitempty"`
 	StartedMs int64 `cbor:"6,keyasint,omitempty"`
+	// Leaving says that the router stops as planned.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -64,7 +73,7 @@
 )
 
 func (c *contact) init(p *Pool) {
-	c.pool, c.startedAt, c.wake = p, p.options.Clock.Now(), make(chan struct{}, 1)
+	c.pool, c.startedAt, c.wake, c.leaving = p, p.options.Clock.Now(), make(chan struct{}, 1), make(map[bus.ID]time.Time)
 	bus.Handle(p.options.Bus, kindContact, c.answer)
 }
 
@@ -105,7 +114,7 @@
 	c.mu.Lock()
 	c.attempts.started(began)
 	c.mu.Unlock()
-	snap, err := c.pool.holder.options.Store.Read(ctx, holdersTable, "")
+	snap, err := c.pool.relay.Store.Read(ctx, holdersTable, "")
 	now := c.pool.options.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,7 +129,7 @@
 	c.attempts.responded(began, now, snap.Now, snap.Era)
 }
 
-// reached notes a response of the store to any call.
+// reached notes a response of the store to any call of this router.
 func (c *contact) reached() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,6 +137,13 @@
 	c.outage.ended()
 }
 
+// outageEnded notes a response of the store to a call through another router.
+func (c *contact) outageEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage.ended()
+}
+
 // followOutage makes attempts and polls for a while, since heartbeats fail.
 func (c *contact) followOutage() {
 	until := c.pool.options.Clock.Now().Add(contactNeededFor)
@@ -148,10 +164,28 @@
 // answer handles the question of another router, and makes attempts for a while.
 func (c *contact) answer(context.Context, bus.ID, contactRequest) (contactResponse, error) {
 	defer c.wakeUp()
+	leaving := c.pool.leaving()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attemptUntil = c.pool.options.Clock.Now().Add(contactNeededFor)
-	return c.responseLocked(), nil
+	r := c.responseLocked()
+	r.Leaving = leaving
+	return r, nil
+}
+
+// leaving reports whether this router stops as planned.
+func (p *Pool) leaving() bool {
+	members, _ := p.options.Fleet.Available()
+	return p.holder.closing.Load() || !slices.ContainsFunc(members, func(m Member) bool { return m.ID == p.options.Self.ID })
+}
+
+// noteLeaving notes that a router stops as planned, so that it is not polled any more.
+func (c *contact) noteLeaving(id bus.ID) {
+	now := c.pool.options.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving[id] = now
+	maps.DeleteFunc(c.leaving, func(_ bus.ID, at time.Time) bool { return now.Sub(at) > 2*maxCopyAge })
 }
 
 // responseLocked says whether the store responds to this router.
@@ -172,18 +206,43 @@
 	votes := []contactResponse{c.responseLocked()}
 	c.observeLocked(began, voters, votes)
 	c.mu.Unlock()
-	c.ask(voters, func(r contactResponse) {
+	c.ask(voters, func(id bus.ID, r contactResponse) {
 		c.mu.Lock()
 		votes = append(votes, r)
 		c.observeLocked(began, voters, votes)
+		c.noteReachingLocked(began, id, r)
 		c.mu.Unlock()
 	})
+	c.logPoll(began, voters, votes)
 	c.pool.holder.extendAll()
 }
 
-// observeLocked notes the votes of a poll so far.
-func (c *contact) observeLocked(began time.Time, voters []bus.ID, votes []contactResponse) {
-	silent, responding := 0, 0
+// noteReachingLocked notes whether the store responds to a router, by a poll that began at a time.
+func (c *contact) noteReachingLocked(began time.Time, id bus.ID, r contactResponse) {
+	if began.Before(c.reachingAt) || !r.Responding || r.Leaving {
+		return
+	}
+	if began.After(c.reachingAt) {
+		c.reaching, c.reachingAt = nil, began
+	}
+	c.reaching = append(c.reaching, id)
+}
+
+// logPoll logs a poll in which too few routers found the store silent, once a second.
+func (c *contact) logPoll(began time.Time, voters []bus.ID, votes []contactResponse) {
+	silent, responding := count(votes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if silent >= majority(len(voters)+1) || began.Sub(c.loggedAt) < time.Second {
+		return
+	}
+	c.loggedAt = began
+	c.pool.options.Log.Info("store not silent for most routers, no tokens are unlocked", "routers", len(voters)+1,
+		"answered", len(votes), "silent", silent, "responding", responding)
+}
+
+// count returns to how many routers the store is silent, and to how many it responds.
+func count(votes []contactResponse) (silent, responding int) {
 	for _, vote := range votes {
 		switch {
 		case vote.Silent:
@@ -192,12 +251,18 @@
 			responding++
 		}
 	}
+	return silent, responding
+}
+
+// observeLocked notes the votes of a poll so far.
+func (c *contact) observeLocked(began time.Time, voters []bus.ID, votes []contactResponse) {
+	silent, responding := count(votes)
 	c.outage.observe(began, len(voters)+1, silent, responding)
 }
 
 // ask asks routers whether the store responds to them, and waits for the responses. It calls receive with each
 // of them, from several goroutines.
-func (c *contact) ask(ids []bus.ID, receive func(contactResponse)) {
+func (c *contact) ask(ids []bus.ID, receive func(id bus.ID, r contactResponse)) {
 	ctx, cancel := context.WithTimeout(c.pool.holder.ctx, extendTimeout)
 	defer cancel()
 	var running sync.WaitGroup
@@ -208,7 +273,10 @@
 				c.pool.lost.suspect(id)
 				return
 			}
-			receive(response)
+			if response.Leaving {
+				c.noteLeaving(id)
+			}
+			receive(id, response)
 		})
 	}
 	running.Wait()
@@ -237,7 +305,10 @@
 func (c *contact) voters() []bus.ID {
 	byDomain := make(map[string][]Member)
 	for _, m := range c.pool.records.recentMembers() {
-		if !c.pool.lost.silentFor(m.ID, voterFor) {
+		c.mu.Lock()
+		_, leaving := c.leaving[m.ID]
+		c.mu.Unlock()
+		if !leaving && !c.pool.lost.silentFor(m.ID, voterFor) {
 			byDomain[m.Domain] = append(byDomain[m.Domain], m)
 		}
 	}
@@ -287,7 +358,7 @@
 	for _, m := range c.pool.records.recentMembers() {
 		ids = append(ids, m.ID)
 	}
-	c.ask(ids, func(r contactResponse) {
+	c.ask(ids, func(_ bus.ID, r contactResponse) {
 		mu.Lock()
 		defer mu.Unlock()
 		answers = append(answers, r)
--- a/coord/prepaid/heartbeat.go
+++ b/coord/prepaid/heartbeat.go
@@ -166,9 +166,6 @@
 
 // notifyStoreReached wakes the accounts that wait for the store to respond.
 func (hb *heartbeat) notifyStoreReached() {
-	if p := hb.holder.lends.Load(); p != nil {
-		p.contact.reached()
-	}
 	hb.mu.Lock()
 	defer hb.mu.Unlock()
 	close(hb.storeReached)
--- a/coord/prepaid/lost.go
+++ b/coord/prepaid/lost.go
@@ -56,7 +56,10 @@
 
 type probeRequest struct{}
 
-type probeResponse struct{}
+// probeResponse says whether the router stops as planned.
+type probeResponse struct {
+	Leaving bool `cbor:"1,keyasint,omitempty"`
+}
 
 // lostGrant is a grant of a lost holder whose row is fenced.
 type lostGrant struct {
@@ -96,7 +99,9 @@
 
 func (l *lostHolders) init(p *Pool) {
 	l.pool, l.grants, l.silent, l.reclaiming = p, make(map[grantID]bool), make(map[bus.ID]*silence), make(map[grantID]bool)
-	bus.Handle(p.options.Bus, kindProbe, func(context.Context, bus.ID, probeRequest) (probeResponse, error) { return probeResponse{}, nil })
+	bus.Handle(p.options.Bus, kindProbe, func(context.Context, bus.ID, probeRequest) (probeResponse, error) {
+		return probeResponse{Leaving: p.leaving()}, nil
+	})
 }
 
 // noteGrants notes grants of other holders, from their rows.
@@ -273,7 +278,10 @@
 func (l *lostHolders) probe(id bus.ID) {
 	ctx, cancel := context.WithTimeout(l.pool.holder.ctx, probeTimeout)
 	defer cancel()
-	_, err := bus.Call[probeRequest, probeResponse](ctx, l.pool.options.Bus, id, kindProbe, probeRequest{})
+	response, err := bus.Call[probeRequest, probeResponse](ctx, l.pool.options.Bus, id, kindProbe, probeRequest{})
+	if err == nil && response.Leaving {
+		l.pool.contact.noteLeaving(id)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -53,10 +53,11 @@
 	records records
 	stats   PoolStats
 	// extensions are those of other routers' grants, and lost follows their holders. contact follows
-	// whether the store responds.
+	// whether the store responds, and relay is the holder's store.
 	extensions extensions
 	lost       lostHolders
 	contact    contact
+	relay      relay
 
 	// workspaces are those with a limit. Ranks of other workspaces are computed, too,
 	// but their lenders prepare nothing.
@@ -119,6 +120,7 @@
 	p.extensions.init(p)
 	p.lost.init(p)
 	p.contact.init(p)
+	p.relay.init(p)
 	p.settler.init(p)
 	o.Holder.lends.Store(p)
 	return p
