--- a/coord/prepaid/silence.go
+++ b/coord/prepaid/silence.go
@@ -30,8 +30,9 @@
 	// find it silent, and missedOutage the longest outage between two prompt responses.
 	silenceLag   = maxAttemptGap + responseLimit
 	missedOutage = maxAttemptGap + promptResponse
-	// maxPollGap is the longest time between two polls of the routers in one outage, and
+	// pollInterval is the least time between two polls of the routers, maxPollGap the longest in one outage, and
 	// outageNoticedWithin that from a holder's last heartbeat to the first of them.
+	pollInterval        = 350 * time.Millisecond
 	maxPollGap          = time.Second
 	outageNoticedWithin = 3 * time.Second
 	// maxHeartbeatGap is the longest time between two heartbeats that the store has accepted, after
@@ -40,7 +41,7 @@
 	maxHeartbeatGap = lostAfter - time.Second
 	// unlockLookahead is how far beyond the newest poll an extension reaches, so that it need not be
 	// renewed for each request.
-	unlockLookahead = 500 * time.Millisecond
+	unlockLookahead = 700 * time.Millisecond
 	// shownAfter is how long the store must have responded, from outageNoticedWithin after a
 	// holder's last heartbeat on, to show that the holder can use no further tokens. It exceeds
 	// maxPollGap and silenceLag together.
