--- a/coord/prepaid/contact.go
+++ b/coord/prepaid/contact.go
@@ -12,8 +12,8 @@
 )
 
 // contact follows whether the store responds to this router, and to the others if it does not.
-// It makes attempts only while someone needs them: a holder without heartbeats, a router that
-// polls, or a router that has just started and may have to show that the store responds.
+// It makes attempts only while they are needed: by a holder whose heartbeats fail, by a router
+// that polls, or to reclaim the grants of a lost fleet.
 type contact struct {
 	pool      *Pool
 	startedAt time.Time
@@ -59,8 +59,8 @@
 }
 
 const (
-	// contactNeededFor is how long attempts are made after a request for them, and newcomerFor after the
-	// start of a process, until which it knows the holders that do not respond.
+	// contactNeededFor is how long attempts are made after a request for them, and newcomerFor how
+	// long after the start of a process, when it knows which holders do not respond.
 	contactNeededFor = 2 * time.Second
 	newcomerFor      = 4 * time.Second
 	// maxVoters bounds the routers that are polled. They are spread over the failure domains.
--- a/coord/prepaid/lostfleet.go
+++ b/coord/prepaid/lostfleet.go
@@ -9,9 +9,9 @@
 	"daisyslip.dev/daisyslip/coord/bus"
 )
 
-// usableWithoutReplicas returns how much of a grant its holder can use at most, if the replicas are lost
-// with it and the store has responded to the routers that have started since. fenceErr says why the
-// replicas were not enough.
+// usableWithoutReplicas returns how much of a grant its holder can use at most, if its replicas do
+// not respond and the store has responded to the routers that have started since. fenceErr says
+// why the replicas were not enough.
 func (l *lostHolders) usableWithoutReplicas(id grantID, grant grantRow, last heartbeatRow, fenceErr error) (int64, error) {
 	if last.Incarnation != id.holder.Incarnation || !last.Polls {
 		return 0, fmt.Errorf("%w, and its heartbeats do not bound its use", fenceErr)
@@ -53,8 +53,9 @@
 // errSurvivors is returned while a router of the lost fleet responds: it may know more.
 var errSurvivors = errors.New("routers of the same fleet respond")
 
-// responsesSince returns the longest series of responses that one of the routers has got in an era, if all
-// that respond have started after a time of the store's clock, in milliseconds.
+// responsesSince returns the longest series of responses of the store to one of the routers in an
+// era. It returns errSurvivors unless all routers that respond have started after a time of the
+// store's clock, in milliseconds.
 func (c *contact) responsesSince(startedAfterMs, era int64) (responses, error) {
 	c.mu.Lock()
 	answers := []contactResponse{c.responseLocked()}
--- a/coord/prepaid/poll.go
+++ b/coord/prepaid/poll.go
@@ -42,7 +42,7 @@
 
 // logPoll logs a poll in which too few routers found the store silent, once a second.
 func (c *contact) logPoll(began time.Time, voters []bus.ID, votes []contactResponse) {
-	silent, responding := count(votes)
+	silent, responding := countVotes(votes)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if silent >= majority(len(voters)+1) || began.Sub(c.loggedAt) < time.Second {
@@ -53,8 +53,8 @@
 		"answered", len(votes), "silent", silent, "responding", responding)
 }
 
-// count returns to how many routers the store is silent, and to how many it responds.
-func count(votes []contactResponse) (silent, responding int) {
+// countVotes returns for how many routers the store is silent, and to how many it responds.
+func countVotes(votes []contactResponse) (silent, responding int) {
 	for _, vote := range votes {
 		switch {
 		case vote.Silent:
@@ -68,12 +68,12 @@
 
 // observeLocked notes the votes of a poll so far.
 func (c *contact) observeLocked(began time.Time, voters []bus.ID, votes []contactResponse) {
-	silent, responding := count(votes)
+	silent, responding := countVotes(votes)
 	c.outage.observe(began, len(voters)+1, silent, responding)
 }
 
-// ask asks routers whether the store responds to them, and waits for the responses. It calls receive with each
-// of them, from several goroutines.
+// ask asks routers whether the store responds to them. It calls receive with each response, from
+// several goroutines, and returns after the last.
 func (c *contact) ask(ids []bus.ID, receive func(id bus.ID, r contactResponse)) {
 	ctx, cancel := context.WithTimeout(c.pool.holder.ctx, extendTimeout)
 	defer cancel()
@@ -94,8 +94,8 @@
 	running.Wait()
 }
 
-// unlockTime returns the time since the last heartbeat for which tokens of a grant may be unlocked, and false if
-// they may not. writtenAt is when the newest write of the grant's row was sent that was applied.
+// unlockTime returns the time since the last heartbeat for which tokens of a grant may be
+// unlocked, and false if they may not. writtenAt is when the newest applied write of its row was sent.
 func (c *contact) unlockTime(writtenAt time.Time) (time.Duration, bool) {
 	last, confirmed, gapEnded := c.pool.holder.heartbeat.times()
 	if writtenAt.Before(gapEnded) {
--- a/coord/prepaid/relay.go
+++ b/coord/prepaid/relay.go
@@ -10,9 +10,8 @@
 	"daisyslip.dev/daisyslip/coord/rowstore"
 )
 
-// relay is the store of a router that other routers may reach while it does not: its calls then go through
-// one of these. So the tokens of its grants stay in use while it is cut off from the store, although the
-// store is not silent for most routers.
+// relay is the store of a holder. While the store is silent for this router and responds to
+// others, calls go through one of these, so that the tokens of its grants stay in use.
 type relay struct {
 	rowstore.Store
 	pool *Pool
--- a/coord/prepaid/silence.go
+++ b/coord/prepaid/silence.go
@@ -6,15 +6,16 @@
 	"daisyslip.dev/daisyslip/coord/clock"
 )
 
-// The decisions of this file answer one question for two sides: was the store out of reach of
-// the fleet? A holder may use inactive tokens only while most of the routers that it knows find
-// the store silent. Routers that start after a whole fleet was lost show, by the responses
-// that they get, that its holders cannot have found most of the fleet in that state.
+// This file decides whether the store was out of reach of most routers, in an outage or with a
+// fleet that is lost. A holder uses inactive tokens only while most of the routers that it
+// knows find the store silent. Routers that start after a fleet was lost know from the responses
+// that they get how long that can have been the case.
 //
-// Invariant: a holder uses inactive tokens of a row only as far as they were unlocked while polls without a
-// gap, since the last heartbeat that the store has accepted, showed that a majority of its routers found the store
-// silent. After longer than maxHeartbeatGap without a heartbeat, others may have reclaimed its grants, or their
-// write for that may still be applied; so it must first have written the row again.
+// Invariant: inactive tokens are used only as far as they were unlocked while polls without a
+// gap showed the store to be silent for most routers. The polls began after the last heartbeat
+// that the store has accepted. If that ended a time of more than maxHeartbeatGap without
+// heartbeats, the grant's row was written since: others may have reclaimed the grant, or their
+// write for that may still be applied, which then conflicts.
 
 const (
 	// attemptInterval is the mean interval between two attempts to read from the store. After
@@ -22,8 +23,8 @@
 	// attempts say nothing about the time in between.
 	attemptInterval = 200 * time.Millisecond
 	maxAttemptGap   = 450 * time.Millisecond
-	// responseLimit is the time after which an attempt counts as unanswered. It exceeds the response
-	// time of a slow store. A store that responds within promptResponse does so to all routers.
+	// responseLimit is the time after which an attempt counts as unanswered. A store that responds
+	// within promptResponse answers the attempts of all routers.
 	responseLimit  = 350 * time.Millisecond
 	promptResponse = responseLimit / 2
 	// silenceLag is the longest time after the return of the store for which a router can still
@@ -35,12 +36,11 @@
 	pollInterval        = 350 * time.Millisecond
 	maxPollGap          = time.Second
 	outageNoticedWithin = 3 * time.Second
-	// maxHeartbeatGap is the longest time between two heartbeats that the store has accepted, after
-	// which nobody can have reclaimed the holder's grants. It is below lostAfter by more than the
-	// duration of a call.
+	// maxHeartbeatGap is the longest time between two accepted heartbeats in which nobody can have
+	// reclaimed the holder's grants. It is below lostAfter by more than the duration of a call.
 	maxHeartbeatGap = lostAfter - time.Second
-	// unlockLookahead is how far beyond the newest poll an extension reaches, so that it need not be
-	// renewed for each request.
+	// unlockLookahead is how far beyond the newest poll an extension reaches, so that it lasts until
+	// the next one.
 	unlockLookahead = 700 * time.Millisecond
 	// shownAfter is how long the store must have responded, from outageNoticedWithin after a
 	// holder's last heartbeat on, to show that the holder can use no further tokens. It exceeds
@@ -54,9 +54,9 @@
 	// unansweredSince is the start of the first attempt since the last response, or since a gap
 	// between attempts.
 	unansweredSince time.Time
-	// prompt is the start of the newest attempt of a series with prompt responses only, and since and
-	// until are the store's clock at its first and newest response. The series ends at a gap, a late
-	// response, a failure or a restored store.
+	// prompt is the start of the newest attempt of a series with prompt responses only, or zero
+	// without one. since and until are the store's clock at its first and newest response. The series
+	// ends at a gap, a late response, a failure or a restored store.
 	prompt       time.Time
 	since, until time.Duration
 	era          int64
@@ -114,8 +114,8 @@
 // the newest of a series of polls in which most of them found the store silent.
 type outage struct {
 	since, last time.Time
-	// refutedAt is the start of the newest poll in which the store responded to so many that no majority
-	// was left.
+	// refutedAt is the start of the newest poll in which the store responded to so many routers that
+	// it cannot be silent for most.
 	refutedAt time.Time
 }
 
@@ -156,9 +156,9 @@
 	return !o.refutedAt.IsZero() && clock.Elapsed(o.refutedAt, now) <= maxPollGap
 }
 
-// bound returns how many of the inactive tokens of a grant its holder can have used at most, and
-// that it can use no more of them, if the store has responded to routers that started after the
-// holder's last heartbeat. It returns false while the responses do not show that.
+// bound returns how many of the inactive tokens of a grant its holder has used at most, and can
+// ever use, given the responses to routers that started after its last heartbeat. It returns
+// false while the responses are too few for a bound.
 func (r responses) bound(last heartbeatRow, grant grantRow) (int64, bool) {
 	heartbeat := time.Duration(last.StoreMs) * time.Millisecond
 	if r.until-max(r.since, heartbeat+outageNoticedWithin) < shownAfter {
