--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -10,6 +10,7 @@
 // cases are the script cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(record *recorder, dir string, trouble bool) (broken bool, err error){
 	"raised-timeout": raisedTimeout,
+	"spoiled-events": spoiledEvents,
 }
 
 // main plays the case named by the first argument and writes its record to the file named by the
