--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -10,7 +10,8 @@
 // cases are the script cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(record *recorder, dir string, trouble bool) (broken bool, err error){
 	"raised-timeout": raisedTimeout,
-	"spoiled-events": spoiledEvents,
+	"spoiled-events": spoiledEvents(spoiling{event: 5, spoiled: 9, joined: true, resumable: true}),
+	"spoiled-first":  spoiledEvents(spoiling{event: 1, spoiled: 7}),
 }
 
 // main plays the case named by the first argument and writes its record to the file named by the
--- a/review/driver3/spoiled.go
+++ b/review/driver3/spoiled.go
@@ -17,12 +17,19 @@
 	"daisyslip.dev/daisyslip/platform/standin"
 )
 
+// spoiling says how a faulty worker spoils an answer.
+type spoiling struct {
+	// The worker sends the event with the id spoiled instead of its own.
+	event, spoiled int
+	// joined has the event before it leave in the same segment.
+	joined bool
+	// resumable is that of the route.
+	resumable bool
+}
+
 const (
 	streamEvents = 8
 	streamGap    = 40 * time.Millisecond
-	// spoiledEvent is the event whose id the faulty worker spoils. It leaves in one segment with
-	// the one before it.
-	spoiledEvent = 5
 	streams      = 400
 	streamStart  = 100 * time.Millisecond // between the starts of two streams
 	// Of poolWorkers, faultyWorkers spoil one answer of spoiledOf: the largest dose of garble in
@@ -32,12 +39,16 @@
 	spoiledOf     = 20
 )
 
-func streamConfig() standin.Config {
+func streamConfig(resumable bool) standin.Config {
+	attempts := 1
+	if resumable {
+		attempts = 2
+	}
 	return standin.Config{
 		Version: 1,
 		Routes: []standin.Route{{
-			Name: "swap-chat", Host: standin.SampleHost, Prefix: "/chat/", Kind: "streaming", Resumable: true,
-			TimeoutMS: 15000, LatencyObjectiveMS: 400, GapObjectiveMS: 250, Service: "pool", MaxAttempts: 2,
+			Name: "swap-chat", Host: standin.SampleHost, Prefix: "/chat/", Kind: "streaming", Resumable: resumable,
+			TimeoutMS: 15000, LatencyObjectiveMS: 400, GapObjectiveMS: 250, Service: "pool", MaxAttempts: attempts,
 		}},
 		Services: []standin.Service{{Name: "pool", MaxConns: 360, Engine: &standin.Engine{Stride: 4}}},
 		Limits:   standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
@@ -47,14 +58,20 @@
 
 // spoiledEvents has some workers spoil the id of one event in a few answers. The rule ORDER is
 // broken if a caller's stream goes on without one of its pieces.
-func spoiledEvents(record *recorder, dir string, trouble bool) (broken bool, err error) {
+func spoiledEvents(sp spoiling) func(record *recorder, dir string, trouble bool) (broken bool, err error) {
+	return func(record *recorder, dir string, trouble bool) (bool, error) {
+		return playSpoiled(sp, record, dir, trouble)
+	}
+}
+
+func playSpoiled(sp spoiling, record *recorder, dir string, trouble bool) (broken bool, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s, err := startStore()
 	if err != nil {
 		return false, err
 	}
-	if err := s.PutConfig(ctx, streamConfig()); err != nil {
+	if err := s.PutConfig(ctx, streamConfig(sp.resumable)); err != nil {
 		return false, err
 	}
 	var mu sync.Mutex
@@ -69,11 +86,17 @@
 		}
 		mu.Unlock()
 		for n := last + 1; n <= streamEvents; n++ {
-			text := event(n, id)
-			if spoils && n == spoiledEvent-1 {
-				text += strings.Replace(event(spoiledEvent, id), fmt.Sprintf("id: %d", spoiledEvent), fmt.Sprintf("id: %d", spoiledEvent+4), 1)
-				w.record.printf("worker %s sends event %d of %s, and event %d with a spoiled digit in its id", w.id, n, id, spoiledEvent)
+			text, next := event(n, id), event(n+1, id)
+			spoil := func(text string, n int) string {
+				w.record.printf("worker %s sends event %d of %s with the id %d", w.id, n, id, sp.spoiled)
+				return strings.Replace(text, fmt.Sprintf("id: %d", n), fmt.Sprintf("id: %d", sp.spoiled), 1)
+			}
+			switch {
+			case spoils && sp.joined && n == sp.event-1:
+				text += spoil(next, n+1)
 				n++
+			case spoils && n == sp.event:
+				text = spoil(text, n)
 			}
 			if !chunk(c, text) {
 				w.record.printf("worker %s: connection of %s closed by the router", w.id, id)
@@ -140,22 +163,27 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	var ids []int
+	var ids, pieces []int
 	for line := range strings.Lines(string(data)) {
 		if text, found := strings.CutPrefix(line, "id:"); found {
 			n, _ := strconv.Atoi(strings.TrimSpace(text))
 			ids = append(ids, n)
 		}
+		if text, found := strings.CutPrefix(line, "data: piece "); found {
+			number, _, _ := strings.Cut(text, " ")
+			n, _ := strconv.Atoi(number)
+			pieces = append(pieces, n)
+		}
 	}
-	record.printf("caller of %s: status %d, events %v, end of the stream: %v", id, response.StatusCode, ids, endOf(err))
-	for i, n := range ids {
+	record.printf("caller of %s: status %d, ids %v, pieces %v, end of the stream: %v", id, response.StatusCode, ids, pieces, endOf(err))
+	for i, n := range pieces {
 		if n != i+1 {
 			record.printf("ORDER: piece %d of %s is missing, the stream goes on with %d", i+1, id, n)
 			return true
 		}
 	}
-	if err == nil && len(ids) != streamEvents {
-		record.printf("ORDER: stream %s ends as complete after %d of %d pieces", id, len(ids), streamEvents)
+	if err == nil && len(pieces) != streamEvents {
+		record.printf("ORDER: stream %s ends as complete after %d of %d pieces", id, len(pieces), streamEvents)
 		return true
 	}
 	return false
