--- a/review/driver3/common.go
+++ b/review/driver3/common.go
@@ -81,14 +81,20 @@
 	logs *os.File
 }
 
-// startRouter starts a router with the command of the deploy file.
+// startRouter starts a router with the command of the deploy file, as one of the first machines of
+// the deployment.
 func startRouter(dir, storeAddr, vm string) (*router, error) {
+	return startRouterWith(dir, vm, func(port int) string { return standin.SettingsFile(storeAddr, vm, port) })
+}
+
+// startRouterWith starts a router with the settings that a function returns for its first port.
+func startRouterWith(dir, vm string, settingsFor func(port int) string) (*router, error) {
 	port, err := freePorts(4)
 	if err != nil {
 		return nil, err
 	}
 	settings := filepath.Join(dir, vm+".toml")
-	if err := os.WriteFile(settings, []byte(standin.SettingsFile(storeAddr, vm, port)), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(settingsFor(port)), 0o600); err != nil {
 		return nil, err
 	}
 	logs, err := os.Create(filepath.Join(dir, vm+".log"))
--- a/review/driver3/driver.go
+++ b/review/driver3/driver.go
@@ -9,6 +9,7 @@
 
 // cases are the script cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(record *recorder, dir string, trouble bool) (broken bool, err error){
+	"lost-zones":     lostZones,
 	"raised-timeout": raisedTimeout,
 	"spoiled-events": spoiledEvents(spoiling{event: 5, spoiled: 9, joined: true, resumable: true}),
 	"spoiled-first":  spoiledEvents(spoiling{event: 1, spoiled: 7}),
