Reclaim grants of routers that are lost with most of their replicas

Cause: the use of a lost holder beyond its activated tokens was bounded by a quorum of its replicas, or, with no survivor at all, by the store's responses to new routers. A survivor that is not such a quorum knew nothing: a group of most routers that is cut off from it and from the store unlocks tokens, and looks the same to it as dead routers.

Change: a holder needs consents, apart from the polls and the replicas. Each heartbeat row names its consenters, the voters that respond; inactive tokens are used only with their consent to the newest heartbeat. A consenter that has not consented can withhold that for good, which is the word that a reclaim needs. Words and consents are numbers of heartbeats that one process remembers, so they need no clock and no assumption on groups; a restarted process is another consenter. Extensions count until the next heartbeat only. A gap between heartbeats is now found by the store's clock, too: a holder that had paused, or was suspended before it sent a heartbeat, did not write its grants again.

--- a/coord/prepaid/contact.go
+++ b/coord/prepaid/contact.go
@@ -41,7 +41,14 @@
 // kindContact asks another router whether the store responds to it.
 const kindContact bus.Kind = "prepaid.contact"
 
-type contactRequest struct{}
+// contactRequest has the numbers of the sender's newest heartbeats that the store has accepted, and that may be in the
+// store, if it asks for consent to the use of inactive tokens.
+type contactRequest struct {
+	// Consenter is the process that is asked for consent, as in withholdRequest.
+	Consenter bus.ID `cbor:"1,keyasint"`
+	Accepted  int64  `cbor:"2,keyasint,omitempty"`
+	Newest    int64  `cbor:"3,keyasint,omitempty"`
+}
 
 // contactResponse says whether the store is silent or responds; neither is set while that is
 // unknown.
@@ -56,6 +63,8 @@
 	StartedMs int64 `cbor:"6,keyasint,omitempty"`
 	// Leaving says that the router stops as planned.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// Consent says that the router consents, since the store has not answered it promptly or since it stops.
+	Consent bool `cbor:"8,keyasint,omitempty"`
 }
 
 const (
@@ -164,17 +173,30 @@
 }
 
 // answer handles the question of another router, and makes attempts for a while.
-func (c *contact) answer(context.Context, bus.ID, contactRequest) (contactResponse, error) {
-	defer c.wakeUp()
+func (c *contact) answer(ctx context.Context, from bus.ID, request contactRequest) (contactResponse, error) {
 	leaving := c.pool.leaving()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.attemptUntil = c.pool.options.Clock.Now().Add(contactNeededFor)
 	r := c.responseLocked()
+	c.mu.Unlock()
+	c.wakeUp()
 	r.Leaving = leaving
+	if request.Newest > 0 && !r.Responding {
+		consents := r.Silent || leaving || c.awaitUnanswered(ctx)
+		r.Consent = consents && c.pool.consents.give(from, request)
+	}
 	return r, nil
 }
 
+// awaitUnanswered waits for the time of a prompt response of the store, and reports whether none has come.
+func (c *contact) awaitUnanswered(ctx context.Context) bool {
+	const slack = 10 * time.Millisecond // until the attempt starts
+	_ = clock.Sleep(ctx, c.pool.options.Clock, promptResponse+slack)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts.unanswered(c.pool.options.Clock.Now())
+}
+
 // leaving reports whether this router stops as planned.
 func (p *Pool) leaving() bool {
 	members, _ := p.options.Fleet.Available()
--- a/coord/prepaid/extension.go
+++ b/coord/prepaid/extension.go
@@ -16,12 +16,12 @@
 // only as far as a majority of the replicas that its grant row names has recorded how
 // much of the grant it may use: an extension. So another router can bound the use of a
 // holder that is lost; see lost.go. A row without replicas needs no extension. A holder
-// of a pool uses inactive tokens only while most routers find the store silent, see silence.go, which
-// bounds its use also if its replicas are lost, too.
+// of a pool uses inactive tokens only while most routers find the store silent, see silence.go, and with the consent of the
+// routers that its heartbeats name, see consent.go. These bound its use also if its replicas are lost, too.
 //
 // Invariant: for each row that may be stored, the holder uses no more than the
 // row's activated tokens, or than a majority of the row's replicas has recorded in
-// extensions for this row or a later one.
+// extensions for this row or a later one, since the holder's newest heartbeat.
 
 // The kinds of requests about extensions between routers.
 const (
@@ -153,7 +153,13 @@
 }
 
 // acknowledgement is the newest extension that a replica has recorded for this holder.
-type acknowledgement struct{ seq, tokens int64 }
+// It counts until the next heartbeat.
+type acknowledgement struct{ heartbeat, seq, tokens int64 }
+
+// replaces reports whether an acknowledgement is newer than another one of the same replica.
+func (a acknowledgement) replaces(other acknowledgement) bool {
+	return cmp.Or(cmp.Compare(a.heartbeat, other.heartbeat), cmp.Compare(a.seq, other.seq), cmp.Compare(a.tokens, other.tokens)) > 0
+}
 
 // replicas returns the replicas for the next row of a grant of this process. Routers that
 // do not respond are among them only if no other router does.
@@ -187,8 +193,9 @@
 		return a.usableWithoutReplicasLocked(g)
 	}
 	var recorded []int64
+	newest := a.holder.heartbeat.newest()
 	for _, id := range g.replicas {
-		if ack, found := a.acknowledged[id]; found && ack.seq >= g.seq {
+		if ack, found := a.acknowledged[id]; found && ack.heartbeat == newest && ack.seq >= g.seq {
 			recorded = append(recorded, ack.tokens)
 		}
 	}
@@ -247,6 +254,7 @@
 		return
 	}
 	p.contact.followOutage()
+	heartbeat := a.holder.heartbeat.newest()
 	unlockTime, ok := p.contact.unlockTime(a.writtenAt)
 	if !ok {
 		if silentFor > outageNoticedWithin || p.contact.refuted() {
@@ -268,12 +276,12 @@
 			}
 		}
 	}
-	a.extending = a.holder.tasks.Go(func() { a.extend(request, replicas) })
+	a.extending = a.holder.tasks.Go(func() { a.extend(request, replicas, heartbeat) })
 }
 
 // extend requests an extension from the replicas, and serves waiters once a majority has
-// recorded it.
-func (a *account) extend(request extendRequest, replicas []bus.ID) {
+// recorded it. heartbeat is the number of the newest one before.
+func (a *account) extend(request extendRequest, replicas []bus.ID, heartbeat int64) {
 	p := a.holder.lends.Load()
 	ctx, cancel := context.WithTimeout(a.holder.ctx, extendTimeout)
 	defer cancel()
@@ -286,7 +294,7 @@
 			response, err := bus.Call[extendRequest, extendResponse](ctx, p.options.Bus, id, kindExtend, r)
 			if err == nil && !response.Fenced {
 				recorded.Add(1)
-				a.extensionRecorded(id, acknowledgement{r.NewestSeq, r.Tokens})
+				a.extensionRecorded(id, acknowledgement{heartbeat, r.NewestSeq, r.Tokens})
 			}
 		})
 	}
@@ -306,8 +314,7 @@
 func (a *account) extensionRecorded(replica bus.ID, ack acknowledgement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	known := a.acknowledged[replica]
-	if ack.seq > known.seq || ack.seq == known.seq && ack.tokens > known.tokens {
+	if ack.replaces(a.acknowledged[replica]) {
 		a.acknowledged[replica] = ack
 	}
 	a.serveWaitersLocked()
--- a/coord/prepaid/fence.go
+++ b/coord/prepaid/fence.go
@@ -12,9 +12,9 @@
 // errNoReplicas is returned for a grant whose row names no replicas.
 var errNoReplicas = errors.New("its row names no replicas")
 
-// fence fences the row of a grant at its replicas. It returns the newest extension and the number of
-// replicas that responded.
-func (l *lostHolders) fence(id grantID, grant grantRow) (int64, int, error) {
+// fence fences the row of a grant at its replicas. It returns the newest extension that they know and how
+// many of them responded, also with the error that these are too few.
+func (l *lostHolders) fence(id grantID, grant grantRow) (extended int64, fenced int, err error) {
 	if len(grant.Replicas) == 0 {
 		return 0, 0, errNoReplicas
 	}
@@ -22,8 +22,6 @@
 	defer cancel()
 	var running sync.WaitGroup
 	var mu sync.Mutex // guards the results
-	var extended int64
-	fenced := 0
 	for _, replica := range grant.Replicas {
 		running.Go(func() {
 			request := fenceRequest{Workspace: id.workspace, Holder: id.holder, Replica: replica, Seq: grant.Seq}
@@ -37,7 +35,7 @@
 	}
 	running.Wait()
 	if quorum := fenceQuorum(len(grant.Replicas)); fenced < quorum {
-		return 0, fenced, fmt.Errorf("%d of %d replicas fenced it, %d are needed", fenced, len(grant.Replicas), quorum)
+		return extended, fenced, fmt.Errorf("%d of %d replicas fenced it, %d are needed", fenced, len(grant.Replicas), quorum)
 	}
 	return extended, fenced, nil
 }
--- a/coord/prepaid/heartbeat.go
+++ b/coord/prepaid/heartbeat.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"daisyslip.dev/daisyslip/coord/bus"
 	"daisyslip.dev/daisyslip/coord/clock"
 	"daisyslip.dev/daisyslip/coord/rowstore"
 )
@@ -49,6 +50,10 @@
 	// gapEnded is when the store has accepted a heartbeat after a longer time than maxHeartbeatGap
 	// without one.
 	gapEnded time.Time
+	// acceptedMs and newestMs are StoreMs of the newest accepted row, or 0, and of the newest row.
+	acceptedMs, newestMs int64
+	// ballot has the consents to the newest heartbeat.
+	ballot ballot
 	// predecessors are the earlier processes on this VM for which a bound of their
 	// spending is known.
 	predecessors []predecessor
@@ -115,13 +120,41 @@
 	return hb.holder.options.Clock.Now().Sub(hb.lastHeartbeat)
 }
 
-// times returns when the newest heartbeat that may be in the store and the newest that the store has
-// accepted were created, or the zero time before the first, and when the last gap between heartbeats
-// ended.
-func (hb *heartbeat) times() (last, confirmed, gapEnded time.Time) {
+// heartbeatState has what the use of inactive tokens depends on.
+type heartbeatState struct {
+	// last and confirmed are when the newest heartbeat that may be in the store and the newest that the store has
+	// accepted were created, or the zero time before the first, and gapEnded is when the last gap between heartbeats ended.
+	last, confirmed, gapEnded time.Time
+	// consented says that enough consenters have consented.
+	consented bool
+}
+
+func (hb *heartbeat) state() heartbeatState {
+	hb.mu.Lock()
+	defer hb.mu.Unlock()
+	return heartbeatState{hb.lastHeartbeat, hb.confirmed, hb.gapEnded, hb.ballot.complete()}
+}
+
+// consentsMissing returns the numbers of the newest accepted heartbeat and of the newest one, and the routers that have
+// not consented to the latter yet.
+func (hb *heartbeat) consentsMissing() (accepted, newest int64, missing []bus.ID) {
+	hb.mu.Lock()
+	defer hb.mu.Unlock()
+	return hb.ballot.accepted, hb.ballot.newest, hb.ballot.missing()
+}
+
+// noteConsent notes that a router has consented to a heartbeat.
+func (hb *heartbeat) noteConsent(id bus.ID, number int64) {
 	hb.mu.Lock()
 	defer hb.mu.Unlock()
-	return hb.lastHeartbeat, hb.confirmed, hb.gapEnded
+	hb.ballot.receive(id, number)
+}
+
+// newest returns the number of the newest heartbeat.
+func (hb *heartbeat) newest() int64 {
+	hb.mu.Lock()
+	defer hb.mu.Unlock()
+	return hb.ballot.newest
 }
 
 // unlocked returns how many of the inactive tokens of a grant may be spent now.
@@ -239,7 +272,9 @@
 			hb.pause()
 			continue
 		}
+		answered := hb.followIfUnanswered()
 		err := hb.write(ctx)
+		answered()
 		hb.holder.eras.observe()
 		hb.lastFailed = err != nil
 		if err != nil && !errors.Is(err, errHeartbeatPostponed) {
@@ -256,6 +291,22 @@
 	}
 }
 
+// followIfUnanswered follows an outage of the store if a heartbeat that is sent now is unanswered for responseLimit,
+// so that the consents are there before its call times out. The returned function ends the wait.
+func (hb *heartbeat) followIfUnanswered() (answered func()) {
+	p := hb.holder.lends.Load()
+	if p == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(hb.holder.ctx)
+	hb.holder.tasks.Go(func() {
+		if clock.Sleep(ctx, hb.holder.options.Clock, responseLimit) == nil {
+			p.contact.followOutage()
+		}
+	})
+	return cancel
+}
+
 // pause ends the heartbeats of a process that has no grant. No tokens of a later grant
 // are unlocked before the next heartbeat.
 func (hb *heartbeat) pause() {
@@ -304,22 +355,25 @@
 		return fmt.Errorf("write heartbeat: %w", err)
 	}
 	hb.observeStoreClock(result.Now)
-	hb.noteAccepted()
+	hb.noteAccepted(result.Now)
 	hb.notifyStoreReached()
 	hb.row = rowstore.Row{Key: hb.key, Version: result.Version}
 	return nil
 }
 
-// noteAccepted notes that the store has accepted the newest row. After a gap, the grants are written
-// again.
-func (hb *heartbeat) noteAccepted() {
+// noteAccepted notes that the store has accepted the newest row at a time of its clock. After a gap, the grants
+// are written again. The store's clock shows a gap also if the holder has paused, or was suspended before it sent
+// the row before.
+func (hb *heartbeat) noteAccepted(storeNow time.Duration) {
 	now := hb.holder.options.Clock.Now()
 	hb.mu.Lock()
-	gap := !hb.confirmed.IsZero() && clock.Elapsed(hb.confirmed, now) > maxHeartbeatGap
+	gap := !hb.confirmed.IsZero() && clock.Elapsed(hb.confirmed, now) > maxHeartbeatGap ||
+		hb.acceptedMs > 0 && storeNow-time.Duration(hb.acceptedMs)*time.Millisecond > maxHeartbeatGap
 	if gap {
 		hb.gapEnded = now
 	}
-	hb.confirmed = hb.lastHeartbeat
+	hb.confirmed, hb.acceptedMs = hb.lastHeartbeat, hb.newestMs
+	hb.ballot.accept()
 	hb.mu.Unlock()
 	if !gap {
 		return
@@ -390,19 +444,26 @@
 	hb.lastHeartbeat = hb.holder.options.Clock.Now()
 	hb.mu.Unlock()
 	usesInactive := hb.holder.usesInactiveTokens()
+	pool, era := hb.holder.lends.Load(), hb.holder.eras.observe()
+	var consenters []bus.ID
+	if pool != nil {
+		consenters = pool.contact.consenters()
+	}
 	hb.mu.Lock()
 	defer hb.mu.Unlock()
 	if usesInactive {
 		hb.lastHeartbeat = previous
 		return false
 	}
+	hb.newestMs = storeMs
 	settings := hb.holder.options.Settings
 	value, err := json.Marshal(heartbeatRow{
 		Incarnation: hb.holder.options.Incarnation, StoreMs: storeMs, Predecessors: hb.predecessors,
 		// Rounded down, so that a successor counts no less than was unlocked.
 		UnlockAfterMs:  settings.UnlockAfter.Milliseconds(),
 		UnlockWithinMs: settings.UnlockWithin.Milliseconds(),
-		Polls:          hb.holder.lends.Load() != nil,
+		Polls:          pool != nil,
+		Number:         hb.ballot.prepare(consenters), Consenters: newRouterSet(consenters), Era: era,
 	})
 	if err != nil {
 		panic(err) // the row type always encodes
--- a/coord/prepaid/lost.go
+++ b/coord/prepaid/lost.go
@@ -21,6 +21,9 @@
 // tokens, or the newest extension. A holder that is cut off, and not dead, goes on with
 // these, and learns of the rest with its next write, which finds another version of its row.
 //
+// If too few replicas are left to be fenced, routers of the holder's fleet that live on may show that it can use
+// no inactive tokens; see consent.go.
+//
 // If a whole fleet is lost, no replica is left to be fenced. Routers that have started since then
 // reclaim its grants once the store has responded to them for a while: what the holders can have used
 // is what the outage before unlocked, see silence.go. As long as one router of the old fleet responds, they do not.
@@ -337,6 +340,9 @@
 		return nil, err
 	}
 	usable, fenced, err := l.fence(id, lost.grant)
+	if err != nil {
+		err = l.requireWithheld(id, lost.grant, last, err)
+	}
 	if err != nil && fenced == 0 {
 		usable, err = l.usableWithoutReplicas(id, lost.grant, last, err)
 	}
--- a/coord/prepaid/lostfleet.go
+++ b/coord/prepaid/lostfleet.go
@@ -65,7 +65,7 @@
 	for _, m := range c.pool.records.recentMembers() {
 		ids = append(ids, m.ID)
 	}
-	c.ask(ids, func(_ bus.ID, r contactResponse) {
+	c.ask(ids, contactRequest{}, func(_ bus.ID, r contactResponse) {
 		mu.Lock()
 		defer mu.Unlock()
 		answers = append(answers, r)
--- a/coord/prepaid/poll.go
+++ b/coord/prepaid/poll.go
@@ -14,11 +14,24 @@
 func (c *contact) poll() {
 	began := c.pool.options.Clock.Now()
 	voters := c.voters()
+	accepted, newest, missing := c.pool.holder.heartbeat.consentsMissing()
 	c.mu.Lock()
 	votes := []contactResponse{c.responseLocked()}
 	c.observeLocked(began, voters, votes)
 	c.mu.Unlock()
-	c.ask(voters, func(id bus.ID, r contactResponse) {
+	asked := slices.Clone(voters)
+	for _, id := range missing {
+		if !slices.Contains(voters, id) {
+			asked = append(asked, id)
+		}
+	}
+	c.ask(asked, contactRequest{Accepted: accepted, Newest: newest}, func(id bus.ID, r contactResponse) {
+		if r.Consent {
+			c.pool.holder.heartbeat.noteConsent(id, newest)
+		}
+		if !slices.Contains(voters, id) {
+			return
+		}
 		c.mu.Lock()
 		votes = append(votes, r)
 		c.observeLocked(began, voters, votes)
@@ -40,15 +53,23 @@
 	c.reaching = append(c.reaching, id)
 }
 
-// logPoll logs a poll in which too few routers found the store silent, once a second.
+// logPoll logs a poll in which too few routers found the store silent, or after which consents are missing, once a
+// second.
 func (c *contact) logPoll(began time.Time, voters []bus.ID, votes []contactResponse) {
+	_, _, missing := c.pool.holder.heartbeat.consentsMissing()
+	consented := c.pool.holder.heartbeat.state().consented || len(missing) == 0
 	silent, responding := countVotes(votes)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if silent >= majority(len(voters)+1) || began.Sub(c.loggedAt) < time.Second {
+	if silent >= majority(len(voters)+1) && consented || began.Sub(c.loggedAt) < time.Second {
 		return
 	}
 	c.loggedAt = began
+	if silent >= majority(len(voters)+1) {
+		c.pool.options.Log.Info("store silent for most routers, but consents are missing, no tokens are unlocked", "routers", len(voters)+1,
+			"silent", silent, "missing", len(missing), "first_missing", missing[0].String())
+		return
+	}
 	c.pool.options.Log.Info("store not silent for most routers, no tokens are unlocked", "routers", len(voters)+1,
 		"answered", len(votes), "silent", silent, "responding", responding)
 }
@@ -72,15 +93,17 @@
 	c.outage.observe(began, len(voters)+1, silent, responding)
 }
 
-// ask asks routers whether the store responds to them. It calls receive with each response, from
-// several goroutines, and returns after the last.
-func (c *contact) ask(ids []bus.ID, receive func(id bus.ID, r contactResponse)) {
+// ask asks routers whether the store responds to them, and for their consent if the request has heartbeats. It calls
+// receive with each response, from several goroutines, and returns after the last.
+func (c *contact) ask(ids []bus.ID, request contactRequest, receive func(id bus.ID, r contactResponse)) {
 	ctx, cancel := context.WithTimeout(c.pool.holder.ctx, extendTimeout)
 	defer cancel()
 	var running sync.WaitGroup
 	for _, id := range ids {
 		running.Go(func() {
-			response, err := bus.Call[contactRequest, contactResponse](ctx, c.pool.options.Bus, id, kindContact, contactRequest{})
+			r := request
+			r.Consenter = id
+			response, err := bus.Call[contactRequest, contactResponse](ctx, c.pool.options.Bus, id, kindContact, r)
 			if err != nil {
 				c.pool.lost.suspect(id)
 				return
@@ -97,13 +120,13 @@
 // unlockTime returns the time since the last heartbeat for which tokens of a grant may be
 // unlocked, and false if they may not. writtenAt is when the newest applied write of its row was sent.
 func (c *contact) unlockTime(writtenAt time.Time) (time.Duration, bool) {
-	last, confirmed, gapEnded := c.pool.holder.heartbeat.times()
-	if writtenAt.Before(gapEnded) {
+	hb := c.pool.holder.heartbeat.state()
+	if writtenAt.Before(hb.gapEnded) || !hb.consented {
 		return 0, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.outage.unlockTime(last, confirmed, c.pool.options.Clock.Now(), c.pool.holder.options.Settings.UnlockAfter)
+	return c.outage.unlockTime(hb.last, hb.confirmed, c.pool.options.Clock.Now(), c.pool.holder.options.Settings.UnlockAfter)
 }
 
 // refuted reports whether the store is known to respond to other routers.
@@ -141,17 +164,37 @@
 	}
 }
 
-// probeVoter tests whether the next of the voters responds, so that lost ones are known before an
+// consenters returns the routers that the next heartbeat names: the voters that respond.
+func (c *contact) consenters() []bus.ID {
+	members, _ := c.pool.options.Fleet.Available()
+	available := make(map[bus.ID]bool, len(members))
+	for _, m := range members {
+		available[m.ID] = true
+	}
+	return slices.DeleteFunc(c.pool.lost.responding(c.voters()), func(id bus.ID) bool { return !available[id] })
+}
+
+// probesPerRound is the number of voters that a holder probes in each round of maintenance, so that consenters are
+// routers that have responded lately. Other routers probe one.
+const probesPerRound = 3
+
+// probeVoters tests whether the next of the voters respond, so that lost ones are known before an
 // outage.
-func (c *contact) probeVoter() {
+func (c *contact) probeVoters() {
 	voters := c.voters()
 	if len(voters) == 0 {
 		return
 	}
 	slices.SortFunc(voters, func(a, b bus.ID) int { return cmp.Compare(a.VM, b.VM) })
-	c.mu.Lock()
-	c.nextProbe++
-	id := voters[c.nextProbe%len(voters)]
-	c.mu.Unlock()
-	c.pool.holder.tasks.Go(func() { c.pool.lost.probe(id) })
+	probes := 1
+	if c.pool.holder.holding() {
+		probes = min(probesPerRound, len(voters))
+	}
+	for range probes {
+		c.mu.Lock()
+		c.nextProbe++
+		id := voters[c.nextProbe%len(voters)]
+		c.mu.Unlock()
+		c.pool.holder.tasks.Go(func() { c.pool.lost.probe(id) })
+	}
 }
--- a/coord/prepaid/pool.go
+++ b/coord/prepaid/pool.go
@@ -52,9 +52,10 @@
 	loans   loans
 	records records
 	stats   PoolStats
-	// extensions are those of other routers' grants, and lost follows their holders. contact follows
+	// extensions and consents are those of other routers' grants, and lost follows their holders. contact follows
 	// whether the store responds, and relay is the holder's store.
 	extensions extensions
+	consents   consents
 	lost       lostHolders
 	contact    contact
 	relay      relay
@@ -118,6 +119,7 @@
 	p.loans.init(p)
 	p.records.init(p)
 	p.extensions.init(p)
+	p.consents.init(p)
 	p.lost.init(p)
 	p.contact.init(p)
 	p.relay.init(p)
@@ -159,7 +161,7 @@
 		p.records.exchange()
 		p.lost.check()
 		p.lost.checkReplicas()
-		p.contact.probeVoter()
+		p.contact.probeVoters()
 		if p.options.Clock.Now().Sub(startedAt) < settleMembersFor {
 			continue
 		}
--- a/coord/prepaid/prepaid.go
+++ b/coord/prepaid/prepaid.go
@@ -15,7 +15,8 @@
 // uses inactive tokens, and other holders can reclaim the rest; see extension.go and lost.go. If
 // the holder and all of its fleet are lost together, routers that start later reclaim what the store's
 // outages, as far as they are possible, have not unlocked; see silence.go. If the holder and most of its replicas are
-// lost and others of the fleet live, its grant counts as spent.
+// lost and others of the fleet live, these know whether they have consented to the use of inactive tokens; see
+// consent.go.
 //
 // Pool makes the grants of a few processes, the lenders, serve a whole fleet.
 //
@@ -313,6 +314,11 @@
 	UnlockWithinMs int64 `json:"release_within_ms"`
 	// Polls says that the process uses inactive tokens only by the rule of silence.go.
 	Polls bool `json:"polls,omitempty"`
+	// Number is that of the heartbeat among those of the process, Consenters are the routers whose consent the
+	// process needs to use inactive tokens, and Era is the newest era of the store that it had seen.
+	Number     int64     `json:"number,omitempty"`
+	Consenters routerSet `json:"consenters,omitempty"`
+	Era        int64     `json:"era,omitempty"`
 	// Predecessors are earlier incarnations on the VM, oldest first.
 	Predecessors []predecessor `json:"before,omitempty"`
 }
--- a/coord/prepaid/silence.go
+++ b/coord/prepaid/silence.go
@@ -102,6 +102,11 @@
 	era          int64
 }
 
+// unanswered reports whether the store has not answered an attempt promptly, so that it may be silent.
+func (s *attempts) unanswered(now time.Time) bool {
+	return !s.unansweredSince.IsZero() && clock.Elapsed(s.last, now) <= maxAttemptGap && now.Sub(s.unansweredSince) >= promptResponse
+}
+
 // responding returns the series of responses up to now, and false if there is none.
 func (s *attempts) responding(now time.Time) (responses, bool) {
 	if s.prompt.IsZero() || clock.Elapsed(s.prompt, now) > maxAttemptGap {
