Resume a stream after the last event that was written, not read

Cause: forwardEvents set the id to resume after while it parsed the events of a read, and returned the error of a later event without writing those before it. Evidence: in the record the first endpoint sends 4 and a spoiled 5 in one segment, the second runs with Last-Event-Id "4", and the caller never gets 4. Change: the events up to the rejected one are written before its error decides, and the id changes with the write. What a resume names is therefore what the caller was sent.

Ruled out: the faulty endpoint (its earlier events are sound), and the second one (it goes on after the id that it was given).

--- a/internal/ingress/retry_test.go
+++ b/internal/ingress/retry_test.go
@@ -95,11 +95,10 @@
 // events when a stream is resumed at another endpoint.
 func TestResumedStreamNeitherRepeatsNorSkipsEvents(t *testing.T) {
 	q := &request{}
-	q.stream.lastEventID = "4"
-	skip, err := q.checkSequence("4")
+	skip, err := q.checkSequence("4", "4")
 	assert.Assert(t, skip && err == nil)
-	skip, err = q.checkSequence("5")
+	skip, err = q.checkSequence("4", "5")
 	assert.Assert(t, !skip && err == nil)
-	_, err = q.checkSequence("6")
+	_, err = q.checkSequence("4", "6")
 	assert.ErrorIs(t, err, errSequence)
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -148,7 +148,7 @@
 }
 
 // forwardEvents appends b to the pending bytes and forwards all complete events,
-// except those that the caller already has.
+// except those that the caller already has. Events before one that is rejected are forwarded, too.
 func (q *request) forwardEvents(a *attempt, b []byte) error {
 	if err := q.keepPending(a, len(q.stream.pending)+len(b)); err != nil {
 		return err
@@ -159,8 +159,34 @@
 	if size > 0 && !q.pauseTakeover() {
 		return errTakenOver
 	}
-	var ready []byte
-	count := 0
+	events, rejected := q.takeEvents(size)
+	if events.count > 0 {
+		if err := q.writeEvents(a, events); err != nil {
+			return err
+		}
+	}
+	if rejected != nil {
+		return rejected
+	}
+	if len(q.stream.pending) > maxEventBytes {
+		return fmt.Errorf("%w: event over %d bytes", upstream.ErrMalformed, maxEventBytes)
+	}
+	q.stream.searched = len(q.stream.pending)
+	return nil
+}
+
+// readyEvents are complete events that can be written to the caller.
+type readyEvents struct {
+	bytes []byte
+	count int
+	// lastID is the id of the last one that has one, or of the last event that was forwarded before.
+	lastID string
+}
+
+// takeEvents takes the complete events, of which the first has size bytes, from the pending bytes, up to one that is
+// rejected with an error.
+func (q *request) takeEvents(size int) (readyEvents, error) {
+	ready := readyEvents{lastID: q.stream.lastEventID}
 	for ; size > 0; size = q.nextEventLength() {
 		event := q.stream.pending[:size]
 		q.stream.pending, q.stream.searched = q.stream.pending[size:], 0
@@ -169,29 +195,22 @@
 			continue
 		}
 		if !canResumeAfter(id) {
-			return fmt.Errorf("%w: event id %.32q", upstream.ErrMalformed, id)
+			return ready, fmt.Errorf("%w: event id %.32q", upstream.ErrMalformed, id)
 		}
-		skip, err := q.checkSequence(id)
+		skip, err := q.checkSequence(ready.lastID, id)
 		if err != nil {
-			return err
+			return ready, err
 		}
 		if skip {
 			continue
 		}
-		ready = append(ready, event...)
-		count++
+		ready.bytes = append(ready.bytes, event...)
+		ready.count++
 		if id != "" {
-			q.stream.lastEventID = id
+			ready.lastID = id
 		}
 	}
-	if len(q.stream.pending) > maxEventBytes {
-		return fmt.Errorf("%w: event over %d bytes", upstream.ErrMalformed, maxEventBytes)
-	}
-	q.stream.searched = len(q.stream.pending)
-	if count == 0 {
-		return nil
-	}
-	return q.writeEvents(a, ready, count)
+	return ready, nil
 }
 
 // eventMemory is how many bytes of memory one byte of an incomplete event takes at most,
@@ -217,9 +236,9 @@
 // beginning.
 const servedEvents = 2
 
-// writeEvents writes and flushes the bytes of count complete events, after the
-// head if that was not written yet.
-func (q *request) writeEvents(a *attempt, ready []byte, count int) error {
+// writeEvents writes and flushes complete events, after the head if that was not written yet.
+func (q *request) writeEvents(a *attempt, ready readyEvents) error {
+	count := ready.count
 	if !q.stream.headForwarded {
 		q.forwardHead(a.response)
 	}
@@ -229,14 +248,15 @@
 	}
 	q.stream.lastEventAt = now
 	q.stream.forwardedEvents += count
+	q.stream.lastEventID = ready.lastID
 	a.progress = eventsForwarded
 	q.attemptEvents += count
 	q.handler.deps.Balancer.Progress(a.choice.Task, int64(count)*max(q.table.Pools[q.pool].MaxEventTokens, 1))
 	if q.attemptEvents >= servedEvents && q.attemptEvents-count < servedEvents {
 		q.handler.deps.Quarantine.RecordServed(q.pool, q.params.Generation.SharedSegments())
 	}
-	q.countWritten(int64(len(ready)), 1)
-	if _, err := q.writer.Write(ready); err != nil {
+	q.countWritten(int64(len(ready.bytes)), 1)
+	if _, err := q.writer.Write(ready.bytes); err != nil {
 		q.writeFailed(err)
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
@@ -247,12 +267,12 @@
 	return nil
 }
 
-// checkSequence compares an event's id with that of the last forwarded event. It
+// checkSequence compares an event's id with that of the event before, lastID. It
 // returns true for an event that the caller already has, which is skipped. The error
 // wraps errSequence if an event is missing in between, or if another endpoint has
 // resumed the stream with an event that has no number.
-func (q *request) checkSequence(id string) (skip bool, err error) {
-	lastNumber, lastErr := strconv.ParseInt(q.stream.lastEventID, 10, 64)
+func (q *request) checkSequence(lastID, id string) (skip bool, err error) {
+	lastNumber, lastErr := strconv.ParseInt(lastID, 10, 64)
 	number, numberErr := strconv.ParseInt(id, 10, 64)
 	switch {
 	case lastErr == nil && numberErr != nil && q.resumed():
