Ask for consents only once a heartbeat was accepted

They use no inactive tokens, so nothing else changes. A test for the gap by the store's clock after a pause is added.

--- a/coord/prepaid/consent.go
+++ b/coord/prepaid/consent.go
@@ -75,8 +75,11 @@
 	}
 }
 
-// missing returns the consenters that have not consented yet.
+// missing returns the consenters that have not consented yet, or nil if no heartbeat was accepted.
 func (b *ballot) missing() []bus.ID {
+	if b.accepted == 0 {
+		return nil
+	}
 	var ids []bus.ID
 	for _, id := range slices.Concat(b.acceptedConsenters, b.newestConsenters) {
 		if !b.consented[id] && !slices.Contains(ids, id) {
--- a/coord/prepaid/consent_test.go
+++ b/coord/prepaid/consent_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"daisyslip.dev/daisyslip/coord/bus"
+	"daisyslip.dev/daisyslip/coord/clock"
+	"daisyslip.dev/daisyslip/coord/rowstore/memory"
 )
 
 // reclaimModel is a holder with one grant, two other routers, and a third one that reclaims the grant, in any order of
@@ -282,6 +286,7 @@
 // TestNoOrderOfStepsReclaimsUsedTokens guards against a reclaim of tokens that a holder which is cut off uses, in all
 // orders of the steps of a small fleet.
 func TestNoOrderOfStepsReclaimsUsedTokens(t *testing.T) {
+	t.Parallel()
 	steps, states := search(reclaimRules{})
 	t.Logf("%d states", states)
 	assert.Equal(t, len(steps), 0, "%q", steps)
@@ -314,3 +319,17 @@
 		assert.Assert(t, consents+mayMiss(newRouterSet(ids).len())+1 > n, "%d consents of %d", consents, n)
 	}
 }
+
+// TestPauseEndsWithGap guards against a holder that has paused, and does not write its grants again although they may
+// have been reclaimed on its last heartbeat before.
+func TestPauseEndsWithGap(t *testing.T) {
+	for sinceAccepted, want := range map[time.Duration]bool{2 * time.Second: false, lostAfter: true} {
+		h := NewHolder(Options{Clock: clock.NewFake(time.Unix(1000, 0)), Store: memory.New(), Log: slog.New(slog.DiscardHandler)})
+		hb := &h.heartbeat
+		hb.acceptedMs = 7000
+		hb.pause()
+		hb.newestMs = 7000 + sinceAccepted.Milliseconds()
+		hb.noteAccepted(7*time.Second + sinceAccepted)
+		assert.Equal(t, !hb.gapEnded.IsZero(), want, "%v", sinceAccepted)
+	}
+}
--- a/coord/prepaid/poll.go
+++ b/coord/prepaid/poll.go
@@ -25,7 +25,11 @@
 			asked = append(asked, id)
 		}
 	}
-	c.ask(asked, contactRequest{Accepted: accepted, Newest: newest}, func(id bus.ID, r contactResponse) {
+	request := contactRequest{}
+	if len(missing) > 0 {
+		request = contactRequest{Accepted: accepted, Newest: newest}
+	}
+	c.ask(asked, request, func(id bus.ID, r contactResponse) {
 		if r.Consent {
 			c.pool.holder.heartbeat.noteConsent(id, newest)
 		}
