--- a/internal/ingress/sequence.go
+++ b/internal/ingress/sequence.go
@@ -23,8 +23,8 @@
 	withoutID int64
 	// confirmed is set if id followed on a number, or the caller has named it.
 	confirmed bool
-	// named is set if the caller resumes the stream, and resumes if the current run does, after events of another one.
-	// begun is set once an event of the run was accepted.
+	// named is set if the caller resumes the stream, and resumes if the current run goes on after events that the
+	// caller has. begun is set once an event of the run was accepted.
 	named, resumes, begun bool
 	// skipped is the number of the run's newest event that the caller has already, and overlaps is set if there is one.
 	skipped  int64
@@ -33,11 +33,15 @@
 
 // resumeSequence returns the sequence of a stream that its caller resumes after an event, or begins if id is empty.
 func resumeSequence(id string) sequence {
-	return sequence{id: id, confirmed: id != "", named: id != ""}
+	s := sequence{id: id, confirmed: id != "", named: id != ""}
+	s.startRun(false)
+	return s
 }
 
-// startRun begins a run of the stream. resumes says that the caller has events of another one.
-func (s *sequence) startRun(resumes bool) { s.resumes, s.begun, s.overlaps = resumes, false, false }
+// startRun begins a run of the stream. forwarded says that the caller has events of another run.
+func (s *sequence) startRun(forwarded bool) {
+	s.resumes, s.begun, s.overlaps = s.named || forwarded, false, false
+}
 
 // resumable reports whether a run can go on right after the last event.
 func (s *sequence) resumable() bool { return s.withoutID == 0 }
@@ -52,8 +56,8 @@
 	last, lastErr := strconv.ParseInt(s.id, 10, 64)
 	number, numberErr := strconv.ParseInt(id, 10, 64)
 	switch {
-	case lastErr == nil && numberErr != nil && (s.named || s.resumes) && !s.begun:
-		// The run is not known to go on after the last event.
+	case lastErr == nil && numberErr != nil && s.resumes && !s.begun:
+		return false, fmt.Errorf("%w: id %.32q of a run that is to go on after %d", upstream.ErrMalformed, id, last)
 	case id == "":
 		s.withoutID++
 		s.begun = true
@@ -62,7 +66,7 @@
 		s.accept(id, false)
 		return false, nil
 	case numberErr != nil:
-	case (s.named || s.resumes) && !s.begun && number <= last && (!s.overlaps || number == s.skipped+1):
+	case s.resumes && !s.begun && number <= last && (!s.overlaps || number == s.skipped+1):
 		s.overlaps, s.skipped = true, number
 		return true, nil
 	case number > last && number <= last+1+s.withoutID && (!s.overlaps || s.begun || s.skipped == last):
--- a/internal/ingress/sequence_test.go
+++ b/internal/ingress/sequence_test.go
@@ -151,4 +151,10 @@
 	ready, err := q.takeEvents(q.nextEventLength())
 	assert.ErrorIs(t, err, errSequence)
 	assert.Assert(t, ready.count == 0 && q.resumable(), "the first event is not written yet")
+	q = &request{}
+	q.stream.sequence = sequence{id: "1"}
+	q.stream.sequence.startRun(true)
+	q.stream.pending = []byte("id: error\ndata: x\n\n")
+	_, err = q.takeEvents(q.nextEventLength())
+	assert.Assert(t, err != nil && q.resumable(), "the second endpoint does not go on with the stream")
 }
