Change the state of a stream only while no takeover runs

Cause, from the reports: since forwardEvents wrote the sequence also for bytes that complete no event, for which the takeover of the silent endpoint is not paused; that one reads it to decide whether the stream can be resumed, and after which event. The value written was the same, so callers saw nothing, but nothing guaranteed that. Now the state changes only for complete events, after the pause.

--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -151,23 +151,31 @@
 	q.stream.pending = append(q.stream.pending, b...)
 	size := q.nextEventLength()
 	// Bytes that complete no event do not show that the endpoint goes on.
-	if size > 0 && !q.pauseTakeover() {
-		return errTakenOver
+	if size > 0 {
+		if !q.pauseTakeover() {
+			return errTakenOver
+		}
+		if err := q.forwardComplete(a, size); err != nil {
+			return err
+		}
+	}
+	if len(q.stream.pending) > maxEventBytes {
+		return fmt.Errorf("%w: event over %d bytes", upstream.ErrMalformed, maxEventBytes)
 	}
+	q.stream.searched = len(q.stream.pending)
+	return nil
+}
+
+// forwardComplete forwards the complete events, of which the first has size bytes. It changes the state that a
+// takeover uses, so that none may run.
+func (q *request) forwardComplete(a *attempt, size int) error {
 	events, rejected := q.takeEvents(size)
 	if events.count == 0 {
 		q.stream.sequence = events.sequence
 	} else if err := q.writeEvents(a, events); err != nil {
 		return err
 	}
-	if rejected != nil {
-		return rejected
-	}
-	if len(q.stream.pending) > maxEventBytes {
-		return fmt.Errorf("%w: event over %d bytes", upstream.ErrMalformed, maxEventBytes)
-	}
-	q.stream.searched = len(q.stream.pending)
-	return nil
+	return rejected
 }
 
 // readyEvents are complete events that can be written to the caller.
